--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process beside each endpoint.
--- /dev/null
+++ b/components/cell/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ownership of cells and the task state machine.
--- /dev/null
+++ b/components/conf/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of a process and the operators object set.
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process on each entry VM.
--- /dev/null
+++ b/components/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform used by tests and by the dev command.
--- /dev/null
+++ b/components/kernel/src/lib.rs
@@ -0,0 +1,30 @@
+//! Plain types that every area of hemlockmoor shares.
+//!
+//! Nothing here does I/O or keeps time by itself: decision code takes the
+//! current [`Time`] as an argument, so a session can be replayed exactly. See
+//! `docs/ARCHITECTURE.md` for how the areas fit together.
+
+pub mod event;
+pub mod member;
+pub mod name;
+pub mod object;
+pub mod plugin;
+pub mod resources;
+pub mod secret;
+pub mod task;
+pub mod time;
+pub mod verdict;
+
+pub use event::{Amount, Cause, Event, EventKind, Party};
+pub use member::{EndpointInfo, EndpointLoad, Incarnation, VmInfo};
+pub use name::{
+    AvailabilityZoneName, CallerName, CellName, EntryName, JobName, LimitName, NameError, PoolName,
+    RackName, RequestId, ServiceName, TeamName, VmName,
+};
+pub use object::{ObjectSet, Revision};
+pub use resources::Resources;
+pub use task::{
+    Attempt, Checkpoint, Epoch, JobSpec, TaskClass, TaskId, TaskRun, TaskState, Urgency,
+};
+pub use time::{Clock, Time};
+pub use verdict::Verdict;
--- /dev/null
+++ b/components/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement, admission, fairness and eviction decisions.
--- /dev/null
+++ b/components/proto/src/channel.rs
@@ -0,0 +1,167 @@
+//! One HTTP/2 connection to a peer, opened when first needed.
+//!
+//! A [`Channel`] is the client half of tonic's transport on smol. It keeps one
+//! connection, opens a new one after a failure and says of each failed call
+//! whether its bytes may have left this process.
+
+use std::{
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll},
+};
+
+use hyper::client::conn::http2;
+use kernel::Verdict;
+use smol::net::TcpStream;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use tonic::body::Body;
+
+use crate::server::SmolExecutor;
+
+type Sender = http2::SendRequest<Body>;
+type Response = http::Response<hyper::body::Incoming>;
+
+/// Why a call could not be made or was cut off.
+#[derive(Debug, thiserror::Error)]
+pub enum ChannelError {
+    /// The connection could not be opened, so nothing was sent.
+    #[error("can't connect to {address}: {source}")]
+    Connect {
+        /// The peer.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The connection was refused by the peer's HTTP/2 half, nothing was sent.
+    #[error("no HTTP/2 connection with {address}: {source}")]
+    Handshake {
+        /// The peer.
+        address: SocketAddr,
+        /// What the library said.
+        source: hyper::Error,
+    },
+    /// The connection closed before the call was put on it.
+    #[error("the connection to {0} closed before the call was sent")]
+    NotSent(SocketAddr),
+    /// The connection failed after the call may have been sent.
+    #[error("the connection to {address} failed during the call: {source}")]
+    Broken {
+        /// The peer.
+        address: SocketAddr,
+        /// What the library said.
+        source: hyper::Error,
+    },
+}
+
+impl ChannelError {
+    /// Whether the peer may have acted on the call.
+    #[must_use]
+    pub const fn verdict(&self) -> Verdict {
+        match self {
+            Self::Connect { .. } | Self::Handshake { .. } | Self::NotSent(_) => Verdict::NotRun,
+            Self::Broken { .. } => Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// A connection to one peer that can be shared by cloning.
+#[derive(Clone, Debug)]
+pub struct Channel {
+    address: SocketAddr,
+    current: Arc<Mutex<Option<Sender>>>,
+}
+
+impl Channel {
+    /// A channel to `address`; nothing is opened yet.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            current: Arc::default(),
+        }
+    }
+
+    /// The peer's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Drops the connection, so that the next call opens another.
+    pub fn reset(&self) {
+        *self.current.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+
+    fn open_sender(&self) -> Option<Sender> {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        current.clone().filter(|sender| !sender.is_closed())
+    }
+
+    async fn sender(&self) -> Result<Sender, ChannelError> {
+        if let Some(sender) = self.open_sender() {
+            return Ok(sender);
+        }
+        let sender = connect(self.address).await?;
+        let mut current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(current.insert(sender).clone())
+    }
+
+    async fn send(self, mut req: http::Request<Body>) -> Result<Response, ChannelError> {
+        let mut parts = req.uri().clone().into_parts();
+        parts.scheme = Some(http::uri::Scheme::HTTP);
+        parts.authority = self.address.to_string().parse().ok();
+        if let Ok(uri) = http::Uri::from_parts(parts) {
+            *req.uri_mut() = uri;
+        }
+        let mut sender = self.sender().await?;
+        if sender.ready().await.is_err() {
+            self.reset();
+            return Err(ChannelError::NotSent(self.address));
+        }
+        let mut failed = match sender.try_send_request(req).await {
+            Ok(resp) => return Ok(resp),
+            Err(failed) => failed,
+        };
+        self.reset();
+        if failed.take_message().is_some() {
+            return Err(ChannelError::NotSent(self.address));
+        }
+        Err(ChannelError::Broken {
+            address: self.address,
+            source: failed.into_error(),
+        })
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, ChannelError> {
+    let to_error = |source| ChannelError::Connect { address, source };
+    let stream = TcpStream::connect(address).await.map_err(to_error)?;
+    stream.set_nodelay(true).map_err(to_error)?;
+    let (sender, connection) = http2::Builder::new(SmolExecutor)
+        .timer(SmolTimer::new())
+        .handshake(FuturesIo::new(stream))
+        .await
+        .map_err(|source| ChannelError::Handshake { address, source })?;
+    smol::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%address, %error, "connection closed");
+        }
+    })
+    .detach();
+    Ok(sender)
+}
+
+impl tower_service::Service<http::Request<Body>> for Channel {
+    type Response = Response;
+    type Error = ChannelError;
+    type Future = Pin<Box<dyn Future<Output = Result<Response, ChannelError>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), ChannelError>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, req: http::Request<Body>) -> Self::Future {
+        Box::pin(self.clone().send(req))
+    }
+}
--- /dev/null
+++ b/components/proto/src/peer.rs
@@ -0,0 +1,146 @@
+//! The calling half of the calls between our own processes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use futures_lite::FutureExt;
+use http::uri::PathAndQuery;
+use kernel::{Verdict, secret::Secrets};
+use tonic::{Code, Request, Status, metadata::MetadataValue};
+
+use crate::{Method, channel::Channel, channel::ChannelError, codec::MsgPack};
+
+/// The largest message taken from a peer, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+
+/// The trailer in which a server gives the verdict of a failed call.
+pub const VERDICT_KEY: &str = "x-hemlockmoor-verdict";
+
+/// Why a call to a peer gave no answer.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("{message}")]
+pub struct RpcError {
+    /// Whether the peer may have acted on it.
+    pub verdict: Verdict,
+    /// What went wrong, for a log.
+    pub message: String,
+}
+
+impl RpcError {
+    /// An error of a call that the peer certainly did not act on.
+    #[must_use]
+    pub fn not_run(message: impl Into<String>) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            message: message.into(),
+        }
+    }
+
+    /// An error of a call that the peer may have acted on.
+    #[must_use]
+    pub fn may_have_run(message: impl Into<String>) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            message: message.into(),
+        }
+    }
+}
+
+/// Another process of the system, called over one shared connection.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    channel: Channel,
+    secrets: Secrets,
+}
+
+impl Peer {
+    /// A peer at `address`; nothing is opened yet.
+    #[must_use]
+    pub fn new(address: SocketAddr, secrets: Secrets) -> Self {
+        Self {
+            channel: Channel::new(address),
+            secrets,
+        }
+    }
+
+    /// The peer's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.channel.address()
+    }
+
+    /// Makes one call and waits at most `timeout` for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`RpcError`] whose verdict says whether the peer may have
+    /// acted on the call; a timeout always may have.
+    pub async fn call<M: Method>(
+        &self,
+        req: M::Req,
+        timeout: Duration,
+    ) -> Result<M::Resp, RpcError> {
+        let exchange = self.exchange::<M>(req);
+        let expiry = async {
+            smol::Timer::after(timeout).await;
+            Err(RpcError::may_have_run(format!(
+                "no answer from {} within {timeout:?}",
+                self.address()
+            )))
+        };
+        exchange.or(expiry).await
+    }
+
+    async fn exchange<M: Method>(&self, req: M::Req) -> Result<M::Resp, RpcError> {
+        let mut grpc = tonic::client::Grpc::new(self.channel.clone())
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
+        let mut req = Request::new(req);
+        if let Ok(value) = MetadataValue::try_from(self.secrets.authorization()) {
+            req.metadata_mut().insert("authorization", value);
+        }
+        let path = PathAndQuery::from_static(M::PATH);
+        let codec = MsgPack::<M::Req, M::Resp>::default();
+        match grpc.unary(req, path, codec).await {
+            Ok(resp) => Ok(resp.into_inner()),
+            Err(status) => Err(to_error(&status)),
+        }
+    }
+}
+
+fn to_error(status: &Status) -> RpcError {
+    RpcError {
+        verdict: verdict_of(status),
+        message: describe(status),
+    }
+}
+
+fn verdict_of(status: &Status) -> Verdict {
+    if let Some(error) = channel_error(status) {
+        return error.verdict();
+    }
+    if let Some(value) = status.metadata().get(VERDICT_KEY) {
+        return Verdict::from_header(value.to_str().unwrap_or_default());
+    }
+    match status.code() {
+        Code::Unimplemented | Code::Unauthenticated => Verdict::NotRun,
+        _ => Verdict::MayHaveRun,
+    }
+}
+
+fn describe(status: &Status) -> String {
+    match channel_error(status) {
+        Some(error) => error.to_string(),
+        None => format!("{:?}: {}", status.code(), status.message()),
+    }
+}
+
+fn channel_error(status: &Status) -> Option<&ChannelError> {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if let Some(found) = error.downcast_ref::<ChannelError>() {
+            return Some(found);
+        }
+        source = error.source();
+    }
+    None
+}
--- /dev/null
+++ b/components/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Accounts and reports.
--- /dev/null
+++ b/components/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request routing, limits, retries and hedging as plain state machines.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The `hemlockmoor` program.
+fn main() {}
