Settings of entry and agent, checked with file, line and remedy

Cause: no process could learn its addresses, zone and bounds yet. Change: conf::settings reads TOML with unknown fields refused, checks every bound and the order of related timings, and names line, field and remedy.

--- a/components/conf/src/lib.rs
+++ b/components/conf/src/lib.rs
@@ -1,1 +1,12 @@
-//! Settings of a process and the operators object set.
+//! Settings of a process and the operators' object set.
+//!
+//! Settings belong to one process and are read once, at its start. Objects
+//! belong to the whole installation, are checked together and published as one
+//! revision. Both are TOML; every error names its file, line and field and says
+//! what to do. See `docs/SETTINGS.md` and `docs/CONFIGURATION.md`.
+
+pub mod locate;
+pub mod problem;
+pub mod settings;
+
+pub use problem::{Problem, Problems};
