Place tasks on the workers of a cell

Change: Fleet keeps workers and reservations and refuses what does not fit in any dimension; place() binds by best fit, evicts the fewest and youngest normal batch tasks for urgent work and keeps the room for it; Queue orders waiting tasks by urgency, team share and deadline and passes over teams at their quota.

--- /dev/null
+++ b/components/place/tests/common/mod.rs
@@ -0,0 +1,52 @@
+//! Makers of workers and tasks for the tests.
+
+use kernel::{Attempt, JobName, Resources, TaskClass, TaskId, TaskRun, TeamName, Time, Urgency};
+use place::{Holding, Want, Worker};
+
+/// A worker `vm-N`, three to a rack, four availability zones.
+pub(crate) fn worker(number: u32, capacity: Resources) -> Worker {
+    Worker {
+        vm: format!("vm-{number}").parse().unwrap(),
+        zone: format!("zone-{}", number % 4).parse().unwrap(),
+        rack: format!("rack-{}", number / 3).parse().unwrap(),
+        capacity,
+        services: Vec::new(),
+        open: true,
+    }
+}
+
+/// The first attempt of task `index` of job `job`.
+pub(crate) fn run(job: &str, index: u32) -> TaskRun {
+    TaskRun {
+        task: TaskId {
+            job: JobName::new(job).unwrap(),
+            index,
+        },
+        attempt: Attempt(1),
+    }
+}
+
+/// A normal batch task of `team`.
+pub(crate) fn want(run: &TaskRun, team: &str, need: Resources) -> Want {
+    Want {
+        run: run.clone(),
+        team: TeamName::new(team).unwrap(),
+        class: TaskClass::Batch,
+        urgency: Urgency::Normal,
+        need,
+        service: None,
+        avoid: Vec::new(),
+        finish_by: None,
+    }
+}
+
+/// What `want` holds once it is bound.
+pub(crate) fn holding(want: &Want, started: Time) -> Holding {
+    Holding {
+        team: want.team.clone(),
+        class: want.class,
+        urgency: want.urgency,
+        reserved: want.need,
+        started,
+    }
+}
--- /dev/null
+++ b/components/place/tests/fleet.rs
@@ -0,0 +1,265 @@
+//! Placement on the workers of a cell.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod common;
+
+use common::{holding, run, want, worker};
+use kernel::{Resources, TaskClass, Time, Urgency};
+use place::{Decision, Fleet, Full, Queue, Why};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const CORES_4: Resources = Resources::new(4000, 8192, 1);
+const CORE: Resources = Resources::new(1000, 1024, 0);
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
+
+fn now() -> Time {
+    Time::from_secs(1000)
+}
+
+/// A fleet whose workers are full of normal batch tasks, one core each.
+fn full_fleet(workers: u32) -> Fleet {
+    let mut fleet = Fleet::new();
+    for number in 0..workers {
+        fleet.upsert(worker(number, CORES_4));
+        for index in 0..4 {
+            let run = run("statements", number * 4 + index);
+            let want = want(&run, "royalties", CORE);
+            let started = Time::from_secs(u64::from(number * 4 + index));
+            let vm = worker(number, CORES_4).vm;
+            fleet.reserve(&run, &vm, holding(&want, started)).unwrap();
+        }
+    }
+    fleet
+}
+
+#[test]
+fn a_task_that_fits_is_bound_and_a_full_worker_refuses() {
+    let mut fleet = Fleet::new();
+    fleet.upsert(worker(0, CORE));
+    let first = run("statements", 0);
+    let wanted = want(&first, "royalties", CORE);
+    let vm = worker(0, CORE).vm;
+    assert_eq!(
+        fleet.place(now(), &wanted, &mut rng()),
+        Decision::Bind(vm.clone())
+    );
+    fleet.reserve(&first, &vm, holding(&wanted, now())).unwrap();
+    let second = run("statements", 1);
+    let refused = fleet.reserve(&second, &vm, holding(&wanted, now()));
+    assert!(matches!(refused, Err(Full::NoRoom { .. })));
+    assert_eq!(
+        fleet.place(now(), &want(&second, "royalties", CORE), &mut rng()),
+        Decision::Wait(Why::NoRoom)
+    );
+    fleet.release(&first);
+    assert_eq!(fleet.free_on(&vm), Some(CORE));
+}
+
+#[test]
+fn closed_and_avoided_workers_are_passed_over() {
+    let mut fleet = Fleet::new();
+    let mut closed = worker(0, CORES_4);
+    closed.open = false;
+    fleet.upsert(closed);
+    let mut wanted = want(&run("statements", 0), "royalties", CORE);
+    assert_eq!(
+        fleet.place(now(), &wanted, &mut rng()),
+        Decision::Wait(Why::NoWorker)
+    );
+    fleet.upsert(worker(1, CORES_4));
+    wanted.avoid.push(worker(1, CORES_4).vm);
+    assert_eq!(
+        fleet.place(now(), &wanted, &mut rng()),
+        Decision::Wait(Why::Avoided)
+    );
+}
+
+#[test]
+fn a_task_larger_than_every_worker_is_refused_once_the_fleet_has_settled() {
+    let mut fleet = Fleet::new();
+    let wanted = want(&run("statements", 0), "royalties", CORES_4.plus(CORE));
+    assert_eq!(
+        fleet.place(now(), &wanted, &mut rng()),
+        Decision::Wait(Why::NoWorker)
+    );
+    fleet.upsert(worker(0, CORES_4));
+    assert_eq!(
+        fleet.place(now(), &wanted, &mut rng()),
+        Decision::Wait(Why::TooLarge)
+    );
+    let later = now() + place::fleet::NEVER_AFTER;
+    assert_eq!(
+        fleet.place(later, &wanted, &mut rng()),
+        Decision::Never(Why::TooLarge)
+    );
+}
+
+#[test]
+fn urgent_work_evicts_the_youngest_victim_and_its_room_is_kept() {
+    let mut fleet = full_fleet(3);
+    let mut urgent = want(&run("rebooking", 0), "bookings", CORE);
+    urgent.urgency = Urgency::Urgent;
+    let decision = fleet.place(now(), &urgent, &mut rng());
+    let youngest = run("statements", 11);
+    let vm = worker(2, CORES_4).vm;
+    assert_eq!(
+        decision,
+        Decision::Evict {
+            vm: vm.clone(),
+            victims: vec![youngest.clone()]
+        }
+    );
+    assert_eq!(
+        fleet.place(now(), &urgent, &mut rng()),
+        Decision::Wait(Why::Evicting)
+    );
+    fleet.release(&youngest);
+    let other = want(&run("statements", 99), "royalties", CORE);
+    assert_eq!(
+        fleet.place(now(), &other, &mut rng()),
+        Decision::Wait(Why::NoRoom)
+    );
+    assert_eq!(fleet.place(now(), &urgent, &mut rng()), Decision::Bind(vm));
+}
+
+#[test]
+fn normal_work_evicts_nothing_and_urgent_work_no_latency_critical_task() {
+    let mut fleet = Fleet::new();
+    fleet.upsert(worker(0, CORE));
+    let replica = run("directory", 0);
+    let mut serving = want(&replica, "bookings", CORE);
+    serving.class = TaskClass::LatencyCritical;
+    let vm = worker(0, CORE).vm;
+    fleet
+        .reserve(&replica, &vm, holding(&serving, now()))
+        .unwrap();
+    let mut urgent = want(&run("rebooking", 0), "bookings", CORE);
+    urgent.urgency = Urgency::Urgent;
+    assert_eq!(
+        fleet.place(now(), &urgent, &mut rng()),
+        Decision::Wait(Why::NoRoom)
+    );
+}
+
+#[test]
+fn the_queue_takes_urgent_work_first_then_the_team_with_the_smaller_share() {
+    let mut fleet = Fleet::new();
+    fleet.upsert(worker(0, CORES_4));
+    let held = run("statements", 0);
+    let vm = worker(0, CORES_4).vm;
+    let first = want(&held, "royalties", CORE);
+    fleet.reserve(&held, &vm, holding(&first, now())).unwrap();
+    let objects = kernel::ObjectSet::default();
+    let mut queue = Queue::new();
+    queue.push(want(&run("statements", 1), "royalties", CORE), Time(1));
+    queue.push(want(&run("invoices", 0), "accounts", CORE), Time(2));
+    let mut urgent = want(&run("statements", 2), "royalties", CORE);
+    urgent.urgency = Urgency::Urgent;
+    queue.push(urgent, Time(3));
+    let mut order = Vec::new();
+    while let Some(want) = queue.next(now(), &objects, &fleet) {
+        order.push(want.run.to_string());
+    }
+    assert_eq!(order, ["statements/2@1", "invoices/0@1", "statements/1@1"]);
+}
+
+fn resources() -> impl Strategy<Value = Resources> {
+    (0u64..4000, 0u64..8192, 0u32..3)
+        .prop_map(|(cpu, memory, accelerators)| Resources::new(cpu, memory, accelerators))
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Upsert(u32, Resources),
+    Remove(u32),
+    Reserve(u32, u32, Resources),
+    Place(u32, Resources, bool),
+    Release(u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0u32..4, resources()).prop_map(|(vm, capacity)| Step::Upsert(vm, capacity)),
+        (0u32..4).prop_map(Step::Remove),
+        (0u32..20, 0u32..4, resources()).prop_map(|(run, vm, need)| Step::Reserve(run, vm, need)),
+        (0u32..20, resources(), any::<bool>())
+            .prop_map(|(run, need, urgent)| Step::Place(run, need, urgent)),
+        (0u32..20).prop_map(Step::Release),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn reservations_never_exceed_capacity(steps in prop::collection::vec(step(), 1..120)) {
+        let mut fleet = Fleet::new();
+        let mut rng = rng();
+        let mut capacity = std::collections::BTreeMap::new();
+        let mut held = std::collections::BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Upsert(vm, size) => {
+                    // A worker never shrinks below what it holds: it is replaced first.
+                    fleet.remove(&worker(vm, size).vm);
+                    held.retain(|_, (at, _)| *at != vm);
+                    fleet.upsert(worker(vm, size));
+                    capacity.insert(vm, size);
+                }
+                Step::Remove(vm) => {
+                    fleet.remove(&worker(vm, CORE).vm);
+                    capacity.remove(&vm);
+                    held.retain(|_, (at, _)| *at != vm);
+                }
+                Step::Reserve(index, vm, need) => {
+                    let run = run("job", index);
+                    let wanted = want(&run, "team", need);
+                    let at = worker(vm, CORE).vm;
+                    let known = held.get(&index).copied();
+                    if fleet.reserve(&run, &at, holding(&wanted, now())).is_ok()
+                        && known.is_none_or(|(at, _)| at != vm)
+                    {
+                        held.insert(index, (vm, need));
+                    }
+                }
+                Step::Place(index, need, urgent) => {
+                    let run = run("job", index);
+                    if held.contains_key(&index) {
+                        continue;
+                    }
+                    let mut wanted = want(&run, "team", need);
+                    if urgent {
+                        wanted.urgency = Urgency::Urgent;
+                    }
+                    if let Decision::Bind(vm) = fleet.place(now(), &wanted, &mut rng) {
+                        // What placement chooses always fits.
+                        fleet.reserve(&run, &vm, holding(&wanted, now())).unwrap();
+                        let number = vm.as_str()[3..].parse().unwrap();
+                        held.insert(index, (number, need));
+                    }
+                }
+                Step::Release(index) => {
+                    fleet.release(&run("job", index));
+                    held.remove(&index);
+                }
+            }
+            for (vm, size) in &capacity {
+                let used = held
+                    .values()
+                    .filter(|(at, _)| at == vm)
+                    .fold(Resources::default(), |sum, (_, need)| sum.plus(*need));
+                prop_assert!(used.fits(*size), "{used} on vm-{vm} of {size}");
+                prop_assert_eq!(fleet.free_on(&worker(*vm, *size).vm), Some(size.minus(used)));
+            }
+        }
+    }
+}
