A stand-in worker, and the history with its checker

Cause: the fault tests need one ground truth for every invariant. Change: fakes::worker ends leases by itself and records starts and stops; fakes::history checks a record of a run against the ten invariants. Conclusion: fault tests of any area can share this checker.

--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -1,1 +1,4 @@
 //! Small stand-ins for the platform used by tests and by the dev command.
+
+pub mod history;
+pub mod worker;
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod peer;
 pub mod rpc;
 pub mod server;
+pub mod worker;
 
 /// The committed code generated from `proto/etcd.proto` by `tools/protogen`.
 #[allow(
