Accounts: ledger, five kinds of report as text, JSON and HTML

Cause: managers ask who got what and at whose expense, and events that name every task can't be kept for ever. Five kinds of report register themselves and are shown as text, JSON and a page. No timing was measured.

--- a/components/kernel/src/event.rs
+++ b/components/kernel/src/event.rs
@@ -98,6 +98,21 @@
     RequestsRetried,
     /// Requests were hedged.
     RequestsHedged,
+    /// An availability zone out of service came into force at an entry.
+    ZoneOut,
+    /// An availability zone back in service came into force at an entry.
+    ZoneIn,
+}
+
+impl EventKind {
+    /// Whether sums keep the distribution of its durations, not only their total.
+    #[must_use]
+    pub const fn has_tail(self) -> bool {
+        matches!(
+            self,
+            Self::Waited | Self::RequestsGood | Self::RequestsLate | Self::RequestsFailed
+        )
+    }
 }
 
 /// How much an event is about.
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 //! current [`Time`] as an argument, so a session can be replayed exactly. See
 //! `docs/ARCHITECTURE.md` for how the areas fit together.
 
+pub mod account;
 pub mod event;
 pub mod member;
 pub mod name;
@@ -15,6 +16,7 @@
 pub mod time;
 pub mod verdict;
 
+pub use account::{Account, AccountPart, DurationClass, Span, Sum, SumKey};
 pub use event::{Amount, Cause, Event, EventKind, Party};
 pub use member::{EndpointInfo, EndpointLoad, Incarnation, VmInfo};
 pub use name::{
--- a/components/proto/src/messages.rs
+++ b/components/proto/src/messages.rs
@@ -7,9 +7,9 @@
 use std::net::SocketAddr;
 
 use kernel::{
-    AvailabilityZoneName, CellName, Checkpoint, EndpointLoad, EntryName, Epoch, Event, Incarnation,
-    JobName, JobSpec, ObjectSet, RequestId, Resources, Revision, ServiceName, TaskRun, TaskState,
-    Time, Verdict, VmInfo, VmName,
+    AccountPart, AvailabilityZoneName, CellName, Checkpoint, EndpointLoad, EntryName, Epoch, Event,
+    Incarnation, JobName, JobSpec, ObjectSet, RequestId, Resources, Revision, ServiceName, Sum,
+    TaskRun, TaskState, Time, Verdict, VmInfo, VmName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -338,8 +338,12 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct EventReply {
-    /// The events, oldest first.
+    /// The events of the cells that the entry owns, oldest first.
     pub events: Vec<Event>,
+    /// Sums that stand for older events of these cells.
+    pub sums: Vec<Sum>,
+    /// Parts of the entry's own accounts that the store may not hold yet.
+    pub parts: Vec<AccountPart>,
     /// What could not be read, in words; empty if nothing is missing.
     pub missing: Vec<String>,
 }
--- /dev/null
+++ b/components/report/src/kinds/allocations.rs
@@ -0,0 +1,247 @@
+//! Who got what: starts, run time and resources by team, service and zone.
+
+use std::collections::BTreeMap;
+
+use kernel::{Account, Amount, AvailabilityZoneName, EventKind, Time, plugin::inventory};
+
+use super::{
+    ReportKind, accelerator_seconds, account_name, bin_micros, cpu_seconds, memory_gib_seconds,
+    service_cell, team_cell,
+};
+use crate::{
+    Cell, Input, Line, Plot, Section, Series,
+    model::{Column, columns},
+};
+
+inventory::submit! {
+    ReportKind {
+        name: "allocations",
+        about: "Who got what: tasks, resources held and requests answered, by team, service and availability zone.",
+        make,
+    }
+}
+
+/// The most lines in one plot; smaller ones are left to the table.
+const MAX_SERIES: usize = 6;
+const MAX_BINS: u64 = 96;
+
+/// What one account got.
+#[derive(Default)]
+struct Got {
+    accepted: u64,
+    bound: u64,
+    finished: u64,
+    failed: u64,
+    evicted: u64,
+    ran: Amount,
+}
+
+impl Got {
+    fn add(&mut self, line: &Line) {
+        let count = line.amount.count;
+        match line.key.kind {
+            EventKind::Accepted => self.accepted += count,
+            EventKind::Bound => self.bound += count,
+            EventKind::Finished => self.finished += count,
+            EventKind::Failed => self.failed += count,
+            EventKind::Evicted => self.evicted += count,
+            EventKind::Ran => self.ran = self.ran.plus(line.amount),
+            _ => {}
+        }
+    }
+
+    fn cells(&self) -> Vec<Cell> {
+        vec![
+            Cell::Count(self.accepted),
+            Cell::Count(self.bound),
+            Cell::Count(self.finished),
+            Cell::Count(self.failed),
+            Cell::Count(self.evicted),
+            Cell::Number(cpu_seconds(&self.ran)),
+            Cell::Number(memory_gib_seconds(&self.ran)),
+            Cell::Number(accelerator_seconds(&self.ran)),
+        ]
+    }
+}
+
+const GOT_COLUMNS: [(&str, &str); 8] = [
+    ("accepted", "tasks"),
+    ("started", "attempts"),
+    ("finished", "tasks"),
+    ("failed", "tasks"),
+    ("evicted", "attempts"),
+    ("processors", "core-seconds"),
+    ("memory", "GiB-seconds"),
+    ("accelerators", "accelerator-seconds"),
+];
+
+fn with_got(first: &[(&str, &str)]) -> Vec<Column> {
+    let mut all = columns(first);
+    all.extend(columns(&GOT_COLUMNS));
+    all
+}
+
+fn is_task(kind: EventKind) -> bool {
+    matches!(
+        kind,
+        EventKind::Accepted
+            | EventKind::Bound
+            | EventKind::Finished
+            | EventKind::Failed
+            | EventKind::Evicted
+            | EventKind::Ran
+    )
+}
+
+fn make(input: &Input<'_>) -> Vec<Section> {
+    let lines = input.lines();
+    vec![by_account(&lines), by_zone(&lines), requests(&lines)]
+}
+
+fn by_account(lines: &[Line]) -> Section {
+    let mut got: BTreeMap<Account, Got> = BTreeMap::new();
+    for line in lines.iter().filter(|line| is_task(line.key.kind)) {
+        got.entry(line.subject().clone()).or_default().add(line);
+    }
+    let mut rows = Vec::new();
+    for (account, got) in &got {
+        let mut row = vec![team_cell(account), service_cell(account)];
+        row.extend(got.cells());
+        rows.push(row);
+    }
+    Section {
+        heading: "Tasks by team and service".to_owned(),
+        note: "Resources are what was reserved, for as long as it was held; they are counted when an attempt ends.".to_owned(),
+        columns: with_got(&[("team", ""), ("service", "")]),
+        rows,
+        plots: vec![cores_plot(lines)],
+    }
+}
+
+fn by_zone(lines: &[Line]) -> Section {
+    let mut got: BTreeMap<Option<AvailabilityZoneName>, Got> = BTreeMap::new();
+    for line in lines.iter().filter(|line| is_task(line.key.kind)) {
+        got.entry(line.key.zone.clone()).or_default().add(line);
+    }
+    let mut rows = Vec::new();
+    for (zone, got) in &got {
+        let name = zone.as_ref().map_or(Cell::Nothing, Cell::text);
+        let mut row = vec![name];
+        row.extend(got.cells());
+        rows.push(row);
+    }
+    Section {
+        heading: "Tasks by availability zone".to_owned(),
+        columns: with_got(&[("availability zone", "")]),
+        rows,
+        ..Section::default()
+    }
+}
+
+/// The mean number of cores that ended attempts had held, over time.
+fn cores_plot(lines: &[Line]) -> Plot {
+    let ran: Vec<Line> = lines
+        .iter()
+        .filter(|line| line.key.kind == EventKind::Ran)
+        .cloned()
+        .collect();
+    let bin = bin_micros(&ran, MAX_BINS);
+    let mut totals: BTreeMap<&Account, BTreeMap<u64, f64>> = BTreeMap::new();
+    for line in &ran {
+        let bins = totals.entry(line.subject()).or_default();
+        *bins.entry(line.from.0 / bin).or_default() += cpu_seconds(&line.amount);
+    }
+    let mut largest: Vec<(&Account, BTreeMap<u64, f64>)> = totals.into_iter().collect();
+    largest.sort_by(|a, b| total(&b.1).total_cmp(&total(&a.1)));
+    largest.truncate(MAX_SERIES);
+    let bin_secs = bin as f64 / 1e6;
+    let mut series = Vec::new();
+    for (account, bins) in largest {
+        series.push(Series {
+            name: account_name(account),
+            points: points(&bins, bin, bin_secs),
+        });
+    }
+    Plot {
+        title: "Core-seconds of ended attempts, spread over the time in which they ended"
+            .to_owned(),
+        unit: "cores".to_owned(),
+        series,
+    }
+}
+
+fn total(bins: &BTreeMap<u64, f64>) -> f64 {
+    bins.values().sum()
+}
+
+fn points(bins: &BTreeMap<u64, f64>, bin: u64, bin_secs: f64) -> Vec<(Time, f64)> {
+    let (Some(first), Some(last)) = (bins.keys().next(), bins.keys().last()) else {
+        return Vec::new();
+    };
+    let mut points = Vec::new();
+    for at in *first..=*last {
+        let value = bins.get(&at).copied().unwrap_or(0.0);
+        points.push((Time(at * bin), value / bin_secs));
+    }
+    points
+}
+
+/// What a service's callers got.
+#[derive(Default)]
+struct Answers {
+    good: u64,
+    late: u64,
+    failed: u64,
+    refused: u64,
+    retried: u64,
+    hedged: u64,
+}
+
+fn requests(lines: &[Line]) -> Section {
+    let mut all: BTreeMap<Account, Answers> = BTreeMap::new();
+    for line in lines {
+        let count = line.amount.count;
+        let add = |slot: fn(&mut Answers) -> &mut u64, all: &mut BTreeMap<Account, Answers>| {
+            *slot(all.entry(line.subject().clone()).or_default()) += count;
+        };
+        match line.key.kind {
+            EventKind::RequestsGood => add(|a| &mut a.good, &mut all),
+            EventKind::RequestsLate => add(|a| &mut a.late, &mut all),
+            EventKind::RequestsFailed => add(|a| &mut a.failed, &mut all),
+            EventKind::RequestsRefused => add(|a| &mut a.refused, &mut all),
+            EventKind::RequestsRetried => add(|a| &mut a.retried, &mut all),
+            EventKind::RequestsHedged => add(|a| &mut a.hedged, &mut all),
+            _ => {}
+        }
+    }
+    let mut rows = Vec::new();
+    for (account, answers) in &all {
+        rows.push(vec![
+            team_cell(account),
+            service_cell(account),
+            Cell::Count(answers.good),
+            Cell::Count(answers.late),
+            Cell::Count(answers.failed),
+            Cell::Count(answers.refused),
+            Cell::Count(answers.retried),
+            Cell::Count(answers.hedged),
+        ]);
+    }
+    Section {
+        heading: "Requests by service".to_owned(),
+        note: "Good is answered whole and within the objective. Refused requests were not run."
+            .to_owned(),
+        columns: columns(&[
+            ("team", ""),
+            ("service", ""),
+            ("good", "requests"),
+            ("late", "requests"),
+            ("failed", "requests"),
+            ("refused", "requests"),
+            ("retried", "attempts"),
+            ("hedged", "attempts"),
+        ]),
+        rows,
+        ..Section::default()
+    }
+}
--- /dev/null
+++ b/components/report/src/kinds/burn.rs
@@ -0,0 +1,290 @@
+//! Service-level burn: how fast each service spends its error budget, and on what.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kernel::{Cause, EventKind, ServiceName, Time, plugin::inventory};
+
+use super::{ReportKind, bin_micros, word};
+use crate::{Cell, Input, Line, Plot, Section, Series, format, model::columns};
+
+inventory::submit! {
+    ReportKind {
+        name: "burn",
+        about: "How fast each service spends the errors that its objective allows, and what spent them.",
+        make,
+    }
+}
+
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(3600);
+/// The windows of the table, shortest first.
+const WINDOWS: [Duration; 4] = [
+    Duration::from_secs(5 * 60),
+    HOUR,
+    Duration::from_secs(6 * 3600),
+    Duration::from_secs(3 * 24 * 3600),
+];
+/// A burn that spends 2% of a budget of 30 days within an hour.
+pub(crate) const FAST_BURN: f64 = 14.4;
+/// A burn that spends a budget of 30 days in just 30 days.
+pub(crate) const SLOW_BURN: f64 = 1.0;
+const MILLION: f64 = 1e6;
+const MAX_BINS: u64 = 144;
+const MAX_SERIES: usize = 6;
+
+/// The answers of one service in one stretch of time.
+#[derive(Clone, Copy, Default)]
+struct Answers {
+    good: u64,
+    bad: u64,
+}
+
+impl Answers {
+    fn add(&mut self, line: &Line) {
+        if line.key.kind == EventKind::RequestsGood {
+            self.good += line.amount.count;
+        } else {
+            self.bad += line.amount.count;
+        }
+    }
+
+    /// The share of bad answers over the share that the objective allows.
+    fn burn(self, allowed: f64) -> Option<f64> {
+        let all = self.good + self.bad;
+        if all == 0 {
+            return None;
+        }
+        Some(self.bad as f64 / all as f64 / allowed)
+    }
+}
+
+/// A service with its lines.
+struct Burning<'a> {
+    name: ServiceName,
+    /// The share of bad answers that the objective allows, if it is known.
+    allowed: Option<f64>,
+    latency_millis: Option<u64>,
+    lines: Vec<&'a Line>,
+}
+
+fn make(input: &Input<'_>) -> Vec<Section> {
+    let mut lines = input.lines();
+    lines.retain(|line| is_answer(line.key.kind));
+    let services = services(input, &lines);
+    let until = input.accounts.span.until;
+    vec![
+        windows(&services, until),
+        alerts(&services, until),
+        causes(&services),
+    ]
+}
+
+const fn is_answer(kind: EventKind) -> bool {
+    matches!(
+        kind,
+        EventKind::RequestsGood
+            | EventKind::RequestsLate
+            | EventKind::RequestsFailed
+            | EventKind::RequestsRefused
+    )
+}
+
+fn services<'a>(input: &Input<'_>, lines: &'a [Line]) -> Vec<Burning<'a>> {
+    let mut by_name: BTreeMap<ServiceName, Vec<&Line>> = BTreeMap::new();
+    for line in lines {
+        if let Some(name) = &line.subject().service {
+            by_name.entry(name.clone()).or_default().push(line);
+        }
+    }
+    let mut services = Vec::new();
+    for (name, lines) in by_name {
+        let objective = input.objects.services.get(&name).map(|s| &s.objective);
+        services.push(Burning {
+            allowed: objective.map(|o| allowed(o.good_per_million)),
+            latency_millis: objective.map(|o| o.latency_millis),
+            name,
+            lines,
+        });
+    }
+    services
+}
+
+/// An objective of a million in a million still allows one bad answer in a million.
+fn allowed(good_per_million: u32) -> f64 {
+    (MILLION - f64::from(good_per_million)).max(1.0) / MILLION
+}
+
+impl Burning<'_> {
+    fn within(&self, window: Duration, until: Time) -> Answers {
+        let from = until - window;
+        let mut answers = Answers::default();
+        for line in &self.lines {
+            // A sum belongs to the window that holds its end, so that sums of an
+            // hour don't vanish from all windows.
+            if line.until > from && line.from < until {
+                answers.add(line);
+            }
+        }
+        answers
+    }
+
+    fn burn(&self, window: Duration, until: Time) -> Option<f64> {
+        self.within(window, until).burn(self.allowed?)
+    }
+
+    fn whole(&self) -> Answers {
+        let mut answers = Answers::default();
+        for line in &self.lines {
+            answers.add(line);
+        }
+        answers
+    }
+}
+
+fn windows(services: &[Burning<'_>], until: Time) -> Section {
+    let mut rows = Vec::new();
+    for service in services {
+        let whole = service.whole();
+        let left = service
+            .allowed
+            .and_then(|allowed| whole.burn(allowed))
+            .map(|burn| (1.0 - burn) * 100.0);
+        let objective = service.allowed.map(|allowed| (1.0 - allowed) * 100.0);
+        let latency = service.latency_millis.map_or(Cell::Nothing, Cell::Count);
+        let mut row = vec![
+            Cell::text(&service.name),
+            Cell::number(objective),
+            latency,
+            Cell::Count(whole.good),
+            Cell::Count(whole.bad),
+            Cell::number(left),
+        ];
+        for window in WINDOWS {
+            row.push(Cell::number(service.burn(window, until)));
+        }
+        rows.push(row);
+    }
+    Section {
+        heading: "Burn by service".to_owned(),
+        note: format!(
+            "A burn of 1 spends the errors that the objective allows exactly as fast as allowed. The windows end at {} and hold no more than the span of this report. The budget is that of the whole span of this report.",
+            format::time(until)
+        ),
+        columns: columns(&[
+            ("service", ""),
+            ("objective", "% good"),
+            ("in time", "ms"),
+            ("good", "requests"),
+            ("bad", "requests"),
+            ("budget left", "%"),
+            ("burn", "5 min"),
+            ("burn", "1 h"),
+            ("burn", "6 h"),
+            ("burn", "3 d"),
+        ]),
+        rows,
+        plots: vec![plot(services)],
+    }
+}
+
+fn alerts(services: &[Burning<'_>], until: Time) -> Section {
+    let [five_min, hour, six_hours, three_days] = WINDOWS;
+    let mut rows = Vec::new();
+    for service in services {
+        let above = |window, bound| {
+            service
+                .burn(window, until)
+                .is_some_and(|burn| burn >= bound)
+        };
+        let fast = above(five_min, FAST_BURN) && above(hour, FAST_BURN);
+        let slow = above(six_hours, SLOW_BURN) && above(three_days, SLOW_BURN);
+        if fast {
+            rows.push(alert(service, "fast burn", "page someone now"));
+        }
+        if slow {
+            rows.push(alert(service, "slow burn", "look at it within a day"));
+        }
+    }
+    Section {
+        heading: "Alerts".to_owned(),
+        note: format!(
+            "Fast burn: at least {FAST_BURN} over 5 min and 1 h. Slow burn: at least {SLOW_BURN} over 6 h and 3 d."
+        ),
+        columns: columns(&[("service", ""), ("alert", ""), ("what to do", "")]),
+        rows,
+        ..Section::default()
+    }
+}
+
+fn alert(service: &Burning<'_>, name: &str, remedy: &str) -> Vec<Cell> {
+    vec![
+        Cell::text(&service.name),
+        Cell::text(name),
+        Cell::text(remedy),
+    ]
+}
+
+fn causes(services: &[Burning<'_>]) -> Section {
+    let mut rows = Vec::new();
+    for service in services {
+        let bad = service.whole().bad;
+        let mut causes: BTreeMap<(EventKind, Cause), u64> = BTreeMap::new();
+        for line in &service.lines {
+            if line.key.kind != EventKind::RequestsGood {
+                *causes.entry((line.key.kind, line.key.cause)).or_default() += line.amount.count;
+            }
+        }
+        for ((kind, cause), count) in causes {
+            rows.push(vec![
+                Cell::text(&service.name),
+                Cell::text(word(kind)),
+                Cell::text(word(cause)),
+                Cell::Count(count),
+                Cell::Number(count as f64 / bad.max(1) as f64 * 100.0),
+            ]);
+        }
+    }
+    Section {
+        heading: "What burned it".to_owned(),
+        columns: columns(&[
+            ("service", ""),
+            ("what", ""),
+            ("cause", ""),
+            ("requests", ""),
+            ("share", "% of bad"),
+        ]),
+        rows,
+        ..Section::default()
+    }
+}
+
+fn plot(services: &[Burning<'_>]) -> Plot {
+    let all: Vec<Line> = services
+        .iter()
+        .flat_map(|service| service.lines.iter().map(|line| (*line).clone()))
+        .collect();
+    let bin = bin_micros(&all, MAX_BINS).max(5 * MINUTE.as_micros() as u64);
+    let mut series = Vec::new();
+    for service in services.iter().take(MAX_SERIES) {
+        let Some(allowed) = service.allowed else {
+            continue;
+        };
+        let mut bins: BTreeMap<u64, Answers> = BTreeMap::new();
+        for line in &service.lines {
+            bins.entry(line.from.0 / bin).or_default().add(line);
+        }
+        let mut points = Vec::new();
+        for (at, answers) in bins {
+            points.push((Time(at * bin), answers.burn(allowed).unwrap_or(0.0)));
+        }
+        series.push(Series {
+            name: service.name.to_string(),
+            points,
+        });
+    }
+    Plot {
+        title: format!("Burn in steps of {} min", bin / MINUTE.as_micros() as u64),
+        unit: "burn".to_owned(),
+        series,
+    }
+}
--- /dev/null
+++ b/components/report/src/kinds/expense.rs
@@ -0,0 +1,150 @@
+//! At whose expense: work evicted, throttled, delayed or lost, and for whom.
+
+use std::collections::BTreeMap;
+
+use kernel::{Account, Amount, Cause, EventKind, plugin::inventory};
+
+use super::{
+    ReportKind, accelerator_seconds, cpu_seconds, memory_gib_seconds, seconds, service_cell,
+    team_cell, word,
+};
+use crate::{Cell, Input, Line, Section, model::columns};
+
+inventory::submit! {
+    ReportKind {
+        name: "expense",
+        about: "Whose work was evicted, throttled, delayed, lost, late or refused, for whom and why.",
+        make,
+    }
+}
+
+type Key = (Account, Account, EventKind, Cause);
+
+fn make(input: &Input<'_>) -> Vec<Section> {
+    let lines = input.lines();
+    vec![by_pair(&lines), balance(&lines)]
+}
+
+fn counts(line: &Line) -> bool {
+    matches!(
+        line.key.kind,
+        EventKind::Waited
+            | EventKind::Throttled
+            | EventKind::Evicted
+            | EventKind::Lost
+            | EventKind::RequestsLate
+            | EventKind::RequestsFailed
+            | EventKind::RequestsRefused
+    )
+}
+
+/// The payer, or the only party that the event names.
+fn payer(line: &Line) -> Account {
+    line.subject().clone()
+}
+
+/// The one who gained, unless the event names nobody else than the payer.
+fn beneficiary(line: &Line) -> Account {
+    if line.key.payer == Account::default() {
+        return Account::default();
+    }
+    line.key.beneficiary.clone()
+}
+
+fn by_pair(lines: &[Line]) -> Section {
+    let mut sums: BTreeMap<Key, Amount> = BTreeMap::new();
+    for line in lines.iter().filter(|line| counts(line)) {
+        let key = (
+            payer(line),
+            beneficiary(line),
+            line.key.kind,
+            line.key.cause,
+        );
+        let sum = sums.entry(key).or_default();
+        *sum = sum.plus(line.amount);
+    }
+    let mut rows = Vec::new();
+    for ((payer, beneficiary, kind, cause), sum) in &sums {
+        rows.push(vec![
+            team_cell(payer),
+            service_cell(payer),
+            Cell::text(word(kind)),
+            Cell::text(word(cause)),
+            team_cell(beneficiary),
+            service_cell(beneficiary),
+            Cell::Count(sum.count),
+            Cell::Number(seconds(sum)),
+            Cell::Number(cpu_seconds(sum)),
+            Cell::Number(memory_gib_seconds(sum)),
+            Cell::Number(accelerator_seconds(sum)),
+        ]);
+    }
+    Section {
+        heading: "Who paid for whom".to_owned(),
+        note: "A waited line without a beneficiary waited for room that nobody in particular held. Resources are those that the payer went without, for the time given.".to_owned(),
+        columns: columns(&[
+            ("payer team", ""),
+            ("payer service", ""),
+            ("what", ""),
+            ("cause", ""),
+            ("for team", ""),
+            ("for service", ""),
+            ("times", ""),
+            ("time", "s"),
+            ("processors", "core-seconds"),
+            ("memory", "GiB-seconds"),
+            ("accelerators", "accelerator-seconds"),
+        ]),
+        rows,
+        ..Section::default()
+    }
+}
+
+/// What each team paid for others and others paid for it.
+#[derive(Default)]
+struct Balance {
+    paid: Amount,
+    gained: Amount,
+}
+
+fn balance(lines: &[Line]) -> Section {
+    let mut teams: BTreeMap<String, Balance> = BTreeMap::new();
+    for line in lines.iter().filter(|line| counts(line)) {
+        let (payer, beneficiary) = (payer(line).team, beneficiary(line).team);
+        if payer == beneficiary {
+            continue;
+        }
+        if let Some(team) = payer {
+            let balance = teams.entry(team.to_string()).or_default();
+            balance.paid = balance.paid.plus(line.amount);
+        }
+        if let Some(team) = beneficiary {
+            let balance = teams.entry(team.to_string()).or_default();
+            balance.gained = balance.gained.plus(line.amount);
+        }
+    }
+    let mut rows = Vec::new();
+    for (team, balance) in &teams {
+        rows.push(vec![
+            Cell::text(team),
+            Cell::Number(seconds(&balance.paid)),
+            Cell::Number(cpu_seconds(&balance.paid)),
+            Cell::Number(seconds(&balance.gained)),
+            Cell::Number(cpu_seconds(&balance.gained)),
+        ]);
+    }
+    Section {
+        heading: "Balance by team".to_owned(),
+        note: "Paid is what the team went without, gained what others went without for it."
+            .to_owned(),
+        columns: columns(&[
+            ("team", ""),
+            ("paid time", "s"),
+            ("paid processors", "core-seconds"),
+            ("gained time", "s"),
+            ("gained processors", "core-seconds"),
+        ]),
+        rows,
+        ..Section::default()
+    }
+}
--- /dev/null
+++ b/components/report/src/kinds/zones.rs
@@ -0,0 +1,271 @@
+//! Work done while an availability zone left and returned.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use kernel::{AvailabilityZoneName, Cause, EventKind, ServiceName, Time, plugin::inventory};
+
+use super::{ReportKind, bin_micros};
+use crate::{
+    Cell, Input, Line, Period, Plot, Section, Series, model::columns, quantiles::Quantiles,
+};
+
+inventory::submit! {
+    ReportKind {
+        name: "zones",
+        about: "What was done while an availability zone left and returned: last start, end of the drain, evictions, tail latency.",
+        make,
+    }
+}
+
+/// How long before and after an absence the tail latency is taken from.
+const AROUND: Duration = Duration::from_secs(600);
+/// Two entries that report the same change do so within this time.
+const SAME_CHANGE: Duration = Duration::from_secs(30);
+const TAIL: f64 = 0.99;
+const MAX_BINS: u64 = 96;
+
+/// One absence of an availability zone.
+struct Absence {
+    zone: AvailabilityZoneName,
+    /// When it came into force at the first entry.
+    out: Time,
+    /// When the return came into force at the first entry, if it has.
+    back: Option<Time>,
+}
+
+impl Absence {
+    fn period(&self, end: Time) -> Period {
+        Period {
+            from: self.out,
+            until: self.back.unwrap_or(end),
+        }
+    }
+}
+
+fn make(input: &Input<'_>) -> Vec<Section> {
+    let lines = input.lines();
+    let end = input.accounts.span.until;
+    let absences = absences(&lines);
+    vec![
+        absence_table(&lines, &absences, end),
+        tail_table(&lines, &absences, end),
+        work_table(&lines, &absences, end),
+    ]
+}
+
+fn absences(lines: &[Line]) -> Vec<Absence> {
+    let mut absences: Vec<Absence> = Vec::new();
+    for line in lines {
+        let Some(zone) = &line.key.zone else {
+            continue;
+        };
+        let last = absences.iter_mut().rev().find(|a| a.zone == *zone);
+        match (line.key.kind, last) {
+            (EventKind::ZoneOut, last) if starts_absence(last.as_deref(), line.from) => {
+                absences.push(Absence {
+                    zone: zone.clone(),
+                    out: line.from,
+                    back: None,
+                });
+            }
+            (EventKind::ZoneIn, Some(last)) if last.back.is_none() => last.back = Some(line.from),
+            _ => {}
+        }
+    }
+    absences
+}
+
+/// Every entry reports the change; only the first one starts an absence.
+fn starts_absence(last: Option<&Absence>, at: Time) -> bool {
+    match last {
+        None => true,
+        Some(last) => last.back.is_some_and(|back| at.since(back) > SAME_CHANGE),
+    }
+}
+
+fn absence_table(lines: &[Line], absences: &[Absence], end: Time) -> Section {
+    let mut rows = Vec::new();
+    for absence in absences {
+        let period = absence.period(end);
+        let here = |kinds: &[EventKind]| -> Vec<&Line> {
+            let in_zone = lines.iter().filter(|line| {
+                line.key.zone.as_ref() == Some(&absence.zone) && period.contains(line.from)
+            });
+            in_zone
+                .filter(|line| kinds.contains(&line.key.kind))
+                .collect()
+        };
+        let starts = here(&[EventKind::Bound]);
+        let ended = here(&[EventKind::Ran, EventKind::Evicted, EventKind::Finished]);
+        let evictions: u64 = here(&[EventKind::Evicted])
+            .iter()
+            .filter(|line| line.key.cause == Cause::ZoneOut)
+            .map(|line| line.amount.count)
+            .sum();
+        let after_out = |lines: &[&Line]| {
+            let last = lines.iter().map(|line| line.until).max();
+            Cell::number(last.map(|at| at.since(absence.out).as_secs_f64()))
+        };
+        rows.push(vec![
+            Cell::text(&absence.zone),
+            Cell::Time(absence.out),
+            Cell::time(absence.back),
+            after_out(&starts),
+            after_out(&ended),
+            Cell::Count(evictions),
+        ]);
+    }
+    Section {
+        heading: "Absences".to_owned(),
+        note: "Out and back are when the change came into force at the first entry. A zone without a time of return is still out. Times taken from sums are rounded up to the end of the minute or hour.".to_owned(),
+        columns: columns(&[
+            ("availability zone", ""),
+            ("out", "UTC"),
+            ("back", "UTC"),
+            ("last start", "s after out"),
+            ("last task ended", "s after out"),
+            ("evictions", "attempts"),
+        ]),
+        rows,
+        ..Section::default()
+    }
+}
+
+fn answered(line: &Line) -> bool {
+    matches!(
+        line.key.kind,
+        EventKind::RequestsGood | EventKind::RequestsLate | EventKind::RequestsFailed
+    )
+}
+
+/// The tail latency by service within a period.
+fn tails(lines: &[Line], period: Period) -> BTreeMap<ServiceName, Quantiles> {
+    let mut tails: BTreeMap<ServiceName, Quantiles> = BTreeMap::new();
+    for line in lines.iter().filter(|line| answered(line)) {
+        let Some(service) = &line.subject().service else {
+            continue;
+        };
+        if period.contains(line.from) {
+            let quantiles = tails.entry(service.clone()).or_default();
+            quantiles.add(line.key.duration, line.amount.count);
+        }
+    }
+    tails
+}
+
+fn tail_table(lines: &[Line], absences: &[Absence], end: Time) -> Section {
+    let mut rows = Vec::new();
+    for absence in absences {
+        let during = absence.period(end);
+        let before = Period {
+            from: absence.out - AROUND,
+            until: absence.out,
+        };
+        let after = Period {
+            from: during.until,
+            until: during.until + AROUND,
+        };
+        let parts = [before, during, after].map(|period| tails(lines, period));
+        let mut services: Vec<&ServiceName> = parts.iter().flat_map(BTreeMap::keys).collect();
+        services.sort();
+        services.dedup();
+        for service in services {
+            let mut row = vec![Cell::text(&absence.zone), Cell::text(service)];
+            for part in &parts {
+                let quantiles = part.get(service).cloned().unwrap_or_default();
+                row.push(Cell::Count(quantiles.count()));
+                row.push(Cell::number(quantiles.millis_at(TAIL)));
+            }
+            rows.push(row);
+        }
+    }
+    Section {
+        heading: "Tail latency before, during and after".to_owned(),
+        note: "99th percentile of answered requests, rounded up by at most 19%; before and after are ten minutes each.".to_owned(),
+        columns: columns(&[
+            ("availability zone", ""),
+            ("service", ""),
+            ("before", "requests"),
+            ("before", "p99 ms"),
+            ("during", "requests"),
+            ("during", "p99 ms"),
+            ("after", "requests"),
+            ("after", "p99 ms"),
+        ]),
+        rows,
+        plots: vec![tail_plot(lines)],
+    }
+}
+
+fn tail_plot(lines: &[Line]) -> Plot {
+    let answers: Vec<Line> = lines
+        .iter()
+        .filter(|line| answered(line))
+        .cloned()
+        .collect();
+    let bin = bin_micros(&answers, MAX_BINS);
+    let mut bins: BTreeMap<(ServiceName, u64), Quantiles> = BTreeMap::new();
+    for line in &answers {
+        if let Some(service) = &line.subject().service {
+            let key = (service.clone(), line.from.0 / bin);
+            bins.entry(key)
+                .or_default()
+                .add(line.key.duration, line.amount.count);
+        }
+    }
+    let mut series: Vec<Series> = Vec::new();
+    for ((service, at), quantiles) in bins {
+        let point = (Time(at * bin), quantiles.millis_at(TAIL).unwrap_or(0.0));
+        match series.last_mut() {
+            Some(last) if last.name == service.as_str() => last.points.push(point),
+            _ => series.push(Series {
+                name: service.to_string(),
+                points: vec![point],
+            }),
+        }
+    }
+    Plot {
+        title: "99th percentile of answered requests".to_owned(),
+        unit: "ms".to_owned(),
+        series,
+    }
+}
+
+fn work_table(lines: &[Line], absences: &[Absence], end: Time) -> Section {
+    let mut rows = Vec::new();
+    for absence in absences {
+        let period = absence.period(end);
+        let mut counts: BTreeMap<EventKind, u64> = BTreeMap::new();
+        for line in lines.iter().filter(|line| period.contains(line.from)) {
+            *counts.entry(line.key.kind).or_default() += line.amount.count;
+        }
+        let count = |kind| Cell::Count(counts.get(&kind).copied().unwrap_or(0));
+        rows.push(vec![
+            Cell::text(&absence.zone),
+            Cell::Time(absence.out),
+            count(EventKind::Bound),
+            count(EventKind::Finished),
+            count(EventKind::Lost),
+            count(EventKind::RequestsGood),
+            count(EventKind::RequestsLate),
+            count(EventKind::RequestsFailed),
+            count(EventKind::RequestsRefused),
+        ]);
+    }
+    Section {
+        heading: "Work done meanwhile, in all availability zones".to_owned(),
+        columns: columns(&[
+            ("absence of", ""),
+            ("out", "UTC"),
+            ("started", "attempts"),
+            ("finished", "tasks"),
+            ("lost", "attempts"),
+            ("good", "requests"),
+            ("late", "requests"),
+            ("failed", "requests"),
+            ("refused", "requests"),
+        ]),
+        rows,
+        ..Section::default()
+    }
+}
--- /dev/null
+++ b/components/report/tests/reports.rs
@@ -0,0 +1,169 @@
+//! Golden files of every kind of report, and what must hold for all of them.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod common;
+
+use common::{at, night, objects};
+use kernel::{EventKind, plugin::registered};
+use report::{
+    Accounts, Bounds, Cell, Filter, Input, Ledger, Report, ReportError, ReportKind, build, format,
+    html, text,
+};
+use rstest::rstest;
+
+fn report(kind: &str, accounts: &Accounts, filter: &Filter) -> Report {
+    let objects = objects();
+    let input = Input {
+        accounts,
+        objects: &objects,
+        filter,
+    };
+    build(kind, &input).unwrap()
+}
+
+#[rstest]
+#[case::allocations("allocations")]
+#[case::burn("burn")]
+#[case::expense("expense")]
+#[case::wait("wait")]
+#[case::zones("zones")]
+fn a_night_as_text(#[case] kind: &str) {
+    let report = report(kind, &night(), &Filter::default());
+    insta::assert_snapshot!(format!("night_{kind}"), text::render(&report));
+}
+
+#[test]
+fn every_kind_shows_the_span_and_the_gaps_in_every_form() {
+    let accounts = night();
+    let kinds = registered::<ReportKind>();
+    assert_eq!(kinds.len(), 5);
+    for kind in kinds {
+        let report = report(kind.name, &accounts, &Filter::default());
+        let page = html::render(&report);
+        let json = serde_json::to_value(&report).unwrap();
+        for shown in [text::render(&report), page.clone()] {
+            assert!(shown.contains("entry-2 did not answer"), "{}", kind.name);
+            assert!(shown.contains("2026-03-01T22:30:00Z"), "{}", kind.name);
+        }
+        assert_eq!(json["missing"][0], "entry-2 did not answer within 2 s");
+        assert_eq!(json["span"]["until"], at(30).0);
+        let plotted = report.sections.iter().any(|s| !s.plots.is_empty());
+        assert_eq!(page.contains("<svg"), plotted, "{}", kind.name);
+        assert!(
+            !page.contains("http://")
+                || page.matches("http://").count() == page.matches("http://www.w3.org").count()
+        );
+    }
+}
+
+#[test]
+fn an_unknown_kind_is_answered_with_the_known_ones() {
+    let (accounts, objects) = (night(), objects());
+    let input = Input {
+        accounts: &accounts,
+        objects: &objects,
+        filter: &Filter::default(),
+    };
+    let error = build("burns", &input).unwrap_err();
+    assert!(matches!(error, ReportError::Unknown { .. }));
+    assert!(
+        error
+            .to_string()
+            .contains("allocations, burn, expense, wait, zones")
+    );
+}
+
+fn number(report: &Report, section: usize, title: &str) -> f64 {
+    let section = &report.sections[section];
+    let column = section
+        .columns
+        .iter()
+        .position(|c| c.title == title)
+        .unwrap();
+    let mut sum = 0.0;
+    for row in &section.rows {
+        sum += match row[column] {
+            Cell::Count(count) => count as f64,
+            Cell::Number(number) => number,
+            _ => 0.0,
+        };
+    }
+    sum
+}
+
+#[test]
+fn the_columns_add_up_to_the_events() {
+    let accounts = night();
+    let mut core_seconds = 0.0;
+    for event in accounts.events.iter().filter(|e| e.kind == EventKind::Ran) {
+        core_seconds += event.amount.cpu_milli_millis as f64 / 1e6;
+    }
+    let shown = report("allocations", &accounts, &Filter::default());
+    assert_eq!(core_seconds, 6.0 * 240.0 * 2.0);
+    assert_eq!(number(&shown, 0, "processors"), core_seconds);
+    assert_eq!(number(&shown, 1, "processors"), core_seconds);
+}
+
+#[test]
+fn folded_accounts_give_the_same_totals() {
+    let whole = night();
+    let mut ledger = Ledger::new(Bounds::default());
+    for event in &whole.events {
+        ledger.add(event.clone());
+    }
+    ledger.fold(at(24 * 60));
+    let folded = Accounts {
+        sums: ledger.sums().collect(),
+        events: ledger.events().cloned().collect(),
+        ..whole.clone()
+    };
+    assert!(folded.events.is_empty());
+    for kind in ["allocations", "expense", "wait"] {
+        let before = report(kind, &whole, &Filter::default());
+        let after = report(kind, &folded, &Filter::default());
+        for (a, b) in before.sections.iter().zip(&after.sections) {
+            assert_eq!(a.rows, b.rows, "{kind}: {}", a.heading);
+        }
+    }
+    let after = report("wait", &folded, &Filter::default());
+    assert!(after.missing.iter().any(|m| m.contains("counted whole")));
+}
+
+#[rstest]
+#[case::team(Filter { team: Some("clashes".parse().unwrap()), ..Filter::default() }, 2)]
+#[case::service(Filter { service: Some("lookup".parse().unwrap()), ..Filter::default() }, 64)]
+#[case::zone(Filter { zone: Some("yoff".parse().unwrap()), ..Filter::default() }, 17)]
+fn a_filter_leaves_only_its_lines(#[case] filter: Filter, #[case] lines: usize) {
+    let (accounts, objects) = (night(), objects());
+    let input = Input {
+        accounts: &accounts,
+        objects: &objects,
+        filter: &filter,
+    };
+    assert_eq!(input.lines().len(), lines);
+}
+
+#[test]
+fn names_from_outside_are_escaped_on_a_page() {
+    let mut accounts = night();
+    accounts
+        .missing
+        .push("<script>alert(1)</script>".to_owned());
+    let page = html::render(&report("wait", &accounts, &Filter::default()));
+    assert!(!page.contains("<script>"));
+}
+
+#[rstest]
+#[case::utc("2026-03-01T22:00:00Z")]
+#[case::seconds("1772402400")]
+#[case::offset("2026-03-01T23:00:00+01:00")]
+fn times_are_read_in_each_form(#[case] text: &str) {
+    assert_eq!(format::parse_time(text).unwrap(), at(0));
+}
+
+#[test]
+fn a_wrong_time_shows_the_right_form() {
+    let error = format::parse_time("yesterday").unwrap_err();
+    assert!(error.contains("2026-12-03T23:53:00Z"));
+}
