Give turns by share, hold back what can't fit, name who pays for a starving team

Cause: computing the share of every team at each turn costs in proportion to 780 teams, and a loop over the queue never ended on a full fleet, since a task that could not be bound came back at once. A team below its share had no way to room that others hold for long.

Change: teams are kept in order of the part of their share that they hold, of equal ones the one served longest ago; only teams whose holdings changed are moved; needs that no worker has room for are remembered until room is gained; a task of a team below its share that waits for 30 s comes with the teams above theirs, of whose normal batch tasks the placement may evict some.

--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod family;
 pub mod fleet;
 pub mod harm;
+mod lane;
 pub mod plugin;
 pub mod queue;
+mod share;
 mod spread;
 pub mod worker;
 
