Route requests by plain state machines

Cause: requests have no path yet. Change: membership by incarnation and heartbeat number with stored deadlines; one router per service with choice of two, outlier ejection, adaptive limit, retry and hedge budgets; homes and records for requests that run at most once; admission at an agent. The forwarded message gains a record mode and three refusals.

--- a/components/proto/src/messages.rs
+++ b/components/proto/src/messages.rs
@@ -37,9 +37,6 @@
     /// The load of the endpoints.
     #[serde(default)]
     pub load: Vec<EndpointLoad>,
-    /// The agent could not ask its worker yet, so `tasks` says nothing.
-    #[serde(default)]
-    pub tasks_unknown: bool,
     /// Every attempt that the agent holds, and ended ones until acknowledged.
     #[serde(default)]
     pub tasks: Vec<TaskReport>,
@@ -374,6 +371,9 @@
     pub idempotent: bool,
     /// How long the caller still waits, in microseconds.
     pub remaining_micros: u64,
+    /// Whether the agent has to recognise a repeat of it.
+    #[serde(default)]
+    pub record: RecordMode,
     /// The HTTP method.
     pub method: String,
     /// The path with its query.
@@ -385,6 +385,19 @@
     pub body: Vec<u8>,
 }
 
+/// What an agent does about repeats of a request, see `docs/AT-MOST-ONCE.md`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RecordMode {
+    /// Runs it each time it comes.
+    #[default]
+    Off,
+    /// Runs it unless its id is recorded, and records what became of it.
+    Run,
+    /// Never runs it: tells what is recorded, or refuses the id from now on.
+    Probe,
+}
+
 /// What an agent says of a forwarded request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ForwardReply {
@@ -426,6 +439,12 @@
     NoEndpoint,
     /// The availability zone or VM takes no work.
     ZoneOut,
+    /// The id is not recorded and will not run here; answers a probe.
+    NotHere,
+    /// The id belongs to a request with other content.
+    IdReused,
+    /// The request can't be written as HTTP, or its body is too large.
+    Invalid,
 }
 
 /// An endpoint's whole answer.
--- a/components/route/src/lib.rs
+++ b/components/route/src/lib.rs
@@ -1,1 +1,26 @@
-//! Request routing, limits, retries and hedging as plain state machines.
+//! Routing of requests, membership and limits as plain state machines.
+//!
+//! Nothing here does I/O or reads a clock: an entry or agent passes the time
+//! and what it heard, and carries out what it is told. `docs/ROUTING.md` gives
+//! the decisions and `docs/AT-MOST-ONCE.md` the handling of repeated requests.
+
+pub mod admission;
+pub mod budget;
+pub mod choice;
+pub mod home;
+pub mod limit;
+pub mod members;
+pub mod outlier;
+mod pending;
+pub mod record;
+pub mod request;
+pub mod roster;
+pub mod router;
+pub mod tail;
+
+pub use members::{Members, VmFacts};
+pub use request::{
+    Action, Attempt, Candidate, Event, Final, Outcome, Request, RequestKey, Tally, TallyKind,
+};
+pub use roster::Roster;
+pub use router::{Policy, Router};
--- /dev/null
+++ b/components/route/src/roster.rs
@@ -0,0 +1,144 @@
+//! The endpoints of one service, from membership and configuration.
+//!
+//! Besides who may be used now, the roster remembers since when, and whose
+//! records of requests may still matter; see `docs/AT-MOST-ONCE.md`.
+
+use std::collections::BTreeMap;
+
+use kernel::{ObjectSet, Revision, ServiceName, Time, VmName};
+
+use crate::{
+    members::{Member, Members, Standing},
+    record::RECORD_LIFETIME,
+    request::{Candidate, Usable},
+};
+
+/// The endpoints of one service.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    service: ServiceName,
+    revision: Revision,
+    candidates: BTreeMap<VmName, Candidate>,
+}
+
+impl Roster {
+    /// An empty roster of `service`.
+    #[must_use]
+    pub const fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            revision: Revision(0),
+            candidates: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over what is known at `now` and returns all endpoints.
+    ///
+    /// Must be called for every revision that comes into force here. If one was
+    /// passed over, an availability zone may have been out and in again
+    /// meanwhile, so every endpoint counts as usable from now on only.
+    pub fn update(
+        &mut self,
+        now: Time,
+        members: &Members,
+        objects: &ObjectSet,
+        revision: Revision,
+    ) -> Vec<Candidate> {
+        let passed_over = revision.0 > self.revision.0 + 1;
+        self.revision = revision;
+        let mut candidates = BTreeMap::new();
+        for member in members.iter() {
+            let info = &member.news.info;
+            let before = self.candidates.get(&info.vm);
+            let Some(mut candidate) = self.candidate(now, member, before, objects) else {
+                continue;
+            };
+            if passed_over && candidate.usable <= Usable::IfAlone {
+                candidate.usable_since = now;
+            }
+            candidates.insert(info.vm.clone(), candidate);
+        }
+        self.candidates = candidates;
+        self.candidates.values().cloned().collect()
+    }
+
+    fn candidate(
+        &self,
+        now: Time,
+        member: &Member,
+        before: Option<&Candidate>,
+        objects: &ObjectSet,
+    ) -> Option<Candidate> {
+        let info = &member.news.info;
+        let endpoint = info
+            .endpoints
+            .iter()
+            .find(|endpoint| endpoint.service == self.service)?;
+        let usable = usable(member, objects);
+        let same_life = before.filter(|before| before.incarnation == info.incarnation);
+        let load = member
+            .news
+            .load
+            .iter()
+            .find(|load| load.service == self.service);
+        let mut candidate = Candidate {
+            vm: info.vm.clone(),
+            incarnation: info.incarnation,
+            address: info.address,
+            zone: info.zone.clone(),
+            slots: endpoint.slots,
+            reported: load.map_or(0, |load| load.in_flight + load.queued),
+            reported_at: member.news.heard_at,
+            usable,
+            usable_since: now,
+            held_until: Time::MAX,
+            lost_until: Time::ZERO,
+            lost_before: None,
+        };
+        if let Some(before) = same_life {
+            candidate.lost_until = before.lost_until;
+            candidate.lost_before = before.lost_before;
+        }
+        let was_usable = same_life.filter(|before| before.usable <= Usable::IfAlone);
+        match usable {
+            Usable::Yes | Usable::IfAlone => {
+                candidate.usable_since = was_usable.map_or(now, |before| before.usable_since);
+            }
+            Usable::ForRecords | Usable::No => {
+                let since = same_life.filter(|before| before.usable > Usable::IfAlone);
+                candidate.held_until = match since {
+                    Some(before) => before.held_until,
+                    None => now + RECORD_LIFETIME,
+                };
+            }
+        }
+        note_lost(now, member, before, &mut candidate);
+        Some(candidate)
+    }
+}
+
+fn usable(member: &Member, objects: &ObjectSet) -> Usable {
+    let info = &member.news.info;
+    match member.standing {
+        Standing::Removed => Usable::No,
+        Standing::Leaving => Usable::ForRecords,
+        _ if !objects.takes_work(&info.zone, &info.vm) => Usable::ForRecords,
+        Standing::Suspected => Usable::IfAlone,
+        Standing::Alive => Usable::Yes,
+    }
+}
+
+/// Notes that records are gone, with a removed VM or an earlier life of it.
+fn note_lost(now: Time, member: &Member, before: Option<&Candidate>, candidate: &mut Candidate) {
+    if candidate.usable == Usable::No {
+        candidate.lost_until = candidate.held_until;
+        let left = member.news.leaving;
+        candidate.lost_before = left.then_some(member.news.heard_at);
+        return;
+    }
+    let restarted = before.is_some_and(|before| before.incarnation != candidate.incarnation);
+    if restarted {
+        candidate.lost_until = now + RECORD_LIFETIME;
+        candidate.lost_before = Some(now);
+    }
+}
