--- /dev/null
+++ b/components/agent/src/proxy.rs
@@ -0,0 +1,309 @@
+//! The agent's side of forwarded requests.
+//!
+//! The proxy admits a request to the endpoint beside it or refuses it before
+//! the endpoint has seen a byte, recognises repeats of requests that must run
+//! at most once, and passes on whole answers only. See `docs/ROUTING.md` and
+//! `docs/AT-MOST-ONCE.md`.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use crate::{
+    endpoint::{EndpointClient, EndpointError},
+    proxy_http,
+    proxy_slots::{Gate, UnderWay, lock},
+};
+use arc_swap::ArcSwap;
+use kernel::{
+    AvailabilityZoneName, Clock, EndpointLoad, ObjectSet, ServiceName, Time, Verdict, VmName,
+    object::Limit,
+};
+use proto::messages::{Answer, Forward, ForwardOutcome, ForwardReply, RecordMode, Refusal};
+use route::{
+    admission::Ticket,
+    record::{Begin, Probed, RecordKey, Records},
+};
+
+/// An endpoint beside the agent.
+#[derive(Clone, Debug)]
+pub struct LocalEndpoint {
+    /// The service it answers for.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How many requests it works on at a time.
+    pub slots: u32,
+    /// How many connections it accepts.
+    pub connections: u32,
+}
+
+/// Forwards requests to the endpoints beside the agent.
+#[derive(Debug)]
+pub struct Proxy {
+    vm: VmName,
+    zone: AvailabilityZoneName,
+    clock: Clock,
+    gates: BTreeMap<ServiceName, Arc<Gate>>,
+    objects: ArcSwap<ObjectSet>,
+    records: Arc<Mutex<Records<Answer>>>,
+    leaving: AtomicBool,
+    next_ticket: AtomicU64,
+    under_way: Arc<UnderWay>,
+}
+
+impl Proxy {
+    /// A proxy on `vm` in `zone` for `endpoints`.
+    #[must_use]
+    pub fn new(
+        vm: VmName,
+        zone: AvailabilityZoneName,
+        endpoints: Vec<LocalEndpoint>,
+        clock: Clock,
+    ) -> Self {
+        let mut gates = BTreeMap::new();
+        for endpoint in endpoints {
+            let client = EndpointClient::new(endpoint.address, endpoint.connections);
+            let gate = Gate::new(endpoint.service.clone(), client, endpoint.slots);
+            gates.insert(endpoint.service, Arc::new(gate));
+        }
+        Self {
+            vm,
+            zone,
+            clock,
+            gates,
+            objects: ArcSwap::default(),
+            records: Arc::default(),
+            leaving: AtomicBool::new(false),
+            next_ticket: AtomicU64::new(0),
+            under_way: Arc::default(),
+        }
+    }
+
+    /// Takes over a newer configuration.
+    pub fn set_objects(&self, objects: Arc<ObjectSet>) {
+        for (name, gate) in &self.gates {
+            if let Some(service) = objects.services.get(name) {
+                gate.set_max_queue(objects.limit_of(service).queue);
+            }
+        }
+        self.objects.store(objects);
+    }
+
+    /// The load of each endpoint, for the next heartbeat.
+    #[must_use]
+    pub fn load(&self) -> Vec<EndpointLoad> {
+        self.gates.values().map(|gate| gate.load()).collect()
+    }
+
+    /// Refuses all new requests from now on; what was admitted goes on.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether [`Proxy::leave`] was called.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no admitted request is under way.
+    pub async fn idle(&self) {
+        self.under_way.idle().await;
+    }
+
+    /// How many requests are remembered to recognise repeats.
+    #[must_use]
+    pub fn recorded(&self) -> usize {
+        lock(&self.records).len()
+    }
+
+    /// Answers one forwarded request.
+    ///
+    /// Dropping the future withdraws a request that still waits for a slot; one
+    /// that the endpoint may have seen goes on, so that its slot and its record
+    /// stay true.
+    pub async fn forward(&self, forward: Forward) -> ForwardReply {
+        let (id, attempt) = (forward.id.clone(), forward.attempt);
+        let gate = self.gates.get(&forward.service).cloned();
+        let outcome = match &gate {
+            Some(gate) => self.run(gate, forward).await,
+            None => ForwardOutcome::NotRun(Refusal::NoEndpoint),
+        };
+        let load = gate.map(|gate| gate.load());
+        ForwardReply {
+            id,
+            attempt,
+            outcome,
+            in_flight: load.as_ref().map_or(0, |load| load.in_flight),
+            queued: load.as_ref().map_or(0, |load| load.queued),
+        }
+    }
+
+    async fn run(&self, gate: &Arc<Gate>, forward: Forward) -> ForwardOutcome {
+        let now = self.clock.now();
+        let deadline = now + Duration::from_micros(forward.remaining_micros);
+        let mut record = match self.begin(now, &forward) {
+            Ok(record) => record,
+            Err(outcome) => return outcome,
+        };
+        if let Some(refusal) = self.closed() {
+            return ForwardOutcome::NotRun(refusal);
+        }
+        let max_body = self.max_body(&forward.service);
+        if forward.body.len() > max_body {
+            return ForwardOutcome::NotRun(Refusal::Invalid);
+        }
+        let Ok(req) = proxy_http::to_request(&forward, gate.client().address()) else {
+            return ForwardOutcome::NotRun(Refusal::Invalid);
+        };
+        let under_way = self.under_way.enter();
+        let ticket = Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
+        let slot = match gate.admit(self.clock, ticket, deadline).await {
+            Ok(slot) => slot,
+            Err(refusal) => return ForwardOutcome::NotRun(refusal),
+        };
+        let (tx, rx) = smol::channel::bounded(1);
+        let clock = self.clock;
+        let until = clock.instant(deadline);
+        smol::spawn(async move {
+            let started = clock.now();
+            let result = slot.client().send(req, until, max_body).await;
+            let took = clock.now().since(started);
+            slot.free(result.is_ok().then_some(took));
+            let outcome = to_outcome(result, took);
+            if let Some(record) = &mut record {
+                record.settle(clock.now(), &outcome);
+            }
+            let _ = tx.send(outcome).await;
+            drop(under_way);
+        })
+        .detach();
+        rx.recv().await.unwrap_or_else(|_| {
+            ForwardOutcome::MayHaveRun("the exchange ended without an outcome".to_owned())
+        })
+    }
+
+    /// Looks for a record of the request, if repeats of it must be recognised.
+    fn begin(&self, now: Time, forward: &Forward) -> Result<Option<OpenRecord>, ForwardOutcome> {
+        let key = RecordKey {
+            service: forward.service.clone(),
+            id: forward.id.clone(),
+        };
+        let fingerprint = proxy_http::fingerprint(forward);
+        match forward.record {
+            RecordMode::Off => return Ok(None),
+            RecordMode::Probe => {
+                let probed = lock(&self.records).probe(now, &key, fingerprint);
+                return Err(of_probe(probed));
+            }
+            RecordMode::Run => {}
+        }
+        let begun = lock(&self.records).begin(now, &key, fingerprint);
+        match begun {
+            Begin::Run => Ok(Some(OpenRecord {
+                records: self.records.clone(),
+                key: Some(key),
+            })),
+            Begin::Answered(answer) => Err(ForwardOutcome::Answered(answer)),
+            Begin::MayHaveRun => Err(ForwardOutcome::MayHaveRun(
+                "an earlier request with this id runs or ran here".to_owned(),
+            )),
+            Begin::Fenced => Err(ForwardOutcome::NotRun(Refusal::NotHere)),
+            Begin::IdReused => Err(ForwardOutcome::NotRun(Refusal::IdReused)),
+            Begin::Full => Err(ForwardOutcome::NotRun(Refusal::QueueFull)),
+        }
+    }
+
+    fn closed(&self) -> Option<Refusal> {
+        if self.is_leaving() {
+            return Some(Refusal::Leaving);
+        }
+        let takes_work = self.objects.load().takes_work(&self.zone, &self.vm);
+        (!takes_work).then_some(Refusal::ZoneOut)
+    }
+
+    fn max_body(&self, service: &ServiceName) -> usize {
+        let objects = self.objects.load();
+        let limit = match objects.services.get(service) {
+            Some(service) => objects.limit_of(service),
+            None => Limit::default(),
+        };
+        usize::try_from(limit.body_bytes).unwrap_or(usize::MAX)
+    }
+}
+
+/// The record of a request that was not refused yet; dropped unsettled, it is
+/// released, so that a repeat may run.
+#[derive(Debug)]
+struct OpenRecord {
+    records: Arc<Mutex<Records<Answer>>>,
+    key: Option<RecordKey>,
+}
+
+impl OpenRecord {
+    fn settle(&mut self, now: Time, outcome: &ForwardOutcome) {
+        let Some(key) = self.key.take() else {
+            return;
+        };
+        let mut records = lock(&self.records);
+        match outcome {
+            ForwardOutcome::Answered(answer) => {
+                let bytes = proxy_http::bytes_of(answer);
+                records.answer(now, &key, answer.clone(), bytes);
+            }
+            ForwardOutcome::NotRun(_) => records.release(&key),
+            ForwardOutcome::MayHaveRun(_) => records.lose(now, &key),
+        }
+    }
+}
+
+impl Drop for OpenRecord {
+    fn drop(&mut self) {
+        if let Some(key) = self.key.take() {
+            lock(&self.records).release(&key);
+        }
+    }
+}
+
+fn of_probe(probed: Probed<Answer>) -> ForwardOutcome {
+    match probed {
+        Probed::Answered(answer) => ForwardOutcome::Answered(answer),
+        Probed::MayHaveRun => ForwardOutcome::MayHaveRun(
+            "an earlier request with this id runs or ran here".to_owned(),
+        ),
+        Probed::NotHere => ForwardOutcome::NotRun(Refusal::NotHere),
+        Probed::IdReused => ForwardOutcome::NotRun(Refusal::IdReused),
+        Probed::Full => {
+            ForwardOutcome::MayHaveRun("no more requests can be remembered here".to_owned())
+        }
+    }
+}
+
+fn to_outcome(
+    result: Result<http::Response<bytes::Bytes>, EndpointError>,
+    took: Duration,
+) -> ForwardOutcome {
+    match result {
+        Ok(resp) => ForwardOutcome::Answered(proxy_http::to_answer(resp, took)),
+        Err(error) => {
+            tracing::debug!(%error, verdict = %error.verdict(), "no whole answer");
+            match (error.verdict(), &error) {
+                (Verdict::NotRun, EndpointError::LateToSend) => {
+                    ForwardOutcome::NotRun(Refusal::Deadline)
+                }
+                (Verdict::NotRun, EndpointError::NoConnection(_)) => {
+                    ForwardOutcome::NotRun(Refusal::QueueFull)
+                }
+                (Verdict::NotRun, _) => ForwardOutcome::NotRun(Refusal::NoEndpoint),
+                _ => ForwardOutcome::MayHaveRun(error.to_string()),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/agent/src/proxy_http.rs
@@ -0,0 +1,108 @@
+//! Forwarded requests and answers as HTTP.
+
+use std::{
+    collections::hash_map::DefaultHasher,
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http_body_util::Full;
+use proto::messages::{Answer, Forward, Header};
+use route::record::Fingerprint;
+
+use crate::endpoint::{EndpointRequest, REQUEST_ID_HEADER};
+
+/// Header fields that concern one connection only and are never passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether the field `name`, in lower case, concerns one connection only.
+#[must_use]
+pub fn is_hop_by_hop(name: &str) -> bool {
+    HOP_BY_HOP.contains(&name)
+}
+
+/// Writes `forward` as a request to the endpoint at `address`.
+///
+/// # Errors
+///
+/// Returns the library's error if the method, path or a field is not HTTP.
+pub(crate) fn to_request(
+    forward: &Forward,
+    address: SocketAddr,
+) -> Result<EndpointRequest, http::Error> {
+    let mut req = http::Request::builder()
+        .method(forward.method.as_str())
+        .uri(forward.path.as_str())
+        .body(Full::new(Bytes::copy_from_slice(&forward.body)))?;
+    let headers = req.headers_mut();
+    for field in &forward.headers {
+        let name = HeaderName::from_bytes(field.name.as_bytes())?;
+        if is_hop_by_hop(name.as_str()) || name == header::CONTENT_LENGTH {
+            continue;
+        }
+        headers.append(name, HeaderValue::from_bytes(&field.value)?);
+    }
+    let id = HeaderValue::from_str(forward.id.as_str())?;
+    headers.insert(REQUEST_ID_HEADER, id);
+    if !headers.contains_key(header::HOST) {
+        let host = HeaderValue::from_str(&address.to_string())?;
+        headers.insert(header::HOST, host);
+    }
+    Ok(req)
+}
+
+/// Turns a whole answer that took `took` into a message.
+pub(crate) fn to_answer(resp: http::Response<Bytes>, took: Duration) -> Answer {
+    let (parts, body) = resp.into_parts();
+    Answer {
+        status: parts.status.as_u16(),
+        headers: to_fields(&parts.headers),
+        body: body.to_vec(),
+        service_micros: u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+    }
+}
+
+fn to_fields(headers: &HeaderMap) -> Vec<Header> {
+    let mut fields = Vec::new();
+    for (name, value) in headers {
+        if is_hop_by_hop(name.as_str()) {
+            continue;
+        }
+        fields.push(Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        });
+    }
+    fields
+}
+
+/// A hash of what a repeat must have in common with the first request.
+pub(crate) fn fingerprint(forward: &Forward) -> Fingerprint {
+    let mut hasher = DefaultHasher::new();
+    forward.method.hash(&mut hasher);
+    forward.path.hash(&mut hasher);
+    forward.body.hash(&mut hasher);
+    Fingerprint(hasher.finish())
+}
+
+/// The memory that a recorded answer takes, in bytes.
+pub(crate) fn bytes_of(answer: &Answer) -> usize {
+    let mut bytes = answer.body.len();
+    for field in &answer.headers {
+        bytes += field.name.len() + field.value.len();
+    }
+    bytes
+}
--- /dev/null
+++ b/components/agent/src/proxy_slots.rs
@@ -0,0 +1,192 @@
+//! Slots of the endpoints beside the agent, and the count of what runs.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use kernel::{Clock, EndpointLoad, ServiceName, Time, object::Limit};
+use proto::messages::Refusal;
+use route::admission::{Admission, Admitted, Ticket};
+use smol::channel::{Receiver, Sender};
+
+use crate::endpoint::EndpointClient;
+
+/// One endpoint with its slots and queue.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    service: ServiceName,
+    client: EndpointClient,
+    admission: Mutex<Admission>,
+    waiting: Mutex<BTreeMap<Ticket, Sender<Admitted>>>,
+}
+
+impl Gate {
+    pub(crate) fn new(service: ServiceName, client: EndpointClient, slots: u32) -> Self {
+        Self {
+            service,
+            client,
+            admission: Mutex::new(Admission::new(slots, Limit::default().queue)),
+            waiting: Mutex::default(),
+        }
+    }
+
+    pub(crate) const fn client(&self) -> &EndpointClient {
+        &self.client
+    }
+
+    pub(crate) fn set_max_queue(&self, max_queue: u32) {
+        lock(&self.admission).set_max_queue(max_queue);
+    }
+
+    /// Waits for a slot of the endpoint, or says why there is none in time.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        clock: Clock,
+        ticket: Ticket,
+        deadline: Time,
+    ) -> Result<Slot, Refusal> {
+        let slot = Slot {
+            gate: self.clone(),
+            clock,
+            ticket,
+            took: None,
+        };
+        let admitted = match self.arrive(clock.now(), ticket, deadline) {
+            Ok(admitted) => admitted,
+            Err(waiting) => wait(waiting, clock, deadline, ticket).await,
+        };
+        match admitted {
+            Admitted::Start(_) => Ok(slot),
+            Admitted::TooLate(_) => Err(Refusal::Deadline),
+            Admitted::QueueFull(_) => Err(Refusal::QueueFull),
+        }
+    }
+
+    fn arrive(
+        &self,
+        now: Time,
+        ticket: Ticket,
+        deadline: Time,
+    ) -> Result<Admitted, Receiver<Admitted>> {
+        let mut admission = lock(&self.admission);
+        if let Some(admitted) = admission.arrive(now, ticket, deadline) {
+            return Ok(admitted);
+        }
+        let (tx, rx) = smol::channel::bounded(1);
+        lock(&self.waiting).insert(ticket, tx);
+        Err(rx)
+    }
+
+    pub(crate) fn load(&self) -> EndpointLoad {
+        let admission = lock(&self.admission);
+        EndpointLoad {
+            service: self.service.clone(),
+            in_flight: admission.in_flight(),
+            queued: admission.queued(),
+            latency_micros: u64::try_from(admission.service_time().as_micros()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+async fn wait(
+    waiting: Receiver<Admitted>,
+    clock: Clock,
+    deadline: Time,
+    ticket: Ticket,
+) -> Admitted {
+    let admitted = async { waiting.recv().await.unwrap_or(Admitted::TooLate(ticket)) };
+    let expiry = async {
+        smol::Timer::at(clock.instant(deadline)).await;
+        Admitted::TooLate(ticket)
+    };
+    futures_lite::FutureExt::or(admitted, expiry).await
+}
+
+/// A slot of an endpoint or a place in its queue; given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    gate: Arc<Gate>,
+    clock: Clock,
+    ticket: Ticket,
+    took: Option<Duration>,
+}
+
+impl Slot {
+    pub(crate) fn client(&self) -> &EndpointClient {
+        &self.gate.client
+    }
+
+    /// Gives the slot back; `took` is the service time of a whole answer.
+    pub(crate) fn free(mut self, took: Option<Duration>) {
+        self.took = took;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        let admitted = lock(&self.gate.admission).leave(now, self.ticket, self.took);
+        let mut waiting = lock(&self.gate.waiting);
+        waiting.remove(&self.ticket);
+        for next in admitted {
+            let (Admitted::Start(ticket) | Admitted::TooLate(ticket) | Admitted::QueueFull(ticket)) =
+                next;
+            if let Some(tx) = waiting.remove(&ticket) {
+                let _ = tx.try_send(next);
+            }
+        }
+    }
+}
+
+/// Counts admitted requests, so that a stop can wait for them.
+#[derive(Debug, Default)]
+pub(crate) struct UnderWay {
+    state: Mutex<UnderWayState>,
+}
+
+#[derive(Debug, Default)]
+struct UnderWayState {
+    count: usize,
+    waiters: Vec<Sender<()>>,
+}
+
+#[derive(Debug)]
+pub(crate) struct UnderWayGuard(Arc<UnderWay>);
+
+impl UnderWay {
+    pub(crate) fn enter(self: &Arc<Self>) -> UnderWayGuard {
+        lock(&self.state).count += 1;
+        UnderWayGuard(self.clone())
+    }
+
+    pub(crate) async fn idle(&self) {
+        let waiting = {
+            let mut state = lock(&self.state);
+            if state.count == 0 {
+                return;
+            }
+            let (tx, rx) = smol::channel::bounded(1);
+            state.waiters.push(tx);
+            rx
+        };
+        let _ = waiting.recv().await;
+    }
+}
+
+impl Drop for UnderWayGuard {
+    fn drop(&mut self) {
+        let mut state = lock(&self.0.state);
+        state.count -= 1;
+        if state.count > 0 {
+            return;
+        }
+        state.waiters.clear();
+    }
+}
+
+/// Locks `mutex`; a panic elsewhere leaves plain data that is still whole.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
