--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,3 +1,11 @@
 //! The process on each entry VM.
 
-pub mod accounts;
+pub mod caller;
+mod caller_accounts;
+pub mod caller_http;
+mod caller_run;
+mod caller_service;
+pub mod members;
+
+pub use caller::{Callers, InForce, Parts};
+pub use members::Members;
