--- /dev/null
+++ b/components/agent/src/tasks.rs
@@ -0,0 +1,178 @@
+//! Runs tasks at the worker: moves bytes and time around [`Runs`].
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use kernel::{Clock, Epoch, Resources, TaskRun};
+use proto::messages::{HeartbeatReply, TaskReport};
+use smol::channel::{Receiver, Sender};
+
+use crate::{
+    runs::{Action, Event, Runs},
+    worker::{Worker, WorkerError},
+};
+
+/// The tasks of one VM.
+pub struct Tasks {
+    runs: Mutex<Runs>,
+    worker: Option<Arc<dyn Worker>>,
+    clock: Clock,
+    report_tx: Sender<()>,
+    report_rx: Receiver<()>,
+}
+
+impl std::fmt::Debug for Tasks {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Tasks").finish_non_exhaustive()
+    }
+}
+
+impl Tasks {
+    /// Tasks at `worker`, which holds `capacity`; none without a worker.
+    #[must_use]
+    pub fn new(worker: Option<Arc<dyn Worker>>, capacity: Resources, clock: Clock) -> Arc<Self> {
+        let (report_tx, report_rx) = smol::channel::bounded(1);
+        Arc::new(Self {
+            runs: Mutex::new(Runs::new(capacity)),
+            worker,
+            clock,
+            report_tx,
+            report_rx,
+        })
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut Runs) -> T) -> T {
+        f(&mut self.runs.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// What to say in the next heartbeat, or nothing if the worker was not asked yet.
+    #[must_use]
+    pub fn reports(&self) -> Option<Vec<TaskReport>> {
+        if self.worker.is_none() {
+            return Some(Vec::new());
+        }
+        let now = self.clock.now();
+        self.with(|runs| runs.known().then(|| runs.reports(now)))
+    }
+
+    /// The highest epoch obeyed.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.with(|runs| runs.epoch())
+    }
+
+    /// Whether nothing runs.
+    #[must_use]
+    pub fn idle(&self) -> bool {
+        self.with(|runs| runs.idle())
+    }
+
+    /// Waits until there is news that should not wait for the next heartbeat.
+    pub async fn news(&self) {
+        let _ = self.report_rx.recv().await;
+    }
+
+    /// Obeys the answer to the heartbeat that was sent at `sent_at`.
+    pub fn obey(self: &Arc<Self>, sent_at: kernel::Time, reply: HeartbeatReply) {
+        self.handle(Event::Reply {
+            sent_at,
+            reply: Box::new(reply),
+        });
+    }
+
+    /// Takes new work or not, as operators say.
+    pub fn open(self: &Arc<Self>, open: bool) {
+        self.handle(Event::Open(open));
+    }
+
+    /// Takes no new work any more.
+    pub fn leave(self: &Arc<Self>) {
+        self.handle(Event::Leave);
+    }
+
+    /// Asks the worker for its attempts every `interval`, forever.
+    pub async fn run(self: Arc<Self>, interval: Duration) {
+        let Some(worker) = self.worker.clone() else {
+            return smol::future::pending().await;
+        };
+        loop {
+            let asked_at = self.clock.now();
+            match worker.list().await {
+                Ok(runs) => self.handle(Event::Listed { asked_at, runs }),
+                Err(error) => tracing::warn!(%error, "can't list the worker's attempts"),
+            }
+            self.handle(Event::Tick);
+            smol::Timer::after(interval).await;
+        }
+    }
+
+    fn handle(self: &Arc<Self>, event: Event) {
+        let now = self.clock.now();
+        let actions = self.with(|runs| runs.handle(now, event));
+        for action in actions {
+            if action == Action::Report {
+                let _ = self.report_tx.try_send(());
+                continue;
+            }
+            let tasks = Arc::clone(self);
+            smol::spawn(async move { tasks.act(action).await }).detach();
+        }
+    }
+
+    async fn act(self: Arc<Self>, action: Action) {
+        let Some(worker) = self.worker.clone() else {
+            return;
+        };
+        if let Err(error) = self.perform(&worker, &action).await {
+            tracing::warn!(?action, %error, "the worker did not obey");
+        }
+    }
+
+    async fn perform(
+        self: &Arc<Self>,
+        worker: &Arc<dyn Worker>,
+        action: &Action,
+    ) -> Result<(), WorkerError> {
+        match action {
+            Action::Start(run, start) => {
+                let result = worker.start(run, start).await;
+                self.after_start(run, result)
+            }
+            Action::Renew(run, until) => worker.renew(run, *until).await,
+            Action::Throttle(run, on) => worker.throttle(run, *on).await,
+            Action::Evict(run) => {
+                let shown = worker.evict(run).await?;
+                self.handle(Event::Stopped(shown));
+                Ok(())
+            }
+            Action::Stop(run) => {
+                let shown = worker.stop(run).await?;
+                self.handle(Event::Stopped(shown));
+                Ok(())
+            }
+            Action::Forget(run) => worker.forget(run).await,
+            Action::Report => Ok(()),
+        }
+    }
+
+    fn after_start(
+        self: &Arc<Self>,
+        run: &TaskRun,
+        result: Result<(), WorkerError>,
+    ) -> Result<(), WorkerError> {
+        match result {
+            Ok(()) => {
+                tracing::info!(task = %run.task, attempt = run.attempt.0, "started");
+                self.handle(Event::Started(run.clone()));
+                Ok(())
+            }
+            Err(WorkerError::Refused(reason)) => {
+                self.handle(Event::Refused(run.clone()));
+                Err(WorkerError::Refused(reason))
+            }
+            Err(error) => Err(error),
+        }
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The process on each entry VM.
 
+pub mod accounts;
 pub mod caller;
 mod caller_accounts;
 pub mod caller_http;
--- /dev/null
+++ b/components/entry/tests/accounts.rs
@@ -0,0 +1,320 @@
+//! An entry's accounts through outages of the store and losses of processes.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use entry::accounts::{Accounts, Book, Gathering, Peers, book, compact, gather, write};
+use fakes::store::MemStore;
+use kernel::{
+    Amount, Cause, Clock, Event, EventKind, Incarnation, ObjectSet, Party, Revision, Time,
+    object::{AvailabilityZone, ZoneState},
+    secret::Secrets,
+};
+use proto::{Router, messages::EventReply, methods::EventsCall, serve};
+use report::{Accounts as Gathered, Period};
+use smol::net::TcpListener;
+use store::{KeyRange, keys};
+
+const HOUR: Duration = Duration::from_secs(3600);
+const DAY: Duration = Duration::from_secs(24 * 3600);
+
+fn secrets() -> Secrets {
+    Secrets::parse("the-secret-of-this-test").unwrap()
+}
+
+fn request(at: Time, service: &str, count: u64) -> Event {
+    Event {
+        at,
+        kind: EventKind::RequestsGood,
+        cause: Cause::Ordinary,
+        beneficiary: Party::default(),
+        payer: Party {
+            service: Some(service.parse().unwrap()),
+            ..Party::default()
+        },
+        vm: None,
+        zone: None,
+        revision: Revision(1),
+        amount: Amount {
+            millis: 3 * count,
+            ..Amount::count(count)
+        },
+    }
+}
+
+fn accounts(name: &str, life: u64, from: Time) -> Accounts {
+    let book = Book::new(name.parse().unwrap(), Incarnation(life), from);
+    Accounts::with_book(book, Clock::start())
+}
+
+fn write_all(accounts: &Accounts, store: &MemStore) {
+    smol::block_on(async { while write::write_once(accounts, store).await.unwrap() {} });
+}
+
+fn gathered(store: &MemStore, own: EventReply, peers: &Peers, from: Time) -> Gathered {
+    let now = Clock::start().now();
+    smol::block_on(gather(Gathering {
+        store,
+        own,
+        peers,
+        secrets: &secrets(),
+        period: Period {
+            from,
+            until: now + HOUR,
+        },
+        now,
+    }))
+}
+
+fn from_store(store: &MemStore, from: Time) -> Gathered {
+    gathered(store, EventReply::default(), &Peers::default(), from)
+}
+
+fn requests_in(accounts: &Gathered) -> u64 {
+    accounts.sums.iter().map(|sum| sum.amount.count).sum()
+}
+
+#[test]
+fn a_lost_answer_of_the_store_doubles_nothing() {
+    let store = MemStore::new();
+    let now = Clock::start().now();
+    let accounts = accounts("entry-1", 1, now);
+    accounts.record(&request(now, "lookup", 5));
+    store.faults().lose_answers(1);
+    let lost = smol::block_on(write::write_once(&accounts, &store));
+    assert!(lost.is_err());
+    accounts.record(&request(now, "lookup", 2));
+    write_all(&accounts, &store);
+    assert_eq!(requests_in(&from_store(&store, now - HOUR)), 7);
+}
+
+#[test]
+fn an_outage_of_days_loses_no_request_and_keeps_its_bound() {
+    let store = MemStore::new();
+    let end = Clock::start().now();
+    let start = end - 2 * DAY;
+    let mut book = Book::new("entry-1".parse().unwrap(), Incarnation(1), start);
+    let mut recorded = 0;
+    for minute in 0..2 * 24 * 60 {
+        let at = start + Duration::from_secs(60 * minute);
+        for service in 0..40 {
+            book.record(&request(at, &format!("service-{service}"), 1));
+            recorded += 1;
+        }
+        // What waits is bounded up to one part that has just been closed.
+        assert!(book.waiting_sums() <= book::MAX_WAITING_SUMS + book::MAX_SUMS_PER_PART);
+    }
+    let accounts = Accounts::with_book(book, Clock::start());
+    store.set_outage(true);
+    assert!(smol::block_on(write::write_once(&accounts, &store)).is_err());
+    store.set_outage(false);
+    write_all(&accounts, &store);
+    let got = from_store(&store, start - HOUR);
+    assert_eq!(requests_in(&got), recorded);
+}
+
+#[test]
+fn parts_written_before_they_were_merged_are_replaced() {
+    let store = MemStore::new();
+    let start = Clock::start().now() - 3 * HOUR;
+    let mut book = Book::new("entry-1".parse().unwrap(), Incarnation(1), start);
+    let mut recorded = 0;
+    let mut hold = |book: &mut Book, rounds: u64| {
+        for i in 0..rounds {
+            book.record(&request(start, &format!("service-{i}"), 1));
+            recorded += 1;
+        }
+    };
+    hold(&mut book, 900);
+    // The part is in the store, but its answer never came.
+    let early = book.next_write(start).unwrap();
+    let accounts = Accounts::with_book(book, Clock::start());
+    store.faults().lose_answers(1);
+    assert!(smol::block_on(write::write_once(&accounts, &store)).is_err());
+    assert_eq!(early.part.number, 0);
+    for i in 0..30_000 {
+        accounts.record(&request(start, &format!("other-{i}"), 1));
+    }
+    write_all(&accounts, &store);
+    let got = from_store(&store, start - HOUR);
+    assert_eq!(requests_in(&got), recorded + 30_000);
+    let parts = store.peek(&KeyRange::prefix(keys::ACCOUNT_PARTS));
+    assert!(parts.iter().all(|kv| kv.value.len() < 1_000_000));
+}
+
+#[test]
+fn a_killed_process_leaves_a_gap_with_a_name_and_a_stopped_one_none() {
+    let store = MemStore::new();
+    let now = Clock::start().now();
+    let killed = accounts("entry-1", 1, now - Duration::from_secs(60));
+    killed.record(&request(now - Duration::from_secs(50), "lookup", 5));
+    write_all(&killed, &store);
+    killed.record(&request(now - Duration::from_secs(5), "lookup", 9));
+    drop(killed);
+    let stopped = accounts("entry-2", 1, now - Duration::from_secs(60));
+    stopped.record(&request(now, "lookup", 2));
+    smol::block_on(write::run(stopped, Arc::new(store.clone()), async {}));
+
+    let got = from_store(&store, now - HOUR);
+    assert_eq!(requests_in(&got), 7);
+    assert_eq!(got.missing.len(), 1, "{:?}", got.missing);
+    assert!(got.missing[0].contains("entry-1"));
+
+    let next = accounts("entry-1", 2, now);
+    let got = gathered(
+        &store,
+        next.answer(EventReply::default()),
+        &Peers::default(),
+        now - HOUR,
+    );
+    assert_eq!(got.missing.len(), 1, "{:?}", got.missing);
+    assert!(got.missing[0].contains("ended without writing"));
+}
+
+async fn serve_events(accounts: Accounts) -> (SocketAddr, smol::Task<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let router = Router::new().on::<EventsCall, _, _>(move |_| {
+        let reply = accounts.answer(EventReply::default());
+        async move { Ok(reply) }
+    });
+    let serving = serve(listener, router, secrets(), std::future::pending());
+    (address, smol::spawn(serving))
+}
+
+#[test]
+fn what_another_entry_holds_is_counted_once_and_its_silence_is_named() {
+    let store = MemStore::new();
+    let now = Clock::start().now();
+    let other = accounts("entry-2", 1, now);
+    other.record(&request(now, "lookup", 5));
+    write_all(&other, &store);
+    other.record(&request(now, "lookup", 3));
+    let (address, serving) = smol::block_on(serve_events(other));
+    let peers = Peers {
+        entries: BTreeMap::from([("entry-2".parse().unwrap(), address)]),
+    };
+    let got = gathered(&store, EventReply::default(), &peers, now - HOUR);
+    assert_eq!(requests_in(&got), 8);
+    assert!(got.missing.is_empty(), "{:?}", got.missing);
+
+    smol::block_on(serving.cancel());
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let closed = nobody.local_addr().unwrap();
+    drop(nobody);
+    let peers = Peers {
+        entries: BTreeMap::from([("entry-2".parse().unwrap(), closed)]),
+    };
+    let got = gathered(&store, EventReply::default(), &peers, now - HOUR);
+    assert_eq!(requests_in(&got), 5);
+    assert!(
+        got.missing
+            .iter()
+            .any(|m| m.contains("entry entry-2 did not answer"))
+    );
+}
+
+#[test]
+fn a_store_that_can_not_be_read_is_named() {
+    let store = MemStore::new();
+    let now = Clock::start().now();
+    let own = accounts("entry-1", 1, now);
+    own.record(&request(now, "lookup", 4));
+    store.set_outage(true);
+    let own = own.answer(EventReply::default());
+    let got = gathered(&store, own, &Peers::default(), now - HOUR);
+    assert_eq!(requests_in(&got), 4);
+    assert!(
+        got.missing
+            .iter()
+            .any(|m| m.contains("the store could not be read"))
+    );
+}
+
+#[test]
+fn entries_that_fold_the_same_days_at_once_count_nothing_twice() {
+    let store = MemStore::new();
+    let now = Clock::start().now();
+    let start = now - 10 * DAY;
+    for (entry, life) in [("entry-1", 1), ("entry-1", 2), ("entry-2", 1)] {
+        let from = start + life as u32 * HOUR;
+        let accounts = accounts(entry, life, from);
+        for hour in 0..200 {
+            accounts.record(&request(from + hour * HOUR, "lookup", 1));
+        }
+        write_all(&accounts, &store);
+    }
+    let before = from_store(&store, start);
+    assert_eq!(requests_in(&before), 600);
+    smol::block_on(async {
+        let racing =
+            futures_lite::future::zip(compact::compact(&store, now), compact::compact(&store, now));
+        let (one, other) = racing.await;
+        one.unwrap();
+        other.unwrap();
+    });
+    let parts = store.peek(&KeyRange::prefix(keys::ACCOUNT_PARTS));
+    let most = compact::KEEP_PARTS.as_secs() / 3600 + 24;
+    assert!(
+        parts.len() < 3 * most as usize,
+        "{} parts are left",
+        parts.len()
+    );
+    let after = from_store(&store, start);
+    assert_eq!(requests_in(&after), 600);
+    // Two lives were killed: the first of entry-1 is followed by another one.
+    assert_eq!(after.missing, before.missing);
+}
+
+#[test]
+fn very_old_days_are_deleted_and_younger_ones_stay() {
+    let store = MemStore::new();
+    let now = Clock::start().now();
+    for age in [410, 300] {
+        let at = now - age * DAY;
+        let accounts = accounts("entry-1", u64::from(1000 - age), at);
+        accounts.record(&request(at, "lookup", 1));
+        write_all(&accounts, &store);
+    }
+    smol::block_on(compact::compact(&store, now)).unwrap();
+    let got = from_store(&store, now - 500 * DAY);
+    assert_eq!(requests_in(&got), 1);
+}
+
+#[test]
+fn a_zone_that_leaves_and_returns_is_recorded_once_each() {
+    let now = Clock::start().now();
+    let accounts = accounts("entry-1", 1, now);
+    let with = |state| {
+        let zone = AvailabilityZone {
+            state,
+            ..AvailabilityZone::default()
+        };
+        ObjectSet {
+            zones: BTreeMap::from([("medina".parse().unwrap(), zone)]),
+            ..ObjectSet::default()
+        }
+    };
+    for (revision, state) in [
+        (1, ZoneState::In),
+        (2, ZoneState::Out),
+        (3, ZoneState::Out),
+        (4, ZoneState::In),
+    ] {
+        accounts.config_in_force(Revision(revision), &with(state));
+    }
+    let parts = accounts.unwritten();
+    let events: Vec<(EventKind, Revision)> = parts
+        .iter()
+        .flat_map(|part| &part.events)
+        .map(|event| (event.kind, event.revision))
+        .collect();
+    assert_eq!(
+        events,
+        [
+            (EventKind::ZoneOut, Revision(2)),
+            (EventKind::ZoneIn, Revision(4))
+        ]
+    );
+}
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -162,6 +162,7 @@
             leaving: self.proxy.is_leaving(),
             load: self.proxy.load(),
             tasks: Vec::new(),
+            tasks_unknown: false,
         };
         entry.members.on_heartbeat(&heartbeat);
         entry.callers.refresh();
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod endpoint;
 pub mod history;
+pub mod store;
 pub mod worker;
--- /dev/null
+++ b/components/observe/src/lib.rs
@@ -0,0 +1,9 @@
+//! Logs, metrics and health of a daemon.
+//!
+//! Every daemon logs JSON lines to its standard error and answers `/metrics`,
+//! `/healthz` and `/readyz`. See `docs/OPERATIONS.md`.
+
+pub mod health;
+pub mod logs;
+
+pub use health::{Health, routes};
--- a/components/proto/src/channel.rs
+++ b/components/proto/src/channel.rs
@@ -9,6 +9,7 @@
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll},
+    time::Duration,
 };
 
 use hyper::client::conn::http2;
@@ -19,6 +20,11 @@
 
 use crate::server::SmolExecutor;
 
+/// How long a connection with open calls may stay silent before it is probed.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// How long a probed connection has to answer.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 type Sender = http2::SendRequest<Body>;
 type Response = http::Response<hyper::body::Incoming>;
 
@@ -140,6 +146,8 @@
     stream.set_nodelay(true).map_err(to_error)?;
     let (sender, connection) = http2::Builder::new(SmolExecutor)
         .timer(SmolTimer::new())
+        .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
         .handshake(FuturesIo::new(stream))
         .await
         .map_err(|source| ChannelError::Handshake { address, source })?;
--- a/components/proto/src/messages.rs
+++ b/components/proto/src/messages.rs
@@ -37,6 +37,9 @@
     /// The load of the endpoints.
     #[serde(default)]
     pub load: Vec<EndpointLoad>,
+    /// The agent could not ask its worker yet, so `tasks` says nothing.
+    #[serde(default)]
+    pub tasks_unknown: bool,
     /// Every attempt that the agent holds, and ended ones until acknowledged.
     #[serde(default)]
     pub tasks: Vec<TaskReport>,
--- a/components/report/src/ledger.rs
+++ b/components/report/src/ledger.rs
@@ -202,15 +202,21 @@
             self.coarsen_old(span, Time(end));
             return true;
         }
-        let named = self.sums.keys().find(|(_, _, key)| *key != unnamed(key));
-        let Some(at) = named.cloned() else {
-            return false;
-        };
-        if let Some(amount) = self.sums.remove(&at) {
-            let key = unnamed(&at.2);
-            self.put((at.0, at.1, key), amount);
+        self.take_names(self.sums.len().saturating_sub(self.bounds.max_sums))
+    }
+
+    /// Takes the names from the oldest sums that have any, at most `most`.
+    fn take_names(&mut self, most: usize) -> bool {
+        let named = self.sums.keys().filter(|(_, _, key)| *key != unnamed(key));
+        let named: Vec<SumAt> = named.take(most).cloned().collect();
+        let any = !named.is_empty();
+        for at in named {
+            if let Some(amount) = self.sums.remove(&at) {
+                let key = unnamed(&at.2);
+                self.put((at.0, at.1, key), amount);
+            }
         }
-        true
+        any
     }
 
     fn first_of(&self, span: Span) -> Option<Time> {
--- /dev/null
+++ b/components/store/src/follow.rs
@@ -0,0 +1,90 @@
+//! Following a range through lost connections and compaction.
+
+use std::sync::Arc;
+
+use crate::{
+    Change, KeyRange, KeyValue, Store, StoreError, StoreRevision, Watch, WatchItem,
+    backoff::Backoff,
+};
+
+/// What is new in a followed range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// The whole range, at first and whenever changes may have been missed.
+    Whole(StoreRevision, Vec<KeyValue>),
+    /// Changes since the news before.
+    Changes(StoreRevision, Vec<Change>),
+}
+
+/// Follows one range of the store, with one waiting watch.
+pub struct Follow {
+    store: Arc<dyn Store>,
+    range: KeyRange,
+    backoff: Backoff,
+    /// The last revision that was delivered, if the range has been read.
+    seen: Option<StoreRevision>,
+    watch: Option<Watch>,
+}
+
+impl Follow {
+    /// Follows `range` from its present content on.
+    #[must_use]
+    pub fn new(store: Arc<dyn Store>, range: KeyRange) -> Self {
+        Self {
+            store,
+            range,
+            backoff: Backoff::random(),
+            seen: None,
+            watch: None,
+        }
+    }
+
+    /// Waits for news; errors are logged and tried again with back-off.
+    ///
+    /// It can be cancelled at any point without losing news.
+    pub async fn next(&mut self) -> News {
+        loop {
+            match self.step().await {
+                Ok(Some(news)) => {
+                    self.backoff.succeeded();
+                    return news;
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    self.watch = None;
+                    let wait = self.backoff.failed();
+                    tracing::warn!(%error, from = self.range.from, "following the store failed");
+                    smol::Timer::after(wait).await;
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Result<Option<News>, StoreError> {
+        let Some(seen) = self.seen else {
+            let reply = self.store.range(self.range.clone(), 0).await?;
+            self.seen = Some(reply.revision);
+            return Ok(Some(News::Whole(reply.revision, reply.kvs)));
+        };
+        let Some(watch) = &self.watch else {
+            let watch = self.store.watch(self.range.clone(), seen + 1).await?;
+            self.watch = Some(watch);
+            return Ok(None);
+        };
+        let item = watch
+            .recv()
+            .await
+            .unwrap_or_else(|_| Err(StoreError::not_run("the watch ended")))?;
+        match item {
+            WatchItem::Changes(revision, changes) => {
+                self.seen = Some(revision);
+                Ok(Some(News::Changes(revision, changes)))
+            }
+            WatchItem::Compacted => {
+                self.seen = None;
+                self.watch = None;
+                Ok(None)
+            }
+        }
+    }
+}
--- a/components/store/src/keys.rs
+++ b/components/store/src/keys.rs
@@ -39,3 +39,32 @@
 pub fn job(name: &JobName) -> String {
     format!("{ROOT}job/{name}")
 }
+
+/// The start of the keys of accounts, one for each part, by the hour of its start.
+pub const ACCOUNT_PARTS: &str = "hemlockmoor/accounts/part/";
+
+/// The start of the keys of folded accounts, one for each day.
+pub const ACCOUNT_DAYS: &str = "hemlockmoor/accounts/day/";
+
+/// All parts of accounts that start within the hour that starts at `hour`, in
+/// seconds since the Unix epoch.
+#[must_use]
+pub fn account_hour(hour: u64) -> String {
+    format!("{ACCOUNT_PARTS}{hour:012}/")
+}
+
+/// A part of the accounts of one life of an entry.
+#[must_use]
+pub fn account_part(hour: u64, entry: &EntryName, incarnation: u64, number: u64) -> String {
+    format!(
+        "{}{entry}/{incarnation:020}/{number:010}",
+        account_hour(hour)
+    )
+}
+
+/// The folded accounts of the day that starts at `day`, in seconds since the
+/// Unix epoch.
+#[must_use]
+pub fn account_day(day: u64) -> String {
+    format!("{ACCOUNT_DAYS}{day:012}")
+}
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -9,8 +9,16 @@
 use async_trait::async_trait;
 use kernel::Verdict;
 
+pub mod backoff;
+pub mod budget;
+pub mod etcd;
+pub mod follow;
 pub mod keys;
 
+pub use budget::Budgeted;
+pub use etcd::EtcdStore;
+pub use follow::{Follow, News};
+
 /// The number of a change of the whole store.
 pub type StoreRevision = i64;
 
