--- /dev/null
+++ b/components/cell/src/state.rs
@@ -0,0 +1,213 @@
+//! What the journal of a cell amounts to.
+//!
+//! The state changes only by [`State::apply`], so the same records always give
+//! the same state: at the owner that decided them and at the one that recovers.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use kernel::{
+    Attempt, AvailabilityZoneName, CellName, Checkpoint, Incarnation, JobName, JobSpec, Resources,
+    TaskId, TaskRun, TaskState, Time, VmName,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::ledger::Ledger;
+
+mod apply;
+
+/// On how many workers a task may fail before it stops for good.
+pub const MAX_FAILED_WORKERS: usize = 3;
+
+/// Where an attempt is bound.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Binding {
+    /// The worker's VM.
+    pub vm: VmName,
+    /// The life of the agent that it was bound to.
+    pub incarnation: Incarnation,
+    /// The availability zone of the VM.
+    pub zone: AvailabilityZoneName,
+    /// What is reserved.
+    pub reserved: Resources,
+    /// When it was bound.
+    pub at: Time,
+}
+
+/// One task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Task {
+    /// Where it is in its life.
+    pub state: TaskState,
+    /// The newest attempt, 0 if none was made.
+    pub attempt: Attempt,
+    /// Since when it is in this state.
+    pub since: Time,
+    /// Where it is bound, unless it waits or has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub bound: Option<Binding>,
+    /// Where the next attempt resumes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<Checkpoint>,
+    /// Where it failed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_on: Vec<VmName>,
+    /// Why it stopped for good, for the operator.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub note: String,
+}
+
+impl Task {
+    /// A task that waits and was never bound.
+    #[must_use]
+    pub const fn waiting(since: Time) -> Self {
+        Self {
+            state: TaskState::Waiting,
+            attempt: Attempt(0),
+            since,
+            bound: None,
+            checkpoint: None,
+            failed_on: Vec::new(),
+            note: String::new(),
+        }
+    }
+}
+
+/// The part of a job that lies in the cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// The job as submitted.
+    pub spec: Arc<JobSpec>,
+    /// When it was accepted.
+    pub accepted: Time,
+    /// When it was cancelled.
+    #[serde(default)]
+    pub cancelled: Option<Time>,
+    /// Why its waiting tasks were given up.
+    #[serde(default)]
+    pub hopeless: Option<String>,
+    /// The cell took the whole job: every task that is neither in `tasks` nor
+    /// in `moved` was never bound.
+    pub whole: bool,
+    /// Tasks that something happened to.
+    pub tasks: BTreeMap<u32, Task>,
+    /// Tasks given to other cells.
+    #[serde(default)]
+    pub moved: BTreeMap<u32, CellName>,
+    /// How many tasks here can still run.
+    pub open: u32,
+    /// When the last of them ended.
+    #[serde(default)]
+    pub ended: Option<Time>,
+}
+
+impl Job {
+    /// One task, if it lies in this cell.
+    #[must_use]
+    pub fn task(&self, index: u32) -> Option<Task> {
+        if let Some(task) = self.tasks.get(&index) {
+            return Some(task.clone());
+        }
+        self.is_untouched(index).then(|| self.untouched())
+    }
+
+    /// Whether tasks that wait may still be bound.
+    #[must_use]
+    pub const fn is_live(&self) -> bool {
+        self.cancelled.is_none() && self.hopeless.is_none()
+    }
+
+    /// How many tasks here were never bound or given away.
+    #[must_use]
+    pub fn untouched_count(&self) -> u32 {
+        if !self.whole {
+            return 0;
+        }
+        let touched = self.tasks.len() + self.moved.len();
+        let touched = u32::try_from(touched).unwrap_or(u32::MAX);
+        self.spec.tasks.saturating_sub(touched)
+    }
+
+    /// What a task is that nothing happened to but the end of its whole job.
+    fn untouched(&self) -> Task {
+        let mut task = Task::waiting(self.accepted);
+        if let Some(reason) = &self.hopeless {
+            task.state = TaskState::Failed;
+            task.note.clone_from(reason);
+        } else if let Some(at) = self.cancelled {
+            task.state = TaskState::Cancelled;
+            task.since = at;
+        }
+        task
+    }
+
+    /// All tasks that lie in this cell.
+    pub fn all_tasks(&self) -> impl Iterator<Item = (u32, Task)> + '_ {
+        let end = match self.whole {
+            true => self.spec.tasks,
+            false => self.tasks.keys().next_back().map_or(0, |last| last + 1),
+        };
+        (0..end).filter_map(|index| Some((index, self.task(index)?)))
+    }
+
+    /// Whether the task lies here and was never bound.
+    #[must_use]
+    pub fn is_untouched(&self, index: u32) -> bool {
+        self.whole
+            && index < self.spec.tasks
+            && !self.tasks.contains_key(&index)
+            && !self.moved.contains_key(&index)
+    }
+
+    fn touch(&mut self, index: u32) -> Option<&mut Task> {
+        if self.is_untouched(index) {
+            let task = self.untouched();
+            self.tasks.insert(index, task);
+        }
+        self.tasks.get_mut(&index)
+    }
+}
+
+/// All that a cell's owner must not forget.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// The jobs.
+    pub jobs: BTreeMap<JobName, Job>,
+    /// Workers that fail everything, until when they get no work.
+    pub quarantined: BTreeMap<VmName, Time>,
+    /// The accounting events, the older ones as sums.
+    pub ledger: Ledger,
+}
+
+impl State {
+    /// One task.
+    #[must_use]
+    pub fn task(&self, id: &TaskId) -> Option<Task> {
+        self.jobs.get(&id.job)?.task(id.index)
+    }
+
+    /// The binding of `run`, if that is the newest attempt and still bound.
+    #[must_use]
+    pub fn binding(&self, run: &TaskRun) -> Option<(&Task, &Binding)> {
+        let task = self.jobs.get(&run.task.job)?.tasks.get(&run.task.index)?;
+        let binding = task.bound.as_ref()?;
+        (task.attempt == run.attempt).then_some((task, binding))
+    }
+
+    /// All attempts that are bound.
+    pub fn bound(&self) -> impl Iterator<Item = (TaskRun, &Task, &Binding)> {
+        self.jobs.iter().flat_map(|(name, job)| {
+            job.tasks.iter().filter_map(|(index, task)| {
+                let binding = task.bound.as_ref()?;
+                let id = TaskId {
+                    job: name.clone(),
+                    index: *index,
+                };
+                let run = TaskRun {
+                    task: id,
+                    attempt: task.attempt,
+                };
+                Some((run, task, binding))
+            })
+        })
+    }
+}
--- /dev/null
+++ b/components/cell/src/state/apply.rs
@@ -0,0 +1,424 @@
+//! How records change the state.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use kernel::{
+    Amount, Cause, CellName, Checkpoint, Event, EventKind, JobName, JobSpec, Party, Revision,
+    TaskRun, TaskState, Time, VmName,
+};
+
+use super::{Binding, Job, MAX_FAILED_WORKERS, State, Task};
+use crate::{Bound, End, Group, MovedTask, Record};
+
+impl State {
+    /// Makes the changes of a whole group.
+    pub fn apply_group(&mut self, group: &Group) {
+        for record in &group.records {
+            self.apply(group.revision, record);
+        }
+    }
+
+    /// Makes one change; the answer is whether the record fitted the state.
+    ///
+    /// A record that does not fit changes nothing. The owner never writes one,
+    /// but a later version may read records of an earlier one.
+    pub fn apply(&mut self, revision: Revision, record: &Record) -> bool {
+        match record {
+            Record::Accepted { spec, at } => self.accept(revision, spec, *at),
+            Record::Received {
+                spec,
+                accepted,
+                tasks,
+                at,
+            } => self.receive(spec, *accepted, tasks, *at),
+            Record::Bound(bound) => self.bind(revision, bound),
+            Record::Evicting {
+                run,
+                cause,
+                gains,
+                at,
+            } => self.evict(revision, run, *cause, gains.as_ref(), *at),
+            Record::Ended {
+                run,
+                end,
+                checkpoint,
+                at,
+            } => self.end(revision, run, *end, checkpoint.as_ref(), *at),
+            Record::Hopeless { job, reason, at } => self.give_up(revision, job, reason, *at),
+            Record::Cancelled { job, at } => self.cancel(revision, job, *at),
+            Record::Moved { job, tasks, to, at } => self.give_away(revision, job, tasks, to, *at),
+            Record::Quarantined { vm, until } => self.quarantine(vm, *until),
+            Record::Forgotten { job } => self.jobs.remove(job).is_some(),
+        }
+    }
+
+    fn accept(&mut self, revision: Revision, spec: &JobSpec, at: Time) -> bool {
+        if self.jobs.contains_key(&spec.name) {
+            return false;
+        }
+        let job = Job {
+            spec: Arc::new(spec.clone()),
+            accepted: at,
+            cancelled: None,
+            hopeless: None,
+            whole: true,
+            tasks: BTreeMap::new(),
+            moved: BTreeMap::new(),
+            open: spec.tasks,
+            ended: None,
+        };
+        self.jobs.insert(spec.name.clone(), job);
+        let amount = Amount::count(u64::from(spec.tasks));
+        self.note(revision, at, EventKind::Accepted, spec, amount);
+        true
+    }
+
+    fn receive(&mut self, spec: &JobSpec, accepted: Time, tasks: &[MovedTask], at: Time) -> bool {
+        let job = self.jobs.entry(spec.name.clone()).or_insert_with(|| Job {
+            spec: Arc::new(spec.clone()),
+            accepted,
+            cancelled: None,
+            hopeless: None,
+            whole: false,
+            tasks: BTreeMap::new(),
+            moved: BTreeMap::new(),
+            open: 0,
+            ended: None,
+        });
+        for moved in tasks {
+            if job.task(moved.index).is_some() {
+                continue;
+            }
+            job.moved.remove(&moved.index);
+            let mut task = Task::waiting(at);
+            task.attempt = moved.attempt;
+            task.checkpoint = moved.checkpoint.clone();
+            task.failed_on = moved.failed_on.clone();
+            if job.cancelled.is_some() {
+                task.state = TaskState::Cancelled;
+            } else {
+                job.open += 1;
+                job.ended = None;
+            }
+            job.tasks.insert(moved.index, task);
+        }
+        true
+    }
+
+    fn bind(&mut self, revision: Revision, bound: &Bound) -> bool {
+        let id = &bound.run.task;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return false;
+        };
+        let spec = job.spec.clone();
+        let Some(task) = job.touch(id.index) else {
+            return false;
+        };
+        if task.state != TaskState::Waiting || bound.run.attempt != task.attempt.next() {
+            return false;
+        }
+        let waited = millis(bound.at, task.since);
+        task.state = TaskState::Bound;
+        task.attempt = bound.run.attempt;
+        task.since = bound.at;
+        task.bound = Some(Binding {
+            vm: bound.vm.clone(),
+            incarnation: bound.incarnation,
+            zone: bound.zone.clone(),
+            reserved: bound.reserved,
+            at: bound.at,
+        });
+        let mut event = event_of(&spec, &bound.run, revision, bound.at, EventKind::Waited);
+        event.vm = Some(bound.vm.clone());
+        event.zone = Some(bound.zone.clone());
+        event.amount = Amount {
+            count: 1,
+            millis: waited,
+            ..Amount::default()
+        };
+        self.ledger.push(event.clone());
+        event.kind = EventKind::Bound;
+        event.amount = Amount::count(1);
+        self.ledger.push(event);
+        true
+    }
+
+    fn evict(
+        &mut self,
+        revision: Revision,
+        run: &TaskRun,
+        cause: Cause,
+        gains: Option<&TaskRun>,
+        at: Time,
+    ) -> bool {
+        let beneficiary = gains.map(|run| self.party_of(run)).unwrap_or_default();
+        let Some((spec, task)) = self.current(run) else {
+            return false;
+        };
+        if task.state != TaskState::Bound {
+            return false;
+        }
+        task.state = TaskState::Evicting;
+        task.since = at;
+        let mut event = event_of(&spec, run, revision, at, EventKind::Evicted);
+        locate(&mut event, task.bound.as_ref());
+        event.cause = cause;
+        event.payer = std::mem::replace(&mut event.beneficiary, beneficiary);
+        self.ledger.push(event);
+        true
+    }
+
+    fn end(
+        &mut self,
+        revision: Revision,
+        run: &TaskRun,
+        end: End,
+        checkpoint: Option<&Checkpoint>,
+        at: Time,
+    ) -> bool {
+        let hopeless = self.hopeless(&run.task.job);
+        let Some((spec, task)) = self.current(run) else {
+            return false;
+        };
+        let Some(binding) = task.bound.take() else {
+            return false;
+        };
+        let cancelling = task.state == TaskState::Cancelling;
+        if checkpoint.is_some() {
+            task.checkpoint = checkpoint.cloned();
+        }
+        if end == End::Failed && !task.failed_on.contains(&binding.vm) {
+            task.failed_on.push(binding.vm.clone());
+        }
+        task.state = match end {
+            End::Finished => TaskState::Finished,
+            _ if cancelling => TaskState::Cancelled,
+            End::Failed if task.failed_on.len() >= MAX_FAILED_WORKERS => TaskState::Failed,
+            _ if hopeless.is_some() => TaskState::Failed,
+            End::Failed | End::Stopped | End::Lost => TaskState::Waiting,
+        };
+        task.since = at;
+        if task.state == TaskState::Failed {
+            let failed = || format!("failed on {} workers", task.failed_on.len());
+            task.note = hopeless.unwrap_or_else(failed);
+        }
+        let (kind, cause) = outcome(task.state, end, checkpoint.is_some());
+        let state = task.state;
+        let mut event = event_of(&spec, run, revision, at, EventKind::Ran);
+        locate(&mut event, Some(&binding));
+        event.amount = Amount::of(binding.reserved, millis(at, binding.at));
+        self.ledger.push(event.clone());
+        if let Some(kind) = kind {
+            event.kind = kind;
+            event.cause = cause;
+            event.amount = match kind {
+                EventKind::Lost => event.amount,
+                _ => Amount::count(1),
+            };
+            self.ledger.push(event);
+        }
+        if state.is_final() {
+            self.close(&run.task.job, 1, at);
+        }
+        true
+    }
+
+    fn give_up(&mut self, revision: Revision, name: &JobName, reason: &str, at: Time) -> bool {
+        let Some(job) = self.jobs.get_mut(name) else {
+            return false;
+        };
+        if !job.is_live() {
+            return false;
+        }
+        let mut stopped = job.untouched_count();
+        for task in job.tasks.values_mut() {
+            if task.state != TaskState::Waiting {
+                continue;
+            }
+            task.state = TaskState::Failed;
+            task.since = at;
+            reason.clone_into(&mut task.note);
+            stopped += 1;
+        }
+        job.hopeless = Some(reason.to_owned());
+        let spec = job.spec.clone();
+        let amount = Amount::count(u64::from(stopped));
+        self.note(revision, at, EventKind::Refused, &spec, amount);
+        self.close(name, stopped, at);
+        true
+    }
+
+    /// Cancels a job in time that does not grow with its untouched tasks.
+    fn cancel(&mut self, revision: Revision, name: &JobName, at: Time) -> bool {
+        let Some(job) = self.jobs.get_mut(name) else {
+            return false;
+        };
+        if job.cancelled.is_some() {
+            return false;
+        }
+        let mut stopped = match job.hopeless {
+            None => job.untouched_count(),
+            Some(_) => 0,
+        };
+        for task in job.tasks.values_mut() {
+            match task.state {
+                TaskState::Waiting => {
+                    task.state = TaskState::Cancelled;
+                    stopped += 1;
+                }
+                TaskState::Bound | TaskState::Evicting => task.state = TaskState::Cancelling,
+                _ => continue,
+            }
+            task.since = at;
+        }
+        job.cancelled = Some(at);
+        let spec = job.spec.clone();
+        let amount = Amount::count(u64::from(stopped));
+        self.note(revision, at, EventKind::Cancelled, &spec, amount);
+        self.close(name, stopped, at);
+        true
+    }
+
+    fn give_away(
+        &mut self,
+        revision: Revision,
+        name: &JobName,
+        tasks: &[u32],
+        to: &CellName,
+        at: Time,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(name) else {
+            return false;
+        };
+        let spec = job.spec.clone();
+        let mut count = 0;
+        for index in tasks {
+            let Some(task) = job.task(*index) else {
+                continue;
+            };
+            if task.state != TaskState::Waiting {
+                continue;
+            }
+            job.tasks.remove(index);
+            job.moved.insert(*index, to.clone());
+            count += 1;
+        }
+        let amount = Amount::count(u64::from(count));
+        self.note(revision, at, EventKind::Transferred, &spec, amount);
+        self.close(name, count, at);
+        true
+    }
+
+    fn quarantine(&mut self, vm: &VmName, until: Time) -> bool {
+        self.quarantined.insert(vm.clone(), until);
+        for job in self.jobs.values_mut() {
+            for task in job.tasks.values_mut() {
+                task.failed_on.retain(|other| other != vm);
+            }
+        }
+        true
+    }
+
+    fn close(&mut self, name: &JobName, tasks: u32, at: Time) {
+        let Some(job) = self.jobs.get_mut(name) else {
+            return;
+        };
+        job.open = job.open.saturating_sub(tasks);
+        if job.open == 0 && job.ended.is_none() {
+            job.ended = Some(at);
+        }
+    }
+
+    fn current(&mut self, run: &TaskRun) -> Option<(Arc<JobSpec>, &mut Task)> {
+        let job = self.jobs.get_mut(&run.task.job)?;
+        let task = job.tasks.get_mut(&run.task.index)?;
+        let is_current = task.attempt == run.attempt && task.bound.is_some();
+        is_current.then(|| (job.spec.clone(), task))
+    }
+
+    fn hopeless(&self, job: &JobName) -> Option<String> {
+        self.jobs.get(job)?.hopeless.clone()
+    }
+
+    fn party_of(&self, run: &TaskRun) -> Party {
+        Party {
+            team: self
+                .jobs
+                .get(&run.task.job)
+                .map(|job| job.spec.team.clone()),
+            service: None,
+            run: Some(run.clone()),
+        }
+    }
+
+    fn note(
+        &mut self,
+        revision: Revision,
+        at: Time,
+        kind: EventKind,
+        spec: &JobSpec,
+        amount: Amount,
+    ) {
+        if amount.count == 0 {
+            return;
+        }
+        let cause = match kind {
+            EventKind::Cancelled => Cause::Cancelled,
+            _ => Cause::Ordinary,
+        };
+        self.ledger.push(Event {
+            at,
+            kind,
+            cause,
+            beneficiary: Party {
+                team: Some(spec.team.clone()),
+                service: spec.service.clone(),
+                run: None,
+            },
+            payer: Party::default(),
+            vm: None,
+            zone: None,
+            revision,
+            amount,
+        });
+    }
+}
+
+fn outcome(state: TaskState, end: End, saved: bool) -> (Option<EventKind>, Cause) {
+    match (state, end) {
+        (TaskState::Finished, _) => (Some(EventKind::Finished), Cause::Ordinary),
+        (TaskState::Cancelled, _) => (Some(EventKind::Cancelled), Cause::Cancelled),
+        (TaskState::Failed, _) => (Some(EventKind::Failed), Cause::TaskFailed),
+        (_, End::Failed) => (Some(EventKind::Lost), Cause::TaskFailed),
+        (_, End::Lost) => (Some(EventKind::Lost), Cause::WorkerLost),
+        (_, End::Stopped) if !saved => (Some(EventKind::Lost), Cause::Ordinary),
+        _ => (None, Cause::Ordinary),
+    }
+}
+
+fn event_of(spec: &JobSpec, run: &TaskRun, revision: Revision, at: Time, kind: EventKind) -> Event {
+    Event {
+        at,
+        kind,
+        cause: Cause::Ordinary,
+        beneficiary: Party {
+            team: Some(spec.team.clone()),
+            service: spec.service.clone(),
+            run: Some(run.clone()),
+        },
+        payer: Party::default(),
+        vm: None,
+        zone: None,
+        revision,
+        amount: Amount::count(1),
+    }
+}
+
+fn locate(event: &mut Event, binding: Option<&Binding>) {
+    event.vm = binding.map(|binding| binding.vm.clone());
+    event.zone = binding.map(|binding| binding.zone.clone());
+}
+
+fn millis(later: Time, earlier: Time) -> u64 {
+    u64::try_from(later.since(earlier).as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/components/cell/src/timing.rs
@@ -0,0 +1,50 @@
+//! Spans that the owner of a cell works with.
+
+use std::time::Duration;
+
+/// Spans of leases, proofs and intervals; all entries must use the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// How long a task may run after the heartbeat that renewed its lease was
+    /// sent.
+    pub lease: Duration,
+    /// What the owner adds to a lease for clocks that run at different speeds.
+    pub drift_margin: Duration,
+    /// How long an owner renews leases after it last proved its ownership.
+    pub owner_grace: Duration,
+    /// How old the proof of the configuration may be when a task starts.
+    pub proof_max_age: Duration,
+    /// How long a worker may be silent before it gets no new task.
+    pub suspect: Duration,
+    /// How long a worker without tasks may be silent before it is forgotten.
+    pub forget: Duration,
+    /// How long changes are gathered into one group of the journal.
+    pub group_interval: Duration,
+    /// How long an evicted task may take for its checkpoint before its lease is
+    /// no longer renewed.
+    pub checkpoint: Duration,
+    /// How long a worker that fails everything gets no new task.
+    pub quarantine: Duration,
+    /// How long a task waits in a cell without room before another cell is tried.
+    pub transfer: Duration,
+    /// How long an ended job is kept for lists.
+    pub keep_jobs: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(10),
+            drift_margin: Duration::from_millis(500),
+            owner_grace: Duration::from_secs(900),
+            proof_max_age: Duration::from_millis(2_500),
+            suspect: Duration::from_secs(3),
+            forget: Duration::from_secs(60),
+            group_interval: Duration::from_millis(200),
+            checkpoint: Duration::from_secs(30),
+            quarantine: Duration::from_secs(600),
+            transfer: Duration::from_secs(15),
+            keep_jobs: Duration::from_secs(3_600),
+        }
+    }
+}
--- /dev/null
+++ b/components/cell/tests/common/session.rs
@@ -0,0 +1,217 @@
+//! A session with one owner, written down line by line.
+
+use std::{fmt::Write, sync::Arc, time::Duration};
+
+use cell::{Action, Answer, Event, Group, InboxItem, Owner, Ownership, Recovered, Timing};
+use kernel::{Epoch, Incarnation, JobSpec, ObjectSet, Revision, TaskRun, Time, VmInfo};
+use proto::messages::{Heartbeat, TaskPhase, TaskReport};
+
+use super::cell_name;
+
+/// One owner, its journal and what was said.
+pub(crate) struct Session {
+    pub(crate) now: Time,
+    pub(crate) owner: Owner,
+    pub(crate) groups: Vec<Group>,
+    pub(crate) log: String,
+    /// Groups become durable at once; otherwise by [`Session::commit`].
+    pub(crate) durable_at_once: bool,
+    pub(crate) in_flight: Option<Group>,
+    sequence: u64,
+    revision: u64,
+    objects: Arc<ObjectSet>,
+}
+
+impl Session {
+    pub(crate) fn start(objects: Arc<ObjectSet>) -> Self {
+        let now = Time::from_secs(1_000);
+        let mut session = Self {
+            now,
+            owner: owner(now, 1, Recovered::default(), now),
+            groups: Vec::new(),
+            log: String::new(),
+            durable_at_once: true,
+            in_flight: None,
+            sequence: 0,
+            revision: 0,
+            objects: objects.clone(),
+        };
+        session.config(objects);
+        session
+    }
+
+    /// Another owner takes the cell from what is durable.
+    pub(crate) fn take_over(&mut self, epoch: u64, earlier_leases_end: Time) {
+        let mut recovered = Recovered::default();
+        for group in &self.groups {
+            recovered.state.apply_group(group);
+            recovered.next_seq = group.seq + 1;
+        }
+        let _ = writeln!(self.log, "{} owner of epoch {epoch}", self.now);
+        self.in_flight = None;
+        self.owner = owner(self.now, epoch, recovered, earlier_leases_end);
+        self.prove();
+    }
+
+    pub(crate) fn config(&mut self, objects: Arc<ObjectSet>) {
+        self.revision += 1;
+        self.objects = objects;
+        let _ = writeln!(self.log, "{} configuration {}", self.now, self.revision);
+        self.prove();
+    }
+
+    /// Proves ownership and the configuration.
+    pub(crate) fn prove(&mut self) {
+        self.give(Event::Proved(self.now));
+        self.give(Event::Config {
+            objects: self.objects.clone(),
+            revision: Revision(self.revision),
+            proved_at: Some(self.now),
+        });
+    }
+
+    pub(crate) fn submit(&mut self, spec: JobSpec) {
+        let _ = writeln!(self.log, "{} submit {}", self.now, spec.name);
+        let key = format!("inbox/job/{}", spec.name);
+        let at = self.now;
+        self.give(Event::Inbox(vec![(key, InboxItem::Job { spec, at })]));
+    }
+
+    pub(crate) fn cancel(&mut self, job: &str) {
+        let _ = writeln!(self.log, "{} cancel {job}", self.now);
+        let item = InboxItem::Cancel {
+            job: super::job_name(job),
+            at: self.now,
+        };
+        self.give(Event::Inbox(vec![(format!("inbox/cancel/{job}"), item)]));
+    }
+
+    /// Passes time in steps of 100 ms, with ownership and configuration proved.
+    pub(crate) fn pass(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + Duration::from_millis(100);
+            self.prove();
+            self.give(Event::Tick);
+        }
+    }
+
+    /// Passes time without any proof.
+    pub(crate) fn pass_unproved(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now = self.now + Duration::from_millis(100);
+            self.give(Event::Tick);
+        }
+    }
+
+    pub(crate) fn beat(
+        &mut self,
+        info: &VmInfo,
+        epoch: u64,
+        tasks: &[(TaskRun, TaskPhase)],
+    ) -> Answer {
+        let reports = tasks
+            .iter()
+            .map(|(run, phase)| TaskReport {
+                run: run.clone(),
+                phase: *phase,
+                checkpoint: None,
+                usage: None,
+            })
+            .collect();
+        self.beat_with(info, epoch, reports)
+    }
+
+    pub(crate) fn beat_with(
+        &mut self,
+        info: &VmInfo,
+        epoch: u64,
+        tasks: Vec<TaskReport>,
+    ) -> Answer {
+        self.sequence += 1;
+        let mut line = format!("{} beat of {} at epoch {epoch}:", self.now, info.vm);
+        for report in &tasks {
+            let _ = write!(line, " {} {:?}", report.run, report.phase);
+        }
+        let _ = writeln!(self.log, "{line}");
+        let beat = Heartbeat {
+            vm: info.vm.clone(),
+            incarnation: info.incarnation,
+            sequence: self.sequence,
+            info: Some(info.clone()),
+            epoch: Epoch(epoch),
+            revision: Revision::default(),
+            leaving: false,
+            load: Vec::new(),
+            tasks_unknown: false,
+            tasks,
+        };
+        let answer = self.give(Event::Heartbeat(Box::new(beat)));
+        answer.unwrap_or_default()
+    }
+
+    /// Makes the group in flight durable.
+    pub(crate) fn commit(&mut self) {
+        let Some(group) = self.in_flight.take() else {
+            return;
+        };
+        let _ = writeln!(self.log, "{}   durable: group {}", self.now, group.seq);
+        self.groups.push(group);
+        self.give(Event::Committed(self.now));
+    }
+
+    pub(crate) fn give(&mut self, event: Event) -> Option<Answer> {
+        let mut answered = None;
+        for action in self.owner.handle(self.now, event) {
+            match action {
+                Action::Commit { group, .. } => {
+                    self.write_group(&group);
+                    self.in_flight = Some(group);
+                }
+                Action::Answer(answer) => {
+                    let json = serde_json::to_string(&answer).unwrap();
+                    let _ = writeln!(self.log, "{}   answer {json}", self.now);
+                    answered = Some(answer);
+                }
+                Action::StepDown => {
+                    let _ = writeln!(self.log, "{}   steps down", self.now);
+                }
+                Action::HandOver => {
+                    let _ = writeln!(self.log, "{}   hands over", self.now);
+                }
+            }
+        }
+        if self.durable_at_once && self.in_flight.is_some() {
+            self.commit();
+        }
+        answered
+    }
+
+    fn write_group(&mut self, group: &Group) {
+        let _ = writeln!(self.log, "{}   group {}", self.now, group.seq);
+        for record in &group.records {
+            let json = serde_json::to_string(record).unwrap();
+            let _ = writeln!(self.log, "{}     {json}", self.now);
+        }
+    }
+}
+
+fn owner(now: Time, epoch: u64, recovered: Recovered, earlier_leases_end: Time) -> Owner {
+    let ownership = Ownership {
+        cell: cell_name("plateau"),
+        epoch: Epoch(epoch),
+        taken: now,
+        earlier_leases_end,
+        recovered,
+    };
+    Owner::new(ownership, Timing::default(), 7)
+}
+
+/// The next life of a VM's agent.
+pub(crate) fn restarted(info: &VmInfo) -> VmInfo {
+    VmInfo {
+        incarnation: Incarnation(info.incarnation.0 + 1),
+        ..info.clone()
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,3 +10,4 @@
 
 pub use caller::{Callers, InForce, Parts};
 pub use members::Members;
+pub mod cells;
--- /dev/null
+++ b/components/entry/tests/cells.rs
@@ -0,0 +1,302 @@
+//! Cells of entries over a stand-in of the store.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use cell::Timing;
+use entry::cells::{Cells, ConfigView, Setup};
+use fakes::store::MemStore;
+use kernel::{
+    AvailabilityZoneName, CellName, Clock, EntryName, Epoch, Incarnation, JobName, JobSpec,
+    ObjectSet, RackName, Resources, Revision, TaskClass, TaskRun, TaskState, TeamName, Urgency,
+    Verdict, VmInfo, VmName, object::Team, secret::Secrets,
+};
+use proto::messages::{Heartbeat, JobQuery, Order, TaskPhase, TaskReport};
+use smol::Task;
+
+/// How long a test waits for what must happen; far more than it takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+type Live = Arc<Mutex<BTreeSet<EntryName>>>;
+
+fn timing() -> Timing {
+    Timing {
+        lease: Duration::from_millis(1_000),
+        drift_margin: Duration::from_millis(100),
+        owner_grace: Duration::from_secs(5),
+        group_interval: Duration::from_millis(10),
+        ..Timing::default()
+    }
+}
+
+fn objects() -> Arc<ObjectSet> {
+    let team = Team {
+        weight: 1,
+        quota: Resources::new(u64::MAX, u64::MAX, u32::MAX),
+    };
+    Arc::new(ObjectSet {
+        teams: BTreeMap::from([(TeamName::new("royalties").unwrap(), team)]),
+        ..ObjectSet::default()
+    })
+}
+
+struct Entry {
+    cells: Arc<Cells>,
+    _run: Task<()>,
+}
+
+fn entry(store: &MemStore, name: &str, live: &Live, clock: Clock) -> Entry {
+    let objects = objects();
+    let name = EntryName::new(name).unwrap();
+    live.lock().unwrap().insert(name.clone());
+    let live = live.clone();
+    let cells = Cells::new(Setup {
+        store: Arc::new(store.clone()),
+        entry: name,
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: Incarnation(1),
+        clock,
+        timing: timing(),
+        ownership_lease: Duration::from_secs(2),
+        config: Arc::new(move || ConfigView {
+            objects: objects.clone(),
+            revision: Revision(1),
+            proved_at: Some(clock.now()),
+        }),
+        live: Arc::new(move || live.lock().unwrap().iter().cloned().collect()),
+        secrets: Secrets::parse("a secret of a test\n").unwrap(),
+        seed: 7,
+    });
+    let run = smol::spawn(cells.clone().run());
+    Entry { cells, _run: run }
+}
+
+/// An agent whose tasks end well in the heartbeat after their start.
+struct Agent {
+    info: VmInfo,
+    sequence: u64,
+    epoch: Epoch,
+    tasks: BTreeMap<TaskRun, TaskPhase>,
+    started: Vec<TaskRun>,
+}
+
+impl Agent {
+    fn new(vm: &str) -> Self {
+        let info = VmInfo {
+            vm: VmName::new(vm).unwrap(),
+            incarnation: Incarnation(1),
+            zone: AvailabilityZoneName::new("plateau").unwrap(),
+            rack: RackName::new("rack-1").unwrap(),
+            cell: CellName::new("plateau").unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            capacity: Resources::new(4_000, 65_536, 0),
+            endpoints: Vec::new(),
+        };
+        Self {
+            info,
+            sequence: 0,
+            epoch: Epoch(0),
+            tasks: BTreeMap::new(),
+            started: Vec::new(),
+        }
+    }
+
+    fn beat(&mut self, clock: Clock, entries: &[&Entry]) {
+        self.sequence += 1;
+        let tasks = self
+            .tasks
+            .iter()
+            .map(|(run, phase)| TaskReport {
+                run: run.clone(),
+                phase: *phase,
+                checkpoint: None,
+                usage: None,
+            })
+            .collect();
+        let beat = Heartbeat {
+            vm: self.info.vm.clone(),
+            incarnation: self.info.incarnation,
+            sequence: self.sequence,
+            info: Some(self.info.clone()),
+            epoch: self.epoch,
+            revision: Revision(1),
+            leaving: false,
+            load: Vec::new(),
+            tasks_unknown: false,
+            tasks,
+        };
+        for entry in entries {
+            let part = entry.cells.heartbeat(&beat, clock.now());
+            if part.epoch < self.epoch {
+                continue;
+            }
+            self.epoch = part.epoch;
+            for run in part.recorded {
+                self.tasks.remove(&run);
+            }
+            for order in part.orders {
+                if let Order::Start(start) = order {
+                    self.started.push(start.run.clone());
+                    self.tasks.insert(start.run, TaskPhase::Succeeded);
+                }
+            }
+        }
+    }
+}
+
+fn job(name: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        name: JobName::new(name).unwrap(),
+        team: TeamName::new("royalties").unwrap(),
+        class: TaskClass::Batch,
+        urgency: Urgency::Normal,
+        tasks,
+        need: Resources::new(1_000, 512, 0),
+        expected_run: Duration::from_secs(1),
+        finish_by: None,
+        service: None,
+        program: String::new(),
+    }
+}
+
+fn finished(entries: &[&Entry], name: &str) -> u32 {
+    let query = JobQuery {
+        job: Some(JobName::new(name).unwrap()),
+        tasks: false,
+    };
+    let mut sum = 0;
+    for entry in entries {
+        for part in entry.cells.jobs(&query).jobs {
+            for count in part.counts {
+                if count.state == TaskState::Finished {
+                    sum += count.count;
+                }
+            }
+        }
+    }
+    sum
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let patience = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < patience, "in vain: {what}");
+        smol::Timer::after(Duration::from_millis(20)).await;
+    }
+}
+
+async fn until_owned(entries: &[&Entry]) {
+    until("an owner", || {
+        entries.iter().any(|entry| !entry.cells.owned().is_empty())
+    })
+    .await;
+}
+
+#[test]
+fn a_job_runs_once_through_lost_answers_and_a_change_of_owner() {
+    smol::block_on(async {
+        let store = MemStore::new();
+        let clock = Clock::start();
+        let live = Live::default();
+        let first = entry(&store, "entry-1", &live, clock);
+        let mut agent = Agent::new("vm-1");
+        agent.beat(clock, &[&first]);
+        until_owned(&[&first]).await;
+        store.faults().lose_answers(1);
+        let submitted = first.cells.submit_to(submit("night", 20)).await;
+        assert_eq!(submitted.verdict, Verdict::Done, "{}", submitted.reason);
+        let again = first.cells.submit_to(submit("night", 20)).await;
+        assert_eq!(again.verdict, Verdict::Done);
+        let other = first.cells.submit_to(submit("night", 21)).await;
+        assert_eq!(other.verdict, Verdict::NotRun);
+
+        store.faults().lose_answers_under("hemlockmoor/cell/", 3);
+        until("half of the tasks", || {
+            agent.beat(clock, &[&first]);
+            finished(&[&first], "night") >= 10
+        })
+        .await;
+        let second = entry(&store, "entry-2", &live, clock);
+        first.cells.stop().await;
+        live.lock()
+            .unwrap()
+            .remove(&EntryName::new("entry-1").unwrap());
+        until("the other half", || {
+            agent.beat(clock, &[&second]);
+            finished(&[&second], "night") == 20
+        })
+        .await;
+        let unique: BTreeSet<_> = agent.started.iter().collect();
+        assert_eq!(unique.len(), agent.started.len(), "none started twice");
+        let tasks: BTreeSet<_> = agent.started.iter().map(|run| &run.task).collect();
+        assert_eq!(tasks.len(), 20);
+    });
+}
+
+#[test]
+fn a_dead_entrys_cell_gets_an_owner() {
+    smol::block_on(async {
+        let store = MemStore::new();
+        let clock = Clock::start();
+        let live = Live::default();
+        let first = entry(&store, "entry-1", &live, clock);
+        let mut agent = Agent::new("vm-1");
+        agent.beat(clock, &[&first]);
+        until_owned(&[&first]).await;
+        let second = entry(&store, "entry-2", &live, clock);
+        let epoch = first.cells.owned()[0].epoch;
+        drop(first);
+        live.lock()
+            .unwrap()
+            .remove(&EntryName::new("entry-1").unwrap());
+        until("the other owner", || !second.cells.owned().is_empty()).await;
+        assert!(second.cells.owned()[0].epoch > epoch);
+    });
+}
+
+#[test]
+fn an_owner_whose_lease_lapsed_meets_the_next_term_and_steps_down() {
+    smol::block_on(async {
+        let store = MemStore::new();
+        let clock = Clock::start();
+        let live = Live::default();
+        let first = entry(&store, "entry-1", &live, clock);
+        let mut agent = Agent::new("vm-1");
+        agent.beat(clock, &[&first]);
+        until_owned(&[&first]).await;
+        // Another process takes the cell as it would after the lease lapsed.
+        let epoch = first.cells.owned()[0].epoch.0 + 1;
+        let cell = CellName::new("plateau").unwrap();
+        let key = cell::keys::epoch(&cell);
+        let txn = store::Txn {
+            ops: vec![store::Op::put(key, epoch.to_string())],
+            ..store::Txn::default()
+        };
+        store::Store::txn(&store, txn).await.unwrap();
+        let submitted = first.cells.submit_to(submit("night", 1)).await;
+        assert_eq!(submitted.verdict, Verdict::Done);
+        until("a later term", || {
+            agent.beat(clock, &[&first]);
+            first
+                .cells
+                .owned()
+                .first()
+                .is_some_and(|owner| owner.epoch.0 > epoch)
+                || first.cells.owned().is_empty()
+        })
+        .await;
+        assert!(agent.started.is_empty(), "nothing starts in the lost term");
+    });
+}
+
+fn submit(name: &str, tasks: u32) -> proto::messages::Submit {
+    proto::messages::Submit {
+        cell: CellName::new("plateau").unwrap(),
+        spec: job(name, tasks),
+    }
+}
--- a/components/proto/src/messages.rs
+++ b/components/proto/src/messages.rs
@@ -121,6 +121,21 @@
     pub address: SocketAddr,
     /// Since which epoch.
     pub epoch: Epoch,
+    /// How much room the cell has, as its owner told last.
+    #[serde(default)]
+    pub room: CellRoom,
+}
+
+/// How much room a cell has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CellRoom {
+    /// What is free on workers that take new work.
+    pub free: Resources,
+    /// The largest worker that takes new work.
+    pub largest: Resources,
+    /// How many tasks wait.
+    pub waiting: u64,
 }
 
 /// The renewed lease of one attempt.
