Keep a second's requests apart by duration in the accounts

Cause: the requests of a second were added up by outcome only, so the reports of tails saw the mean of a second. Change: the class of the duration joins the key; sums round up to milliseconds.

--- a/components/entry/src/caller_accounts.rs
+++ b/components/entry/src/caller_accounts.rs
@@ -8,7 +8,9 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use kernel::{Amount, AvailabilityZoneName, Cause, Event, EventKind, Party, ServiceName, Time};
+use kernel::{
+    Amount, AvailabilityZoneName, Cause, DurationClass, Event, EventKind, Party, ServiceName, Time,
+};
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -25,6 +27,7 @@
 
 /// The upper edge of the first latency bucket, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.001;
+const MICROS_PER_MILLI: u64 = 1000;
 /// The number of latency buckets, each twice as wide as the one before.
 const LATENCY_BUCKETS: u16 = 14;
 
@@ -35,6 +38,8 @@
     kind: TallyKind,
     cause: Cause,
     zone: Option<AvailabilityZoneName>,
+    /// Requests of one second are kept apart by duration, since reports show tails.
+    duration: DurationClass,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -134,6 +139,7 @@
             kind: tally.kind,
             cause: tally.cause,
             zone: tally.zone,
+            duration: DurationClass::of_millis(tally.micros as f64 / MICROS_PER_MILLI as f64),
         };
         let mut sums = self.lock();
         let sum = sums.entry(key).or_default();
@@ -187,7 +193,7 @@
         zone: key.zone,
         revision: in_force.revision,
         amount: Amount {
-            millis: sum.micros / 1000,
+            millis: sum.micros.div_ceil(MICROS_PER_MILLI),
             ..Amount::count(sum.count)
         },
     }
