Object set: read, checked whole, compared, published once

Cause: operators had no way to say what the system should run. Change: kinds register themselves; all problems are gathered with file, line, field and remedy; references that lead nowhere or in a circle, quotas, needs and weights that can't hold are refused. A set is published as content-addressed chunks and one compare-and-swap of the head that also finds all chunks present, so a clean-up can't break it. A swap without an answer is repeated, which can only succeed if the first did not, then settled by reading the head. A team may be part of another; its quota is checked against the parent's at publication. Ruled out: settling by the head's newest apply id alone, since a later publication hides it; the head remembers the last 64. Conclusion: entries can follow the head.

--- a/components/conf/src/lib.rs
+++ b/components/conf/src/lib.rs
@@ -5,8 +5,14 @@
 //! revision. Both are TOML; every error names its file, line and field and says
 //! what to do. See `docs/SETTINGS.md` and `docs/CONFIGURATION.md`.
 
+pub mod diff;
 pub mod locate;
+pub mod objects;
 pub mod problem;
+pub mod publish;
 pub mod settings;
+mod syntax;
 
+pub use diff::{Diff, diff};
+pub use objects::{SourceFile, check, parse, read_dir};
 pub use problem::{Problem, Problems};
--- /dev/null
+++ b/components/conf/src/objects/kinds/pool.rs
@@ -0,0 +1,48 @@
+//! Pools of workers.
+
+use kernel::{ObjectSet, Resources};
+
+use crate::objects::{Findings, ObjectId, Reference, kind::register};
+
+const NAME: &str = "pool";
+
+register!(NAME, pools, check, references);
+
+fn check(set: &ObjectSet, findings: &mut Findings) {
+    for (name, pool) in &set.pools {
+        let id = ObjectId::new(NAME, name);
+        findings.positive(&id, "workers", u64::from(pool.workers));
+        if pool.capacity == Resources::NONE {
+            let remedy = "state the processors and memory of one worker";
+            findings.add(&id, "capacity", "its workers hold nothing", remedy);
+        }
+        if pool.zones.is_empty() {
+            let remedy = "name at least one availability zone";
+            findings.add(&id, "zones", "the list is empty", remedy);
+        }
+        for (number, zone) in pool.zones.iter().enumerate() {
+            if !pool.zones[..number].contains(zone) {
+                continue;
+            }
+            let message = format!("{zone} is listed twice");
+            findings.add(
+                &id,
+                format!("zones.{number}"),
+                message,
+                "keep only one of them",
+            );
+        }
+    }
+}
+
+fn references(set: &ObjectSet) -> Vec<Reference> {
+    let mut references = Vec::new();
+    for (name, pool) in &set.pools {
+        let id = ObjectId::new(NAME, name);
+        for (number, zone) in pool.zones.iter().enumerate() {
+            let zone = ObjectId::new("zone", zone);
+            references.push(Reference::new(&id, format!("zones.{number}"), zone));
+        }
+    }
+    references
+}
--- a/components/conf/src/problem.rs
+++ b/components/conf/src/problem.rs
@@ -23,11 +23,13 @@
 
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.file)?;
-        if self.line > 0 {
-            write!(f, ":{}", self.line)?;
+        if !self.file.is_empty() {
+            write!(f, "{}", self.file)?;
+            if self.line > 0 {
+                write!(f, ":{}", self.line)?;
+            }
+            write!(f, ": ")?;
         }
-        write!(f, ": ")?;
         if !self.field.is_empty() {
             write!(f, "{}: ", self.field)?;
         }
--- /dev/null
+++ b/components/conf/src/publish/edit.rs
@@ -0,0 +1,136 @@
+//! Small changes of the published set, such as taking an availability zone out.
+
+use kernel::{
+    AvailabilityZoneName, ObjectSet, Verdict, VmName,
+    object::{AvailabilityZone, ZoneState},
+};
+use store::{Store, backoff::Backoff};
+
+use super::{Apply, LoadError, Loader, PublishError, Published, publish_over};
+use crate::{Problem, Problems, objects};
+
+/// How often an edit that lost a race is made again.
+const MAX_ATTEMPTS: u32 = 64;
+
+/// Why an edit was not made, or may not have been.
+#[derive(Debug, thiserror::Error)]
+pub enum EditError {
+    /// The edit does not fit the set in force.
+    #[error(transparent)]
+    Refused(#[from] Problems),
+    /// It could not be published.
+    #[error(transparent)]
+    Publish(#[from] PublishError),
+}
+
+impl EditError {
+    /// Whether the edit may be in force.
+    #[must_use]
+    pub const fn verdict(&self) -> Verdict {
+        match self {
+            Self::Refused(_) => Verdict::NotRun,
+            Self::Publish(error) => error.verdict(),
+        }
+    }
+}
+
+/// Makes a change in the newest set, again and again while others publish in
+/// between, so that neither change is lost.
+///
+/// # Errors
+///
+/// Returns an [`EditError`] if `change` or the check of the changed set refuses,
+/// or the store fails.
+pub async fn edit(
+    store: &dyn Store,
+    apply: &Apply,
+    change: impl Fn(&mut ObjectSet) -> Result<(), Problems> + Send + Sync,
+) -> Result<Published, EditError> {
+    let mut loader = Loader::default();
+    let mut backoff = Backoff::random();
+    loop {
+        let mut loaded = loader.load(store).await.map_err(PublishError::from)?;
+        if let Some(revision) = loaded.seen.applied(&apply.id) {
+            return Ok(Published {
+                revision,
+                changed: true,
+            });
+        }
+        change(&mut loaded.objects)?;
+        objects::check(&loaded.objects)?;
+        let published = publish_over(store, &loaded.seen, &loaded.objects, apply).await?;
+        if let Some(published) = published {
+            return Ok(published);
+        }
+        if backoff.failures() >= MAX_ATTEMPTS {
+            return Err(PublishError::Load(LoadError::Restless).into());
+        }
+        smol::Timer::after(backoff.failed()).await;
+    }
+}
+
+/// Takes an availability zone out or back in.
+///
+/// # Errors
+///
+/// Returns a problem if the set has no such availability zone.
+pub fn set_zone_state(
+    set: &mut ObjectSet,
+    name: &AvailabilityZoneName,
+    state: ZoneState,
+) -> Result<(), Problems> {
+    zone(set, name)?.state = state;
+    Ok(())
+}
+
+/// Lets a VM run empty.
+///
+/// # Errors
+///
+/// Returns a problem if the set has no such availability zone.
+pub fn drain_vm(
+    set: &mut ObjectSet,
+    name: &AvailabilityZoneName,
+    vm: &VmName,
+) -> Result<(), Problems> {
+    let zone = zone(set, name)?;
+    if !zone.drained.contains(vm) {
+        zone.drained.push(vm.clone());
+    }
+    Ok(())
+}
+
+/// Lets a VM take work again, whichever availability zone it was drained in.
+///
+/// # Errors
+///
+/// Returns a problem if the VM is not drained.
+pub fn undrain_vm(set: &mut ObjectSet, vm: &VmName) -> Result<(), Problems> {
+    let mut found = false;
+    for zone in set.zones.values_mut() {
+        found |= zone.drained.contains(vm);
+        zone.drained.retain(|drained| drained != vm);
+    }
+    if found {
+        return Ok(());
+    }
+    Err(Problems(vec![Problem {
+        message: format!("the VM {vm} is not drained"),
+        remedy: "see `get` for the VMs that are".to_owned(),
+        ..Problem::default()
+    }]))
+}
+
+fn zone<'s>(
+    set: &'s mut ObjectSet,
+    name: &AvailabilityZoneName,
+) -> Result<&'s mut AvailabilityZone, Problems> {
+    set.zones.get_mut(name).ok_or_else(|| {
+        Problems(vec![Problem {
+            field: format!("zone.{name}"),
+            message: "there is no such availability zone".to_owned(),
+            remedy: format!("publish [zone.{name}] or name an existing one"),
+            ..Problem::default()
+        }])
+    })
+}
--- a/components/conf/src/settings/mod.rs
+++ b/components/conf/src/settings/mod.rs
@@ -16,8 +16,9 @@
 pub use entry::{EntryLimits, EntrySettings, EntryTimings};
 
 use crate::{
-    locate::{line_of, line_of_field},
+    locate::line_of_path,
     problem::{Problem, Problems},
+    syntax::problem_of,
 };
 
 /// Why settings can't be used: a list of problems.
@@ -58,11 +59,11 @@
 /// Returns all problems with file, line, field and what to do.
 pub fn parse<S: Checked>(file: &str, text: &str) -> Result<S, SettingsError> {
     let settings: S =
-        toml::from_str(text).map_err(|error| Problems(vec![syntax(file, text, &error)]))?;
+        toml::from_str(text).map_err(|error| Problems(vec![problem_of(file, text, &error)]))?;
     settings.check().map_err(|problems| {
         let located = problems.0.into_iter().map(|problem| Problem {
             file: file.to_owned(),
-            line: line_of_field(text, &problem.field),
+            line: line_of_path(text, problem.field.split('.')),
             ..problem
         });
         Problems(located.collect())
@@ -82,37 +83,3 @@
     })?;
     parse(&file, &text)
 }
-
-/// The problem that stands behind an error of the TOML library.
-#[must_use]
-pub fn syntax(file: &str, text: &str, error: &toml::de::Error) -> Problem {
-    let line = error.span().map_or(0, |span| line_of(text, span.start));
-    let field = error
-        .span()
-        .and_then(|span| text.get(span))
-        .map(|found| found.lines().next().unwrap_or_default().trim().to_owned())
-        .unwrap_or_default();
-    Problem {
-        file: file.to_owned(),
-        line,
-        field,
-        message: error.message().trim().replace('\n', ", "),
-        remedy: remedy_for(error.message()).to_owned(),
-    }
-}
-
-fn remedy_for(message: &str) -> &'static str {
-    if message.contains("socket address") {
-        return "write an IP number and a port, such as 127.0.0.1:7001; names are not resolved";
-    }
-    if message.contains("unknown field") {
-        return "correct its name or remove it";
-    }
-    if message.contains("missing field") {
-        return "add the field";
-    }
-    if message.contains("duplicate key") {
-        return "keep only one of them";
-    }
-    "correct the value"
-}
--- a/components/kernel/src/object.rs
+++ b/components/kernel/src/object.rs
@@ -32,6 +32,11 @@
     pub weight: u32,
     /// The most that its batch tasks may hold at a time, over all cells.
     pub quota: Resources,
+    /// The team it is part of: the quotas of all parts fit into the parent's,
+    /// and a team that has parts owns no services or jobs itself. Checked when
+    /// a configuration is published, so nothing else has to look at it.
+    #[serde(default)]
+    pub parent: Option<TeamName>,
 }
 
 /// What a service promises its callers.
