Configuration in force at an entry, and operators' HTTP for objects

Cause: a published set came into force nowhere. Conclusion: other areas add their routes in entry::operator.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod caller_http;
 mod caller_run;
 mod caller_service;
+pub mod config;
 pub mod members;
+pub mod operator;
 
 pub use caller::{Callers, InForce, Parts};
 pub use members::Members;
--- /dev/null
+++ b/components/entry/src/operator/mod.rs
@@ -0,0 +1,97 @@
+//! What operators ask of an entry, on a port of their own.
+//!
+//! Each file answers one group of paths and adds its routes here. Every request
+//! carries one of the operators' secrets; every answer carries the verdict as a
+//! header, and a failed one a [`Failure`] as its body. See `docs/OPERATIONS.md`.
+
+mod objects;
+pub mod reply;
+
+use std::sync::Arc;
+
+use kernel::{AvailabilityZoneName, Clock, Revision, Verdict, VmName, secret::Secrets};
+use serde::{Deserialize, Serialize};
+use store::Store;
+use trillium::{Conn, Handler, Status};
+
+pub use objects::{ApplyRequest, CheckRequest, DiffReply, EditRequest, ObjectsReply};
+pub use reply::Failure;
+
+use crate::config::Follower;
+
+/// The revision in force at one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessRevision {
+    /// The entry or VM.
+    pub name: String,
+    /// What is in force there.
+    pub revision: Revision,
+}
+
+/// The revisions in force at all live processes that this entry knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revisions {
+    /// The revision in force at this entry.
+    pub here: Revision,
+    /// At every entry.
+    pub entries: Vec<ProcessRevision>,
+    /// At every VM.
+    pub vms: Vec<ProcessRevision>,
+}
+
+/// Gives the revisions in force.
+pub type RevisionsOf = Box<dyn Fn() -> Revisions + Send + Sync>;
+/// Gives the availability zone of a VM that announced itself.
+pub type ZoneOf = Box<dyn Fn(&VmName) -> Option<AvailabilityZoneName> + Send + Sync>;
+
+/// What the operators' requests are answered from.
+pub struct Context {
+    /// The operators' secrets.
+    pub secrets: Secrets,
+    /// The largest body of a request, in bytes.
+    pub body_bytes: u64,
+    /// The entry's clock.
+    pub clock: Clock,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// The configuration in force.
+    pub config: Arc<Follower>,
+    /// The revisions in force elsewhere.
+    pub revisions: RevisionsOf,
+    /// Where each VM is.
+    pub zone_of: ZoneOf,
+}
+
+/// Answers operators' requests.
+#[must_use]
+pub fn handler(cx: Context) -> impl Handler {
+    let cx = Arc::new(cx);
+    (
+        Authorise(Arc::clone(&cx)),
+        objects::routes(cx),
+        |conn: Conn| async move { not_found(conn) },
+    )
+}
+
+/// Halts requests without a right secret.
+struct Authorise(Arc<Context>);
+
+impl Handler for Authorise {
+    async fn run(&self, conn: Conn) -> Conn {
+        let header = conn.request_headers().get_str("authorization");
+        if self.0.secrets.accepts(header) {
+            return conn;
+        }
+        let failure = Failure::new(Verdict::NotRun, "the secret is missing or wrong");
+        reply::failed(conn, Status::Unauthorized, &failure)
+    }
+}
+
+fn not_found(conn: Conn) -> Conn {
+    if conn.status().is_some() {
+        return conn;
+    }
+    let message = format!("there is no {} {}", conn.method(), conn.path());
+    let failure = Failure::new(Verdict::NotRun, message);
+    reply::failed(conn, Status::NotFound, &failure)
+}
--- /dev/null
+++ b/components/entry/src/operator/objects.rs
@@ -0,0 +1,232 @@
+//! Checking, publishing and showing the object set.
+
+use std::sync::Arc;
+
+use conf::{
+    Diff, Problems, SourceFile, diff,
+    publish::{
+        self, Apply, ApplyId, EditError, Loader, PublishError, Published, drain_vm, set_zone_state,
+        undrain_vm,
+    },
+};
+use kernel::{AvailabilityZoneName, ObjectSet, Revision, Verdict, VmName, object::ZoneState};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use trillium::{Conn, Status};
+use trillium_router::{Router, RouterConnExt};
+
+use super::{
+    Context,
+    reply::{Failure, done, failed, read_json},
+};
+
+/// Asks for a check of a whole set, or for its difference to the newest.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CheckRequest {
+    /// All files of the set.
+    pub files: Vec<SourceFile>,
+}
+
+/// Asks for the publication of a whole set.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ApplyRequest {
+    /// All files of the set.
+    pub files: Vec<SourceFile>,
+    /// A repeated request under the same identity publishes once.
+    pub apply_id: ApplyId,
+    /// Who asks.
+    pub who: String,
+    /// The only revision that may be replaced; any if left out.
+    #[serde(default)]
+    pub base: Option<Revision>,
+}
+
+/// Asks for a small change of the newest set.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EditRequest {
+    /// A repeated request under the same identity changes once.
+    pub apply_id: ApplyId,
+    /// Who asks.
+    pub who: String,
+}
+
+/// The difference of a set to the newest.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DiffReply {
+    /// The newest revision.
+    pub revision: Revision,
+    /// What would make the set out of the newest.
+    pub difference: Diff,
+}
+
+/// The set in force at the entry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ObjectsReply {
+    /// Its revision.
+    pub revision: Revision,
+    /// How long ago it was proved to be the newest, in milliseconds.
+    pub proof_age_millis: Option<u64>,
+    /// Its objects.
+    pub objects: ObjectSet,
+}
+
+type Answer<T> = Result<T, (Status, Failure)>;
+
+/// Registers a path whose answer comes from an asynchronous function.
+macro_rules! route {
+    ($router:expr, $method:ident, $path:literal, $cx:expr, $answer:path) => {{
+        let cx = Arc::clone($cx);
+        $router.$method($path, move |mut conn: Conn| {
+            let cx = Arc::clone(&cx);
+            async move {
+                match $answer(&cx, &mut conn).await {
+                    Ok(value) => done(conn, &value),
+                    Err((status, failure)) => failed(conn, status, &failure),
+                }
+            }
+        })
+    }};
+}
+
+pub(crate) fn routes(cx: Arc<Context>) -> Router {
+    let cx = &cx;
+    let router = Router::new();
+    let router = route!(router, post, "/v1/objects/check", cx, check);
+    let router = route!(router, post, "/v1/objects/diff", cx, difference);
+    let router = route!(router, post, "/v1/objects/apply", cx, apply);
+    let router = route!(router, get, "/v1/objects", cx, show);
+    let router = route!(router, get, "/v1/revisions", cx, revisions);
+    let router = route!(router, post, "/v1/zones/:name/out", cx, zone_out);
+    let router = route!(router, post, "/v1/zones/:name/in", cx, zone_in);
+    let router = route!(router, post, "/v1/vms/:name/drain", cx, drain);
+    route!(router, post, "/v1/vms/:name/undrain", cx, undrain)
+}
+
+async fn check(cx: &Context, conn: &mut Conn) -> Answer<ObjectSet> {
+    let req: CheckRequest = read_json(conn, cx.body_bytes).await?;
+    conf::parse(&req.files).map_err(refused)
+}
+
+async fn difference(cx: &Context, conn: &mut Conn) -> Answer<DiffReply> {
+    let req: CheckRequest = read_json(conn, cx.body_bytes).await?;
+    let objects = conf::parse(&req.files).map_err(refused)?;
+    let newest = Loader::default()
+        .load(&*cx.store)
+        .await
+        .map_err(|error| unpublished(&error.into()))?;
+    Ok(DiffReply {
+        revision: newest.seen.revision(),
+        difference: diff(&newest.objects, &objects),
+    })
+}
+
+async fn apply(cx: &Context, conn: &mut Conn) -> Answer<Published> {
+    let req: ApplyRequest = read_json(conn, cx.body_bytes).await?;
+    let objects = conf::parse(&req.files).map_err(refused)?;
+    let apply = Apply {
+        id: req.apply_id,
+        who: req.who,
+        at: cx.clock.now(),
+    };
+    let published = publish::publish(&*cx.store, &objects, &apply, req.base)
+        .await
+        .map_err(|error| unpublished(&error))?;
+    bring_into_force(cx).await;
+    Ok(published)
+}
+
+async fn show(cx: &Context, _: &mut Conn) -> Answer<ObjectsReply> {
+    let in_force = cx.config.in_force();
+    let now = cx.clock.now();
+    let age = in_force.proved_at.map(|at| now.since(at).as_millis());
+    Ok(ObjectsReply {
+        revision: in_force.revision,
+        proof_age_millis: age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
+        objects: ObjectSet::clone(&in_force.objects),
+    })
+}
+
+async fn revisions(cx: &Context, _: &mut Conn) -> Answer<super::Revisions> {
+    Ok((cx.revisions)())
+}
+
+async fn zone_out(cx: &Context, conn: &mut Conn) -> Answer<Published> {
+    set_zone(cx, conn, ZoneState::Out).await
+}
+
+async fn zone_in(cx: &Context, conn: &mut Conn) -> Answer<Published> {
+    set_zone(cx, conn, ZoneState::In).await
+}
+
+async fn set_zone(cx: &Context, conn: &mut Conn, state: ZoneState) -> Answer<Published> {
+    let zone: AvailabilityZoneName = name(conn)?;
+    edit(cx, conn, |set| set_zone_state(set, &zone, state)).await
+}
+
+async fn drain(cx: &Context, conn: &mut Conn) -> Answer<Published> {
+    let vm: VmName = name(conn)?;
+    let Some(zone) = (cx.zone_of)(&vm) else {
+        let message = format!("no VM named {vm} has announced itself to this entry");
+        return Err((Status::NotFound, Failure::new(Verdict::NotRun, message)));
+    };
+    edit(cx, conn, |set| drain_vm(set, &zone, &vm)).await
+}
+
+async fn undrain(cx: &Context, conn: &mut Conn) -> Answer<Published> {
+    let vm: VmName = name(conn)?;
+    edit(cx, conn, |set| undrain_vm(set, &vm)).await
+}
+
+async fn edit(
+    cx: &Context,
+    conn: &mut Conn,
+    change: impl Fn(&mut ObjectSet) -> Result<(), Problems> + Send + Sync,
+) -> Answer<Published> {
+    let req: EditRequest = read_json(conn, cx.body_bytes).await?;
+    let apply = Apply {
+        id: req.apply_id,
+        who: req.who,
+        at: cx.clock.now(),
+    };
+    let published =
+        publish::edit(&*cx.store, &apply, change)
+            .await
+            .map_err(|error| match error {
+                EditError::Refused(problems) => refused(problems),
+                EditError::Publish(error) => unpublished(&error),
+            })?;
+    bring_into_force(cx).await;
+    Ok(published)
+}
+
+/// The watch would bring it too; here an operator waits for it.
+async fn bring_into_force(cx: &Context) {
+    if let Err(error) = cx.config.refresh().await {
+        tracing::warn!(%error, "the published configuration is not in force here yet");
+    }
+}
+
+fn name<N: DeserializeOwned>(conn: &Conn) -> Answer<N> {
+    let text = conn.param("name").unwrap_or_default();
+    let value = serde_json::Value::String(text.to_owned());
+    serde_json::from_value(value).map_err(|error| {
+        let failure = Failure::new(Verdict::NotRun, error.to_string());
+        (Status::BadRequest, failure)
+    })
+}
+
+fn refused(problems: Problems) -> (Status, Failure) {
+    (Status::UnprocessableEntity, problems.into())
+}
+
+fn unpublished(error: &PublishError) -> (Status, Failure) {
+    let status = match error {
+        PublishError::Conflict { .. } => Status::Conflict,
+        PublishError::Split(_) => Status::PayloadTooLarge,
+        PublishError::Load(_) | PublishError::Store(_) => Status::ServiceUnavailable,
+        PublishError::Unknown(_) => Status::GatewayTimeout,
+    };
+    (status, Failure::new(error.verdict(), error.to_string()))
+}
