--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/common/mod.rs
@@ -78,6 +78,7 @@
     let team = Team {
         weight: 1,
         quota: Resources::new(u64::MAX, u64::MAX, u32::MAX),
+        parent: None,
     };
     let mut set = ObjectSet {
         teams: BTreeMap::from([(TeamName::new("royalties").unwrap(), team)]),
--- a/components/entry/examples/capacity_messages.rs
+++ b/components/entry/examples/capacity_messages.rs
@@ -180,6 +180,7 @@
         let team = Team {
             weight: 10,
             quota: Resources::new(64_000, 262_144, 8),
+            parent: None,
         };
         let service = Service {
             team: name(&format!("team-{i:03}")),
--- a/components/entry/tests/cells.rs
+++ b/components/entry/tests/cells.rs
@@ -38,6 +38,7 @@
     let team = Team {
         weight: 1,
         quota: Resources::new(u64::MAX, u64::MAX, u32::MAX),
+        parent: None,
     };
     Arc::new(ObjectSet {
         teams: BTreeMap::from([(TeamName::new("royalties").unwrap(), team)]),
