--- a/components/agent/src/runs.rs
+++ b/components/agent/src/runs.rs
@@ -91,11 +91,29 @@
     measured_at: Time,
 }
 
+impl Held {
+    const fn never_started() -> Self {
+        Self {
+            phase: Phase::Ended(TaskPhase::Stopped),
+            start: None,
+            unconfirmed_until: None,
+            sends: 0,
+            reserved: Resources::NONE,
+            lease_until: Time::ZERO,
+            checkpoint: None,
+            used: None,
+            measured_at: Time::ZERO,
+        }
+    }
+}
+
 /// The attempts of one VM.
 #[derive(Clone, Debug)]
 pub struct Runs {
     capacity: Resources,
     epoch: Epoch,
+    /// When the newest obeyed heartbeat of this epoch was sent.
+    obeyed_at: Time,
     open: bool,
     leaving: bool,
     listed: bool,
@@ -109,6 +127,7 @@
         Self {
             capacity,
             epoch: Epoch(0),
+            obeyed_at: Time::ZERO,
             open: true,
             leaving: false,
             listed: false,
@@ -176,10 +195,12 @@
     }
 
     fn obey(&mut self, now: Time, sent_at: Time, reply: HeartbeatReply, out: &mut Vec<Action>) {
-        if reply.epoch < self.epoch {
+        let outdated = reply.epoch == self.epoch && sent_at < self.obeyed_at;
+        if reply.epoch < self.epoch || outdated {
             return;
         }
         self.epoch = reply.epoch;
+        self.obeyed_at = sent_at;
         for renewal in reply.renewed {
             self.renew(sent_at, renewal, out);
         }
@@ -229,15 +250,11 @@
         };
         let may_start = self.may_start(now, &start);
         let mut held = Held {
-            phase: Phase::Ended(TaskPhase::Stopped),
-            start: None,
-            unconfirmed_until: None,
-            sends: 0,
             reserved: order.reserved,
             lease_until: start.lease_until,
             checkpoint: order.checkpoint,
-            used: None,
             measured_at: now,
+            ..Held::never_started()
         };
         if may_start {
             held.phase = Phase::Starting {
@@ -291,10 +308,13 @@
         }
     }
 
+    /// An attempt that is not known yet counts as stopped from now on, so that
+    /// a start that was overtaken by its stop changes nothing.
     fn stop(&mut self, run: TaskRun, how: Stopping, out: &mut Vec<Action>) {
-        let Some(held) = self.held.get_mut(&run) else {
-            return;
-        };
+        let held = self
+            .held
+            .entry(run.clone())
+            .or_insert_with(Held::never_started);
         match held.phase {
             Phase::Ended(_) => out.push(Action::Report),
             Phase::Stopping(before) if before == how => {}
@@ -344,14 +364,9 @@
         let run = shown.run.clone();
         let held = self.held.entry(run.clone()).or_insert_with(|| Held {
             phase: Phase::Live(TaskPhase::Running),
-            start: None,
-            unconfirmed_until: None,
-            sends: 0,
             reserved: shown.reserved,
             lease_until: shown.lease_until,
-            checkpoint: None,
-            used: None,
-            measured_at: shown.measured_at,
+            ..Held::never_started()
         });
         if matches!(held.phase, Phase::Ended(_)) {
             return;
--- a/components/agent/tests/runs.rs
+++ b/components/agent/tests/runs.rs
@@ -129,6 +129,28 @@
     assert_eq!(runs.epoch(), Epoch(2));
 }
 
+#[test]
+fn a_delayed_reply_is_not_obeyed() {
+    let mut runs = ready();
+    told(&mut runs, 2, 2, reply(1, Vec::new()));
+    assert_eq!(
+        told(&mut runs, 2, 1, reply(1, vec![start("a")])),
+        Vec::new()
+    );
+}
+
+#[test]
+fn a_stop_that_overtakes_its_start_counts() {
+    let mut runs = ready();
+    let stop = reply(1, vec![Order::Stop(run("a", 1))]);
+    assert_eq!(told(&mut runs, 1, 1, stop), vec![Action::Report]);
+    assert_eq!(phase_of(&runs, "a"), Some(TaskPhase::Stopped));
+    assert_eq!(
+        told(&mut runs, 2, 2, reply(1, vec![start("a")])),
+        Vec::new()
+    );
+}
+
 #[test]
 fn a_lease_counts_from_the_sending_of_the_heartbeat() {
     let mut runs = ready();
--- a/components/cell/src/owner/schedule.rs
+++ b/components/cell/src/owner/schedule.rs
@@ -149,6 +149,7 @@
             service: spec.service.clone(),
             avoid: task.failed_on,
             finish_by: spec.finish_by,
+            payers: Vec::new(),
         })
     }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod members;
 pub mod operator;
+pub mod peers;
 
 pub use caller::{Callers, InForce, Parts};
 pub use members::Members;
--- a/components/place/src/decision.rs
+++ b/components/place/src/decision.rs
@@ -22,6 +22,19 @@
     pub avoid: Vec<VmName>,
     /// When it has to be finished, if it matters.
     pub finish_by: Option<Time>,
+    /// Teams above their share whose batch tasks may be evicted for it. The
+    /// queue fills this in when the task's team starves below its share;
+    /// whoever pushes the task leaves it empty.
+    #[serde(default)]
+    pub payers: Vec<TeamName>,
+}
+
+impl Want {
+    /// Whether normal batch tasks of any team may be evicted for it.
+    #[must_use]
+    pub fn is_pressing(&self) -> bool {
+        self.urgency == Urgency::Urgent || self.class == TaskClass::LatencyCritical
+    }
 }
 
 /// Why a task is not bound.
@@ -36,6 +49,8 @@
     Evicting,
     /// It fits only on workers where it failed before.
     Avoided,
+    /// It fits only on workers whose room is kept for tasks with accelerators.
+    AcceleratorsKept,
     /// No worker is large enough even when empty.
     TooLarge,
 }
@@ -49,6 +64,9 @@
             Self::NoRoom => "no worker has room now",
             Self::Evicting => "room is being made by evicting batch tasks",
             Self::Avoided => "it fits only on workers where it failed before",
+            Self::AcceleratorsKept => {
+                "the room left is kept for tasks that need the accelerators beside it"
+            }
             Self::TooLarge => "no worker is large enough; lower the need of the job",
         }
     }
--- a/components/place/src/fleet.rs
+++ b/components/place/src/fleet.rs
@@ -1,155 +1,131 @@
 //! The workers of a cell and what is reserved on them.
 
-use std::{collections::BTreeMap, time::Duration};
-
-use kernel::{
-    AvailabilityZoneName, RackName, Resources, ServiceName, TaskClass, TaskId, TaskRun, TeamName,
-    Time, Urgency, VmName,
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
 };
-use rand::Rng;
-use serde::{Deserialize, Serialize};
 
-use crate::decision::{Decision, Want, Why};
+use kernel::{JobName, Resources, ServiceName, TaskClass, TaskId, TaskRun, TeamName, Time, VmName};
+
+use crate::{
+    claims::{Claim, Claims},
+    harm::Harms,
+    plugin::{Filter, Score},
+    spread::Spread,
+    worker::{Full, Holding, Slot, Worker},
+};
 
 /// How long the largest worker must have been the largest before a task that
 /// exceeds it is refused, since after a change of the cell's owner the workers
 /// report one by one.
 pub const NEVER_AFTER: Duration = Duration::from_secs(30);
 
-/// How long room made by eviction is kept for the task that it was made for.
-pub const CLAIM_SPAN: Duration = Duration::from_secs(20);
-
-/// The facts of a worker that placement needs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Worker {
-    /// Its VM.
-    pub vm: VmName,
-    /// Its availability zone.
-    pub zone: AvailabilityZoneName,
-    /// Its rack.
-    pub rack: RackName,
-    /// What it holds for tasks.
-    pub capacity: Resources,
-    /// The services with an endpoint beside it.
-    pub services: Vec<ServiceName>,
-    /// Whether it takes new work.
-    pub open: bool,
-}
-
-/// What is known of a reservation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holding {
-    /// The team that pays.
-    pub team: TeamName,
-    /// Whether callers wait on it.
-    pub class: TaskClass,
-    /// How soon it had to start.
-    pub urgency: Urgency,
-    /// What is reserved.
-    pub reserved: Resources,
-    /// When it started.
-    pub started: Time,
-}
-
-/// A reservation that does not fit.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Full {
-    /// The worker is not known.
-    #[error("the worker on {0} is not known")]
-    Unknown(VmName),
-    /// The room left is too small.
-    #[error("{run} needs {need}, but {vm} has only {free} left")]
-    NoRoom {
-        /// The attempt.
-        run: TaskRun,
-        /// The worker's VM.
-        vm: VmName,
-        /// What it needs.
-        need: Resources,
-        /// What is left.
-        free: Resources,
-    },
-}
-
-#[derive(Clone, Debug)]
-struct Slot {
-    worker: Worker,
-    free: Resources,
-    claimed: Resources,
-    held: BTreeMap<TaskRun, Holding>,
-}
-
-impl Slot {
-    fn room(&self) -> Resources {
-        self.free.minus(self.claimed)
-    }
-}
-
-/// Room kept for a task while its victims stop.
-#[derive(Clone, Debug)]
-struct Claim {
-    vm: VmName,
-    need: Resources,
-    victims: Vec<TaskRun>,
-    until: Time,
-}
+/// How many changes of teams' holdings are remembered for the queue.
+const TEAM_CHANGES_KEPT: usize = 4096;
 
 /// The workers of a cell with their reservations.
 ///
 /// The sum of the reservations on a worker never exceeds its capacity:
 /// [`Fleet::reserve`] refuses what does not fit.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Fleet {
-    slots: BTreeMap<VmName, Slot>,
+    pub(crate) slots: Vec<Slot>,
+    /// What tasks without a claim may take on each slot that takes new work,
+    /// kept close together because every placement reads all of it.
+    pub(crate) rooms: Vec<Option<Resources>>,
+    numbers: BTreeMap<VmName, usize>,
     homes: BTreeMap<TaskRun, VmName>,
     teams: BTreeMap<TeamName, Resources>,
-    claims: BTreeMap<TaskId, Claim>,
+    changed_teams: VecDeque<TeamName>,
+    changes: u64,
+    pub(crate) claims: Claims,
+    pub(crate) spread: Spread,
+    pub(crate) harms: Harms,
+    pub(crate) filters: Vec<&'static Filter>,
+    pub(crate) scores: Vec<&'static Score>,
     total: Resources,
-    shapes_changed: bool,
-    shapes_since: Time,
+    room_grew: u64,
+    largest_changed: bool,
+    largest_since: Time,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Fleet {
-    /// A fleet without workers.
+    /// A fleet without workers, with all registered filters and scores.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            slots: Vec::new(),
+            rooms: Vec::new(),
+            numbers: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            changed_teams: VecDeque::new(),
+            changes: 0,
+            claims: Claims::default(),
+            spread: Spread::default(),
+            harms: Harms::default(),
+            filters: kernel::plugin::registered(),
+            scores: kernel::plugin::registered(),
+            total: Resources::default(),
+            room_grew: 0,
+            largest_changed: true,
+            largest_since: Time::ZERO,
+        }
+    }
+
+    /// A fleet that leaves out the scores of these names, to measure what each
+    /// is worth.
+    #[must_use]
+    pub fn without_scores(names: &[&str]) -> Self {
+        let mut fleet = Self::new();
+        fleet.scores.retain(|score| !names.contains(&score.name));
+        fleet
     }
 
     /// Adds a worker or replaces its facts; its reservations stay.
     pub fn upsert(&mut self, worker: Worker) {
-        let larger = |slot: &Slot| worker.capacity.fits(slot.worker.capacity);
-        if !self.slots.values().any(larger) {
-            self.shapes_changed = true;
-        }
+        self.room_grew += 1;
+        self.note_largest(worker.capacity);
         self.total = self.total.plus(worker.capacity);
-        let Some(slot) = self.slots.get_mut(&worker.vm) else {
-            let slot = Slot {
-                free: worker.capacity,
-                claimed: Resources::default(),
-                held: BTreeMap::new(),
-                worker,
-            };
-            self.slots.insert(slot.worker.vm.clone(), slot);
+        let Some(&number) = self.numbers.get(&worker.vm) else {
+            self.numbers.insert(worker.vm.clone(), self.slots.len());
+            self.slots.push(Slot::new(worker));
+            self.rooms.push(None);
+            self.refresh_room(self.slots.len() - 1);
             return;
         };
+        let slot = &mut self.slots[number];
         self.total = self.total.minus(slot.worker.capacity);
-        let used = sum(slot.held.values().map(|holding| holding.reserved));
-        slot.free = worker.capacity.minus(used);
         slot.worker = worker;
+        slot.recount();
+        slot.repress(&self.harms);
+        self.refresh_room(number);
     }
 
     /// Forgets a worker and its reservations.
     pub fn remove(&mut self, vm: &VmName) {
-        let Some(slot) = self.slots.remove(vm) else {
+        let Some(number) = self.numbers.remove(vm) else {
             return;
         };
+        for task in self.claims.on(vm) {
+            self.claims.remove(&task);
+        }
+        let slot = self.slots.swap_remove(number);
+        self.rooms.swap_remove(number);
+        if let Some(moved) = self.slots.get(number) {
+            self.numbers.insert(moved.worker.vm.clone(), number);
+        }
         self.total = self.total.minus(slot.worker.capacity);
-        for (run, holding) in slot.held {
-            self.homes.remove(&run);
-            self.credit(&holding);
+        for (run, holding) in &slot.held {
+            self.homes.remove(run);
+            self.forget(run, holding, &slot.worker);
         }
-        self.claims.retain(|_, claim| claim.vm != *vm);
     }
 
     /// Reserves room on a worker for an attempt; repeating it changes nothing.
@@ -159,9 +135,10 @@
     /// Returns [`Full`] if the worker is unknown or the room left is too small
     /// in any dimension; nothing is reserved then.
     pub fn reserve(&mut self, run: &TaskRun, vm: &VmName, holding: Holding) -> Result<(), Full> {
-        let Some(slot) = self.slots.get(vm) else {
+        let Some(&number) = self.numbers.get(vm) else {
             return Err(Full::Unknown(vm.clone()));
         };
+        let slot = &self.slots[number];
         if slot.held.contains_key(run) {
             return Ok(());
         }
@@ -175,15 +152,12 @@
         }
         self.release(run);
         self.drop_claim(&run.task);
-        if holding.class == TaskClass::Batch {
-            let used = self.teams.entry(holding.team.clone()).or_default();
-            *used = used.plus(holding.reserved);
-        }
-        if let Some(slot) = self.slots.get_mut(vm) {
-            slot.free = slot.free.minus(holding.reserved);
-            slot.held.insert(run.clone(), holding);
-        }
+        self.remember(run, &holding, number);
         self.homes.insert(run.clone(), vm.clone());
+        let slot = &mut self.slots[number];
+        slot.free = slot.free.minus(holding.reserved);
+        slot.held.insert(run.clone(), holding);
+        self.refresh_room(number);
         Ok(())
     }
 
@@ -192,15 +166,40 @@
         let Some(vm) = self.homes.remove(run) else {
             return;
         };
-        let Some(slot) = self.slots.get_mut(&vm) else {
+        let Some(&number) = self.numbers.get(&vm) else {
             return;
         };
+        let slot = &mut self.slots[number];
         let Some(holding) = slot.held.remove(run) else {
             return;
         };
-        let used = sum(slot.held.values().map(|holding| holding.reserved));
-        slot.free = slot.worker.capacity.minus(used);
-        self.credit(&holding);
+        slot.recount();
+        if holding.class == TaskClass::Batch {
+            slot.repress(&self.harms);
+        }
+        let worker = slot.worker.clone();
+        self.room_grew += 1;
+        self.forget(run, &holding, &worker);
+        self.refresh_room(number);
+    }
+
+    /// Takes in a new estimate of how much a family of jobs slows a service.
+    pub fn set_harm(&mut self, service: &ServiceName, job: &JobName, slowdown: f64) {
+        self.harms.set(service, job, slowdown);
+    }
+
+    /// Replaces all estimates of harm.
+    pub fn set_harms(&mut self, harms: Harms) {
+        self.harms = harms;
+        self.refresh_harm();
+    }
+
+    /// Applies new estimates to what already runs; costs one pass over all
+    /// reservations, so call it every few seconds at most.
+    pub fn refresh_harm(&mut self) {
+        for slot in &mut self.slots {
+            slot.repress(&self.harms);
+        }
     }
 
     /// What the batch tasks of a team hold in this cell.
@@ -209,6 +208,28 @@
         self.teams.get(team).copied().unwrap_or_default()
     }
 
+    /// What a team holds, with what is promised to it and without what is
+    /// being evicted from it.
+    #[must_use]
+    pub fn committed_to(&self, team: &TeamName) -> Resources {
+        let mut leaving = Resources::default();
+        for run in self.claims.victims() {
+            let Some(holding) = self.holding(run) else {
+                continue;
+            };
+            if holding.team == *team {
+                leaving = leaving.plus(holding.reserved);
+            }
+        }
+        let promised = self.claims.promised_to(team);
+        self.held_by(team).plus(promised).minus(leaving)
+    }
+
+    /// The teams that hold something, with what their batch tasks hold.
+    pub fn teams(&self) -> impl Iterator<Item = (&TeamName, Resources)> {
+        self.teams.iter().map(|(team, held)| (team, *held))
+    }
+
     /// The sum of the capacities of all workers.
     #[must_use]
     pub const fn total(&self) -> Resources {
@@ -218,204 +239,144 @@
     /// What is free on a worker, if it is known.
     #[must_use]
     pub fn free_on(&self, vm: &VmName) -> Option<Resources> {
-        self.slots.get(vm).map(|slot| slot.free)
+        self.slot(vm).map(|slot| slot.free)
     }
 
-    /// Decides where an attempt goes.
-    pub fn place(&mut self, now: Time, want: &Want, rng: &mut impl Rng) -> Decision {
-        self.expire_claims(now);
-        if let Some(decision) = self.place_claimed(want) {
-            return decision;
-        }
-        if let Some(vm) = self.best_fit(want, rng) {
-            return Decision::Bind(vm);
-        }
-        if self.too_large(now, want.need) {
-            return Decision::Never(Why::TooLarge);
-        }
-        if may_evict(want)
-            && let Some((vm, victims)) = self.cheapest_victims(want)
-        {
-            self.claim(now, want, &vm, &victims);
-            return Decision::Evict { vm, victims };
-        }
-        Decision::Wait(self.why_waiting(want))
+    /// The facts of a worker, if it is known.
+    #[must_use]
+    pub fn worker(&self, vm: &VmName) -> Option<&Worker> {
+        self.slot(vm).map(|slot| &slot.worker)
     }
 
-    fn credit(&mut self, holding: &Holding) {
-        if holding.class != TaskClass::Batch {
-            return;
-        }
-        let Some(used) = self.teams.get_mut(&holding.team) else {
-            return;
-        };
-        *used = used.minus(holding.reserved);
-        if *used == Resources::default() {
-            self.teams.remove(&holding.team);
-        }
+    /// The reservations on a worker.
+    pub fn held_on(&self, vm: &VmName) -> impl Iterator<Item = (&TaskRun, &Holding)> {
+        self.slot(vm).into_iter().flat_map(|slot| &slot.held)
     }
 
-    fn best_fit(&self, want: &Want, rng: &mut impl Rng) -> Option<VmName> {
-        let mut best: Option<(f64, u32, &VmName)> = None;
-        for (vm, slot) in &self.slots {
-            if !admits(slot, want) || !want.need.fits(slot.room()) {
-                continue;
-            }
-            let left = slot.room().minus(want.need);
-            let waste = left.dominant_share(slot.worker.capacity);
-            let tie = rng.random::<u32>();
-            if best.is_none_or(|(least, other, _)| (waste, tie) < (least, other)) {
-                best = Some((waste, tie, vm));
-            }
-        }
-        best.map(|(_, _, vm)| vm.clone())
+    /// What an attempt holds, if it does.
+    #[must_use]
+    pub fn holding(&self, run: &TaskRun) -> Option<&Holding> {
+        self.slot(self.homes.get(run)?)?.held.get(run)
     }
 
-    fn too_large(&mut self, now: Time, need: Resources) -> bool {
-        if self.shapes_changed || self.shapes_since == Time::ZERO {
-            self.shapes_changed = false;
-            self.shapes_since = now;
-        }
-        if self.slots.is_empty() || self.can_ever_fit(need) {
-            return false;
-        }
-        now.since(self.shapes_since) >= NEVER_AFTER
+    /// Where an attempt holds its reservation.
+    #[must_use]
+    pub fn home_of(&self, run: &TaskRun) -> Option<&VmName> {
+        self.homes.get(run)
     }
 
-    fn can_ever_fit(&self, need: Resources) -> bool {
-        let fits = |slot: &Slot| need.fits(slot.worker.capacity);
-        self.slots.values().any(fits)
+    /// Whether a worker that takes new work has room for `need` now.
+    #[must_use]
+    pub fn has_room(&self, need: Resources) -> bool {
+        let fits = |room: &Resources| need.fits(*room);
+        self.rooms.iter().flatten().any(fits)
     }
 
-    fn why_waiting(&self, want: &Want) -> Why {
-        if !self.slots.values().any(|slot| slot.worker.open) {
-            return Why::NoWorker;
-        }
-        if !self.can_ever_fit(want.need) {
-            return Why::TooLarge;
-        }
-        let elsewhere = |slot: &Slot| {
-            slot.worker.open && want.avoid.contains(&slot.worker.vm) && want.need.fits(slot.room())
-        };
-        if self.slots.values().any(elsewhere) {
-            return Why::Avoided;
-        }
-        Why::NoRoom
+    /// A number that changes whenever room may have been gained.
+    #[must_use]
+    pub const fn room_changes(&self) -> u64 {
+        self.room_grew
     }
 
-    /// The fewest and youngest normal batch tasks of one worker that make room.
-    fn cheapest_victims(&self, want: &Want) -> Option<(VmName, Vec<TaskRun>)> {
-        let mut best: Option<(usize, Duration, VmName, Vec<TaskRun>)> = None;
-        for (vm, slot) in &self.slots {
-            if !admits(slot, want) {
-                continue;
-            }
-            let Some((victims, oldest)) = self.victims_on(slot, want.need) else {
-                continue;
-            };
-            let lost = Time::MAX.since(oldest);
-            let better = best
-                .as_ref()
-                .is_none_or(|(count, least, _, _)| (victims.len(), lost) < (*count, *least));
-            if better {
-                best = Some((victims.len(), lost, vm.clone(), victims));
-            }
-        }
-        best.map(|(_, _, vm, victims)| (vm, victims))
-    }
-
-    fn victims_on(&self, slot: &Slot, need: Resources) -> Option<(Vec<TaskRun>, Time)> {
-        let mut candidates: Vec<(&TaskRun, &Holding)> = slot
-            .held
-            .iter()
-            .filter(|(run, holding)| evictable(holding) && !self.is_victim(run))
-            .collect();
-        candidates.sort_by_key(|(run, holding)| (std::cmp::Reverse(holding.started), *run));
-        let single = candidates
-            .iter()
-            .find(|(_, holding)| need.fits(slot.room().plus(holding.reserved)));
-        if let Some((run, holding)) = single {
-            return Some((vec![(*run).clone()], holding.started));
+    /// The teams whose holdings changed after change `since`, or nothing if
+    /// that is too long ago to be known.
+    pub(crate) fn changed_since(&self, since: u64) -> Option<impl Iterator<Item = &TeamName>> {
+        let count = usize::try_from(self.changes.checked_sub(since)?).ok()?;
+        let from = self.changed_teams.len().checked_sub(count)?;
+        Some(self.changed_teams.range(from..))
+    }
+
+    pub(crate) const fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    pub(crate) fn slot(&self, vm: &VmName) -> Option<&Slot> {
+        self.numbers.get(vm).map(|number| &self.slots[*number])
+    }
+
+    pub(crate) fn is_too_large(&mut self, now: Time, need: Resources) -> bool {
+        if self.largest_changed {
+            self.largest_changed = false;
+            self.largest_since = now;
         }
-        let mut room = slot.room();
-        let mut victims = Vec::new();
-        for (run, holding) in candidates {
-            room = room.plus(holding.reserved);
-            victims.push(run.clone());
-            if need.fits(room) {
-                return Some((victims, holding.started));
-            }
+        if self.slots.is_empty() || self.can_ever_fit(need) {
+            return false;
         }
-        None
+        now.since(self.largest_since) >= NEVER_AFTER
     }
 
-    fn is_victim(&self, run: &TaskRun) -> bool {
-        self.claims
-            .values()
-            .any(|claim| claim.victims.contains(run))
+    pub(crate) fn can_ever_fit(&self, need: Resources) -> bool {
+        let fits = |slot: &Slot| need.fits(slot.worker.capacity);
+        self.slots.iter().any(fits)
     }
 
-    fn claim(&mut self, now: Time, want: &Want, vm: &VmName, victims: &[TaskRun]) {
-        let Some(slot) = self.slots.get_mut(vm) else {
-            return;
-        };
-        slot.claimed = slot.claimed.plus(want.need);
-        let claim = Claim {
-            vm: vm.clone(),
-            need: want.need,
-            victims: victims.to_vec(),
-            until: now + CLAIM_SPAN,
-        };
-        self.claims.insert(want.run.task.clone(), claim);
+    pub(crate) fn add_claim(&mut self, task: TaskId, claim: Claim) {
+        if let Some(&number) = self.numbers.get(&claim.vm) {
+            let slot = &mut self.slots[number];
+            slot.claimed = slot.claimed.plus(claim.need);
+            self.refresh_room(number);
+        }
+        self.claims.insert(task, claim);
     }
 
-    fn drop_claim(&mut self, task: &TaskId) {
+    /// Gives up the room kept for a task, for one that is cancelled meanwhile.
+    pub fn drop_claim(&mut self, task: &TaskId) {
         let Some(claim) = self.claims.remove(task) else {
             return;
         };
-        if let Some(slot) = self.slots.get_mut(&claim.vm) {
-            slot.claimed = slot.claimed.minus(claim.need);
+        let Some(&number) = self.numbers.get(&claim.vm) else {
+            return;
+        };
+        let slot = &mut self.slots[number];
+        slot.claimed = slot.claimed.minus(claim.need);
+        self.room_grew += 1;
+        self.refresh_room(number);
+    }
+
+    fn refresh_room(&mut self, number: usize) {
+        let slot = &self.slots[number];
+        self.rooms[number] = slot.worker.open.then(|| slot.room());
+    }
+
+    fn note_largest(&mut self, capacity: Resources) {
+        let as_large = |slot: &Slot| capacity.fits(slot.worker.capacity);
+        if !self.slots.iter().any(as_large) {
+            self.largest_changed = true;
         }
     }
 
-    fn expire_claims(&mut self, now: Time) {
-        let expired: Vec<TaskId> = self
-            .claims
-            .iter()
-            .filter(|(_, claim)| claim.until.passed(now))
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in expired {
-            self.drop_claim(&task);
+    fn remember(&mut self, run: &TaskRun, holding: &Holding, number: usize) {
+        let slot = &mut self.slots[number];
+        if holding.class == TaskClass::LatencyCritical {
+            self.spread.add(&run.task.job, &slot.worker);
+            return;
         }
+        slot.press(&run.task.job, holding.reserved, &self.harms);
+        let held = self.teams.entry(holding.team.clone()).or_default();
+        *held = held.plus(holding.reserved);
+        self.note_team(&holding.team);
     }
 
-    fn place_claimed(&mut self, want: &Want) -> Option<Decision> {
-        let claim = self.claims.get(&want.run.task)?;
-        let slot = self.slots.get(&claim.vm)?;
-        if !admits(slot, want) {
-            self.drop_claim(&want.run.task);
-            return None;
+    fn forget(&mut self, run: &TaskRun, holding: &Holding, worker: &Worker) {
+        if holding.class == TaskClass::LatencyCritical {
+            self.spread.remove(&run.task.job, worker);
+            return;
         }
-        if want.need.fits(slot.free) {
-            return Some(Decision::Bind(claim.vm.clone()));
+        let Some(held) = self.teams.get_mut(&holding.team) else {
+            return;
+        };
+        *held = held.minus(holding.reserved);
+        if *held == Resources::default() {
+            self.teams.remove(&holding.team);
         }
-        Some(Decision::Wait(Why::Evicting))
+        self.note_team(&holding.team);
     }
-}
-
-fn admits(slot: &Slot, want: &Want) -> bool {
-    slot.worker.open && !want.avoid.contains(&slot.worker.vm)
-}
-
-fn may_evict(want: &Want) -> bool {
-    want.urgency == Urgency::Urgent || want.class == TaskClass::LatencyCritical
-}
 
-fn evictable(holding: &Holding) -> bool {
-    holding.class == TaskClass::Batch && holding.urgency == Urgency::Normal
-}
-
-fn sum(parts: impl Iterator<Item = Resources>) -> Resources {
-    parts.fold(Resources::default(), Resources::plus)
+    fn note_team(&mut self, team: &TeamName) {
+        if self.changed_teams.len() == TEAM_CHANGES_KEPT {
+            self.changed_teams.pop_front();
+        }
+        self.changed_teams.push_back(team.clone());
+        self.changes += 1;
+    }
 }
--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -5,10 +5,23 @@
 //! time and the random source are passed in, so that a session can be replayed
 //! exactly. See `docs/PLACEMENT.md`.
 
+mod choose;
+pub mod claims;
 pub mod decision;
+mod evict;
+pub mod family;
 pub mod fleet;
+pub mod harm;
+mod lane;
+pub mod plugin;
 pub mod queue;
+mod share;
+mod spread;
+pub mod worker;
 
+pub use choose::MAX_SCORED;
 pub use decision::{Decision, Want, Why};
-pub use fleet::{Fleet, Full, Holding, Worker};
+pub use fleet::Fleet;
+pub use harm::Harms;
 pub use queue::Queue;
+pub use worker::{Full, Holding, Worker};
--- a/components/place/tests/common/mod.rs
+++ b/components/place/tests/common/mod.rs
@@ -37,6 +37,7 @@
         service: None,
         avoid: Vec::new(),
         finish_by: None,
+        payers: Vec::new(),
     }
 }
 
