--- a/components/route/src/budget.rs
+++ b/components/route/src/budget.rs
@@ -1,13 +1,14 @@
 //! A budget for extra attempts.
 
 /// The most tokens that a budget saves up.
-const MAX_SAVED_TOKENS: f64 = 50.0;
+const MAX_SAVED_TOKENS: f64 = 10.0;
 
-/// Allows extra attempts up to a share of the requests that came in.
+/// Allows extra attempts up to a share of the good answers.
 ///
-/// Each request earns a part of a token and each extra attempt costs one, so
-/// that a full outage can't add more load than the share. It starts empty: a
-/// saved-up start would be extra load exactly when all entries restart.
+/// Each good answer earns a part of a token and each extra attempt costs one.
+/// So the budget shrinks as failures spread, and a full outage leaves only the
+/// few tokens that were saved. It starts empty: a saved-up start would be extra
+/// load exactly when all entries restart.
 #[derive(Clone, Debug)]
 pub struct Budget {
     percent: u32,
@@ -15,7 +16,7 @@
 }
 
 impl Budget {
-    /// An empty budget that earns `percent` of a token per request.
+    /// An empty budget that earns `percent` hundredths of a token per answer.
     #[must_use]
     pub const fn new(percent: u32) -> Self {
         Self {
@@ -29,7 +30,7 @@
         self.percent = percent;
     }
 
-    /// Notes one request.
+    /// Notes one good answer.
     pub fn earn(&mut self) {
         let earned = f64::from(self.percent) / 100.0;
         self.tokens = (self.tokens + earned).min(MAX_SAVED_TOKENS);
--- a/components/route/src/router.rs
+++ b/components/route/src/router.rs
@@ -127,8 +127,6 @@
     }
 
     fn on_arrived(&mut self, now: Time, request: Request, actions: &mut Vec<Action>) {
-        self.retries.earn();
-        self.hedges.earn();
         let key = request.key;
         if !self.has_time(now, request.deadline) {
             return self.refuse_arrived(now, key, Cause::Deadline, actions);
@@ -317,6 +315,8 @@
         let latency = now.since(ended.sent_at);
         match outcome {
             Outcome::Answered { failed: false, .. } => {
+                self.retries.earn();
+                self.hedges.earn();
                 self.tail.add(latency);
                 self.limit.on_good();
                 self.endpoints.on_result(now, &ended.vm, Some(latency));
