Name the life of the agent that a recorded request is meant for

Cause: an entry that has not yet heard of an agent's restart sent repeats to the new life, which has no records and would run them again. Ruled out: comparing addresses, since a restarted agent may listen on the same one. Change: the message names the incarnation, an agent of another one refuses it. Figures: the new test sends to an agent whose entry knows an earlier life: 0 runs.

--- a/components/agent/src/proxy.rs
+++ b/components/agent/src/proxy.rs
@@ -22,8 +22,8 @@
 };
 use arc_swap::ArcSwap;
 use kernel::{
-    AvailabilityZoneName, Clock, EndpointLoad, ObjectSet, ServiceName, Time, Verdict, VmName,
-    object::Limit,
+    AvailabilityZoneName, Clock, EndpointLoad, Incarnation, ObjectSet, ServiceName, Time, Verdict,
+    VmName, object::Limit,
 };
 use proto::messages::{Answer, Forward, ForwardOutcome, ForwardReply, RecordMode, Refusal};
 use route::{
@@ -48,6 +48,7 @@
 #[derive(Debug)]
 pub struct Proxy {
     vm: VmName,
+    incarnation: Incarnation,
     zone: AvailabilityZoneName,
     clock: Clock,
     gates: BTreeMap<ServiceName, Arc<Gate>>,
@@ -59,10 +60,12 @@
 }
 
 impl Proxy {
-    /// A proxy on `vm` in `zone` for `endpoints`.
+    /// A proxy on `vm` in `zone` for `endpoints`; `incarnation` is the life of
+    /// the agent that its heartbeats tell.
     #[must_use]
     pub fn new(
         vm: VmName,
+        incarnation: Incarnation,
         zone: AvailabilityZoneName,
         endpoints: Vec<LocalEndpoint>,
         clock: Clock,
@@ -75,6 +78,7 @@
         }
         Self {
             vm,
+            incarnation,
             zone,
             clock,
             gates,
@@ -197,6 +201,9 @@
             id: forward.id.clone(),
         };
         let fingerprint = proxy_http::fingerprint(forward);
+        if forward.record != RecordMode::Off && forward.incarnation != self.incarnation {
+            return Err(ForwardOutcome::NotRun(Refusal::Restarted));
+        }
         match forward.record {
             RecordMode::Off => return Ok(None),
             RecordMode::Probe => {
--- a/components/entry/src/caller_run.rs
+++ b/components/entry/src/caller_run.rs
@@ -122,7 +122,7 @@
                     record,
                     ..
                 } => {
-                    let forward = self.forward(now, attempt, record);
+                    let forward = self.forward(now, attempt, incarnation, record);
                     self.send(now, forward, attempt, vm, incarnation, address);
                 }
                 Action::Wake { at, .. } => self.wake_at = at,
@@ -135,7 +135,13 @@
         }
     }
 
-    fn forward(&self, now: Time, attempt: Attempt, record: Recording) -> Forward {
+    fn forward(
+        &self,
+        now: Time,
+        attempt: Attempt,
+        incarnation: Incarnation,
+        record: Recording,
+    ) -> Forward {
         let remaining = self.deadline.remaining(now).as_micros();
         Forward {
             id: self.call.id.clone(),
@@ -148,6 +154,7 @@
                 Recording::Run => RecordMode::Run,
                 Recording::Probe => RecordMode::Probe,
             },
+            incarnation,
             method: self.call.method.clone(),
             path: self.call.path.clone(),
             headers: self.call.headers.clone(),
@@ -230,6 +237,7 @@
             Refusal::ZoneOut => Outcome::Leaving,
             Refusal::NoEndpoint => Outcome::Unreachable,
             Refusal::NotHere => Outcome::NotHere,
+            Refusal::Restarted => Outcome::Restarted,
             Refusal::IdReused | Refusal::Invalid => Outcome::Invalid,
         }
     }
--- a/components/entry/tests/callers.rs
+++ b/components/entry/tests/callers.rs
@@ -379,3 +379,17 @@
         }
     });
 }
+
+#[test]
+fn a_restarted_agent_runs_no_booking_meant_for_its_earlier_life() {
+    smol::block_on(async {
+        let mut agent = Agent::start("vm-1", "plateau", 8).await;
+        agent.info.incarnation.0 = 0;
+        let entry = Entry::start(1).await;
+        agent.announce(&entry);
+        let got = ask(entry.address, "POST", "booking").await;
+        assert_eq!(got.verdict, "may-have-run");
+        assert_eq!(agent.endpoint.total(), 0);
+        assert!(ask(entry.address, "GET", "lookup").await.answers("lookup"));
+    });
+}
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -109,6 +109,7 @@
         };
         let proxy = Proxy::new(
             vm.parse().unwrap(),
+            Incarnation(1),
             zone.clone(),
             vec![local],
             Clock::start(),
--- a/components/proto/src/messages.rs
+++ b/components/proto/src/messages.rs
@@ -392,6 +392,10 @@
     /// Whether the agent has to recognise a repeat of it.
     #[serde(default)]
     pub record: RecordMode,
+    /// The life of the agent that the entry knows; an agent of another life has
+    /// lost the records, so it must not run a recorded request.
+    #[serde(default)]
+    pub incarnation: Incarnation,
     /// The HTTP method.
     pub method: String,
     /// The path with its query.
@@ -459,6 +463,8 @@
     ZoneOut,
     /// The id is not recorded and will not run here; answers a probe.
     NotHere,
+    /// The agent was restarted and its records are lost.
+    Restarted,
     /// The id belongs to a request with other content.
     IdReused,
     /// The request can't be written as HTTP, or its body is too large.
--- a/components/route/src/request.rs
+++ b/components/route/src/request.rs
@@ -121,6 +121,8 @@
     Unreachable,
     /// A probe found nothing; the request will not run there.
     NotHere,
+    /// The agent is another life than the one asked, without its records.
+    Restarted,
     /// The request itself can't be served.
     Invalid,
     /// The endpoint may have run it, but there is no whole answer.
--- a/components/route/src/router.rs
+++ b/components/route/src/router.rs
@@ -284,6 +284,7 @@
             Outcome::Unknown if is_late => self.fail(now, key, Cause::Deadline, actions),
             Outcome::Invalid => self.fail(now, key, Cause::Ordinary, actions),
             Outcome::NotHere => self.finish_unknown(now, key, Cause::Ordinary, actions),
+            Outcome::Restarted => self.finish_unknown(now, key, Cause::NoEndpoint, actions),
             _ if is_probe => self.finish_unknown(now, key, Cause::NoEndpoint, actions),
             Outcome::Overloaded { .. } => self.again(now, key, Cause::Overload, actions),
             Outcome::Leaving | Outcome::Unreachable => {
@@ -325,7 +326,7 @@
                 self.endpoints.on_result(now, &ended.vm, None);
             }
             Outcome::Overloaded { .. } => self.limit.on_overload(now),
-            Outcome::Leaving | Outcome::NotHere | Outcome::Invalid => {}
+            Outcome::Leaving | Outcome::NotHere | Outcome::Restarted | Outcome::Invalid => {}
         }
     }
 
