Count the budget for extra attempts in whole hundredths

Cause: ten answers at 0.1 each summed to 0.99999 of a token, so the eleventh paid for the first retry; a test over sockets saw it. Change: whole hundredths.

--- a/components/route/src/budget.rs
+++ b/components/route/src/budget.rs
@@ -1,7 +1,9 @@
 //! A budget for extra attempts.
 
-/// The most tokens that a budget saves up.
-const MAX_SAVED_TOKENS: f64 = 10.0;
+/// What one extra attempt costs, in hundredths of a token.
+const ATTEMPT_COST: u32 = 100;
+/// The most that a budget saves up, in hundredths of a token.
+const MAX_SAVED: u32 = 10 * ATTEMPT_COST;
 
 /// Allows extra attempts up to a share of the good answers.
 ///
@@ -12,17 +14,14 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     percent: u32,
-    tokens: f64,
+    saved: u32,
 }
 
 impl Budget {
     /// An empty budget that earns `percent` hundredths of a token per answer.
     #[must_use]
     pub const fn new(percent: u32) -> Self {
-        Self {
-            percent,
-            tokens: 0.0,
-        }
+        Self { percent, saved: 0 }
     }
 
     /// Changes the share and keeps what was saved.
@@ -32,16 +31,15 @@
 
     /// Notes one good answer.
     pub fn earn(&mut self) {
-        let earned = f64::from(self.percent) / 100.0;
-        self.tokens = (self.tokens + earned).min(MAX_SAVED_TOKENS);
+        self.saved = self.saved.saturating_add(self.percent).min(MAX_SAVED);
     }
 
     /// Takes one token if there is one.
-    pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
+    pub const fn spend(&mut self) -> bool {
+        if self.saved < ATTEMPT_COST {
             return false;
         }
-        self.tokens -= 1.0;
+        self.saved -= ATTEMPT_COST;
         true
     }
 }
