Plots: whole minutes on the axis, cores spread over the time they were held

Cause: looked at as pictures, the axis showed odd minutes and the cores of an attempt stood as a spike where it ended. Change: time runs in minutes; an attempt's core-seconds are shared among the bins before its end; headings stand over numbers.

--- a/components/report/src/html.rs
+++ b/components/report/src/html.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     format,
-    model::{Plot, Report, Section},
+    model::{Cell, Plot, Report, Section},
     plot,
 };
 
@@ -84,8 +84,8 @@
         div class="scroll" {
             table {
                 thead { tr {
-                    @for column in &section.columns {
-                        th scope="col" {
+                    @for (i, column) in section.columns.iter().enumerate() {
+                        th scope="col" class=[number_class(section, i)] {
                             (column.title)
                             @if !column.unit.is_empty() { small { (column.unit) } }
                         }
@@ -104,6 +104,12 @@
     }
 }
 
+/// The heading of a column of numbers stands over them, to the right.
+fn number_class(section: &Section, column: usize) -> Option<&'static str> {
+    let mut cells = section.rows.iter().filter_map(|row| row.get(column));
+    cells.any(Cell::is_number).then_some("number")
+}
+
 fn plot_markup(plot: &Plot) -> Markup {
     match plot::svg(plot) {
         Ok(Some(svg)) => html! {
--- a/components/report/src/kinds/allocations.rs
+++ b/components/report/src/kinds/allocations.rs
@@ -149,7 +149,7 @@
     let mut totals: BTreeMap<&Account, BTreeMap<u64, f64>> = BTreeMap::new();
     for line in &ran {
         let bins = totals.entry(line.subject()).or_default();
-        *bins.entry(line.from.0 / bin).or_default() += cpu_seconds(&line.amount);
+        spread(line, bin, bins);
     }
     let mut largest: Vec<(&Account, BTreeMap<u64, f64>)> = totals.into_iter().collect();
     largest.sort_by(|a, b| total(&b.1).total_cmp(&total(&a.1)));
@@ -163,13 +163,32 @@
         });
     }
     Plot {
-        title: "Core-seconds of ended attempts, spread over the time in which they ended"
-            .to_owned(),
+        title: "Cores held by attempts that have ended".to_owned(),
         unit: "cores".to_owned(),
         series,
     }
 }
 
+/// Shares the core-seconds of a line among the bins in which they were held.
+///
+/// An event is written at the end of an attempt, which held its resources for
+/// the time before it; a sum is taken to have held them throughout its span.
+fn spread(line: &Line, bin: u64, bins: &mut BTreeMap<u64, f64>) {
+    const MICROS_PER_MILLI: u64 = 1000;
+    let mean_millis = line.amount.millis / line.amount.count.max(1);
+    let from = if line.from == line.until {
+        line.from.0.saturating_sub(mean_millis * MICROS_PER_MILLI)
+    } else {
+        line.from.0
+    };
+    let until = line.until.0.max(from + 1);
+    let each_micro = cpu_seconds(&line.amount) / (until - from) as f64;
+    for at in from / bin..=(until - 1) / bin {
+        let overlap = until.min((at + 1) * bin) - from.max(at * bin);
+        *bins.entry(at).or_default() += each_micro * overlap as f64;
+    }
+}
+
 fn total(bins: &BTreeMap<u64, f64>) -> f64 {
     bins.values().sum()
 }
--- a/components/report/src/plot.rs
+++ b/components/report/src/plot.rs
@@ -31,6 +31,8 @@
 
 const WIDTH: u32 = 880;
 const HEIGHT: u32 = 300;
+const SECS_PER_MINUTE: f64 = 60.0;
+const MINUTES_PER_DAY: f64 = 24.0 * 60.0;
 const FONT: &str = "sans-serif";
 /// Room above the highest point, as a factor.
 const HEADROOM: f64 = 1.1;
@@ -63,7 +65,7 @@
         let points = plot.series.iter().flat_map(|series| &series.points);
         let mut extent: Option<Self> = None;
         for (at, value) in points {
-            let at = at.as_secs() as f64;
+            let at = minutes(*at);
             let extent = extent.get_or_insert(Self {
                 from: at,
                 until: at + 1.0,
@@ -99,7 +101,7 @@
         .label_style((FONT, 13).into_font().color(&INK))
         .x_labels(6)
         .y_labels(6)
-        .x_label_formatter(&|secs| clock(*secs))
+        .x_label_formatter(&|minutes| label(*minutes, extent))
         .y_label_formatter(&|value| axis_number(*value))
         .y_desc(plot.unit.as_str())
         .draw()?;
@@ -108,7 +110,7 @@
         let points = series
             .points
             .iter()
-            .map(|(at, value)| (at.as_secs() as f64, *value));
+            .map(|(at, value)| (minutes(*at), *value));
         chart
             .draw_series(LineSeries::new(points, style))?
             .label(series.name.as_str())
@@ -123,17 +125,25 @@
     area.present()
 }
 
-/// The hour and minute of a time on the axis.
-fn clock(secs: f64) -> String {
-    let text = format::time(Time::from_secs(secs.max(0.0) as u64));
-    text.get(11..16).unwrap_or_default().to_owned()
+/// Minutes since the Unix epoch, so that labels fall on whole minutes.
+fn minutes(at: Time) -> f64 {
+    at.as_secs() as f64 / SECS_PER_MINUTE
+}
+
+/// A time on the axis: the hour and minute, with the day if it shows several.
+fn label(minutes: f64, extent: &Extent) -> String {
+    let secs = (minutes * SECS_PER_MINUTE).round().max(0.0);
+    let text = format::time(Time::from_secs(secs as u64));
+    let several_days = extent.until - extent.from > MINUTES_PER_DAY;
+    let range = if several_days { 5..16 } else { 11..16 };
+    text.get(range).unwrap_or_default().replace('T', " ")
 }
 
 fn axis_number(value: f64) -> String {
     if value >= 100.0 {
         return format::count(value.round() as u64);
     }
-    if value >= 10.0 {
+    if value.fract() == 0.0 {
         return format!("{value:.0}");
     }
     format!("{value:.2}")
