Operators' HTTP: reports and the events they are made from

Change: GET /v1/report/KIND as JSON, text or a page, and GET /v1/events, with from, until, team, service and zone; a wrong question is refused before anything is read and says what would be right.

--- a/components/entry/src/operator/mod.rs
+++ b/components/entry/src/operator/mod.rs
@@ -6,6 +6,7 @@
 
 mod objects;
 pub mod reply;
+mod reports;
 
 use std::sync::Arc;
 
@@ -16,6 +17,7 @@
 
 pub use objects::{ApplyRequest, CheckRequest, DiffReply, EditRequest, ObjectsReply};
 pub use reply::Failure;
+pub use reports::AccountsOf;
 
 use crate::config::Follower;
 
@@ -60,6 +62,8 @@
     pub revisions: RevisionsOf,
     /// Where each VM is.
     pub zone_of: ZoneOf,
+    /// The accounts of all entries and cells.
+    pub accounts: AccountsOf,
 }
 
 /// Answers operators' requests.
@@ -68,6 +72,7 @@
     let cx = Arc::new(cx);
     (
         Authorise(Arc::clone(&cx)),
+        reports::routes(&cx),
         objects::routes(cx),
         |conn: Conn| async move { not_found(conn) },
     )
--- a/components/entry/tests/accounts.rs
+++ b/components/entry/tests/accounts.rs
@@ -4,7 +4,11 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use entry::accounts::{Accounts, Book, Gathering, Peers, book, compact, gather, write};
+use entry::{
+    accounts::{Accounts, Book, Gathering, Peers, book, compact, gather, write},
+    config::Follower,
+    operator::{self, Context},
+};
 use fakes::store::MemStore;
 use kernel::{
     Amount, Cause, Clock, Event, EventKind, Incarnation, ObjectSet, Party, Revision, Time,
@@ -13,8 +17,9 @@
 };
 use proto::{Router, messages::EventReply, methods::EventsCall, serve};
 use report::{Accounts as Gathered, Period};
+use rstest::rstest;
 use smol::net::TcpListener;
-use store::{KeyRange, keys};
+use store::{KeyRange, Store, keys};
 
 const HOUR: Duration = Duration::from_secs(3600);
 const DAY: Duration = Duration::from_secs(24 * 3600);
@@ -318,3 +323,118 @@
         ]
     );
 }
+
+const OPERATORS_SECRET: &str = "an-operators-secret";
+
+/// An entry's operators' port over accounts with seven lookups of one team.
+async fn serve_operators() -> (SocketAddr, smol::Task<()>) {
+    let clock = Clock::start();
+    let store: Arc<dyn Store> = Arc::new(MemStore::new());
+    let cx = Context {
+        secrets: Secrets::parse(OPERATORS_SECRET).unwrap(),
+        body_bytes: 1024,
+        clock,
+        store: Arc::clone(&store),
+        config: Follower::new(store, clock),
+        revisions: Box::new(Default::default),
+        zone_of: Box::new(|_| None),
+        accounts: Box::new(move |period| {
+            let event = request(period.until - Duration::from_secs(1), "lookup", 7);
+            Box::pin(async move {
+                Gathered {
+                    span: period,
+                    sums: Vec::new(),
+                    events: vec![event],
+                    missing: vec!["entry-9 is silent".to_owned()],
+                }
+            })
+        }),
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = trillium_smol::config()
+        .without_signals()
+        .with_prebound_server(listener)
+        .run_async(operator::handler(cx));
+    (address, smol::spawn(serving))
+}
+
+async fn get(address: SocketAddr, path: &str, secret: &str) -> (u16, String, String) {
+    let client = trillium_client::Client::new(trillium_smol::ClientConfig::default());
+    let mut conn = client
+        .get(format!("http://{address}{path}"))
+        .with_request_header("authorization", format!("Bearer {secret}"))
+        .await
+        .unwrap();
+    let status = conn.status().unwrap() as u16;
+    let kind = conn.response_headers().get_str("content-type");
+    let kind = kind.unwrap_or_default().to_owned();
+    let body = conn.response_body().read_string().await.unwrap();
+    (status, kind, body)
+}
+
+#[rstest]
+#[case::text("text", "text/plain; charset=utf-8")]
+#[case::json("json", "application/json")]
+#[case::html("html", "text/html; charset=utf-8")]
+fn operators_get_a_report_in_each_form(#[case] form: &str, #[case] expected: &str) {
+    smol::block_on(async {
+        let (address, _serving) = serve_operators().await;
+        let path = format!("/v1/report/allocations?format={form}&service=lookup");
+        let (status, kind, body) = get(address, &path, OPERATORS_SECRET).await;
+        assert_eq!((status, kind.as_str()), (200, expected));
+        assert!(body.contains("lookup"), "{body}");
+        assert!(body.contains("entry-9 is silent"), "{body}");
+        let path = format!("/v1/report/allocations?format={form}&service=tickets");
+        let (_, _, body) = get(address, &path, OPERATORS_SECRET).await;
+        assert!(!body.contains("lookup"), "{body}");
+    });
+}
+
+#[test]
+fn operators_get_the_events_that_a_report_is_made_from() {
+    smol::block_on(async {
+        let (address, _serving) = serve_operators().await;
+        let (status, _, body) = get(address, "/v1/events", OPERATORS_SECRET).await;
+        assert_eq!(status, 200);
+        let accounts: Gathered = serde_json::from_str(&body).unwrap();
+        assert_eq!(accounts.events[0].amount.count, 7);
+        let path = "/v1/events?team=nobody";
+        let (_, _, body) = get(address, path, OPERATORS_SECRET).await;
+        let accounts: Gathered = serde_json::from_str(&body).unwrap();
+        assert!(accounts.events.is_empty());
+    });
+}
+
+#[rstest]
+#[case::no_such_kind("/v1/report/burns", 404, "allocations, burn")]
+#[case::no_such_parameter("/v1/report/burn?form=text", 400, "there are from, until")]
+#[case::no_such_format("/v1/report/burn?format=xml", 400, "text, json, html")]
+#[case::no_time("/v1/events?from=monday", 400, "2026-12-03T23:53:00Z")]
+#[case::no_period("/v1/events?from=200&until=100", 400, "not before")]
+#[case::no_name("/v1/events?team=No+Team", 400, "team: the name")]
+fn a_wrong_question_is_refused_with_the_remedy(
+    #[case] path: &str,
+    #[case] status: u16,
+    #[case] remedy: &str,
+) {
+    smol::block_on(async {
+        let (address, _serving) = serve_operators().await;
+        let (got, _, body) = get(address, path, OPERATORS_SECRET).await;
+        assert_eq!(got, status);
+        assert!(body.contains(remedy), "{body}");
+        assert!(body.contains("not-run"), "{body}");
+    });
+}
+
+#[test]
+fn reports_need_an_operators_secret() {
+    smol::block_on(async {
+        let (address, _serving) = serve_operators().await;
+        for path in ["/v1/events", "/v1/report/burn"] {
+            let (status, _, body) = get(address, path, "some-other-secret").await;
+            assert_eq!(status, 401);
+            assert!(!body.contains("lookup"));
+        }
+    });
+}
--- a/components/report/src/input.rs
+++ b/components/report/src/input.rs
@@ -56,6 +56,14 @@
 }
 
 impl Filter {
+    /// Leaves only what the filter accepts.
+    pub fn keep(&self, accounts: &mut Accounts) {
+        accounts.sums.retain(|sum| self.accepts(&sum.key));
+        accounts
+            .events
+            .retain(|event| self.accepts(&SumKey::from(event)));
+    }
+
     fn accepts(&self, key: &SumKey) -> bool {
         let parties = [&key.beneficiary, &key.payer];
         if self.team.is_some() && !parties.iter().any(|party| party.team == self.team) {
--- a/components/report/src/kinds/mod.rs
+++ b/components/report/src/kinds/mod.rs
@@ -45,20 +45,34 @@
     },
 }
 
+/// Finds out whether there is a report called `name`, before anything is read.
+///
+/// # Errors
+///
+/// Returns a [`ReportError`] that lists the kinds if there is none called so.
+pub fn check_kind(name: &str) -> Result<(), ReportError> {
+    find(name).map(|_| ())
+}
+
+fn find(name: &str) -> Result<&'static ReportKind, ReportError> {
+    if let Some(kind) = plugin::find::<ReportKind>(name) {
+        return Ok(kind);
+    }
+    let kinds = plugin::registered::<ReportKind>();
+    let known: Vec<&str> = kinds.iter().map(|kind| kind.name).collect();
+    Err(ReportError::Unknown {
+        name: name.to_owned(),
+        known: known.join(", "),
+    })
+}
+
 /// Makes the report called `name`.
 ///
 /// # Errors
 ///
 /// Returns a [`ReportError`] that lists the kinds if there is none called so.
 pub fn build(name: &str, input: &Input<'_>) -> Result<Report, ReportError> {
-    let Some(kind) = plugin::find::<ReportKind>(name) else {
-        let kinds = plugin::registered::<ReportKind>();
-        let known: Vec<&str> = kinds.iter().map(|kind| kind.name).collect();
-        return Err(ReportError::Unknown {
-            name: name.to_owned(),
-            known: known.join(", "),
-        });
-    };
+    let kind = find(name)?;
     Ok(Report {
         kind: kind.name.to_owned(),
         about: kind.about.to_owned(),
--- a/components/report/src/lib.rs
+++ b/components/report/src/lib.rs
@@ -16,6 +16,6 @@
 pub mod text;
 
 pub use input::{Accounts, Filter, Input, Line, Period};
-pub use kinds::{ReportError, ReportKind, build};
+pub use kinds::{ReportError, ReportKind, build, check_kind};
 pub use ledger::{Bounds, Ledger};
 pub use model::{Cell, Column, Plot, Report, Section, Series};
