Take tasks whose room was made out of the queue first

Cause: after evictions for a starving team the tasks for which room was kept were passed over, since their team counted as served by the promise itself, and the kept room ran out unseen. Found by the starvation measurement; the evictions and the shares themselves were ruled out by printing both.

Change: the queue gives tasks whose claim is fulfilled or has run out first.

--- a/components/place/src/claims.rs
+++ b/components/place/src/claims.rs
@@ -33,6 +33,10 @@
         self.by_task.get(task)
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&TaskId, &Claim)> {
+        self.by_task.iter()
+    }
+
     pub(crate) fn insert(&mut self, task: TaskId, claim: Claim) {
         self.victims.extend(claim.victims.iter().cloned());
         self.by_task.insert(task, claim);
--- a/components/place/src/evict.rs
+++ b/components/place/src/evict.rs
@@ -45,8 +45,7 @@
             self.drop_claim(&want.run.task);
             return None;
         }
-        let others = slot.claimed.minus(want.need);
-        if want.need.fits(slot.free.minus(others)) {
+        if slot.has_claimed_room(want.need) {
             return Some(Decision::Bind(claim.vm.clone()));
         }
         Some(Decision::Wait(Why::Evicting))
--- a/components/place/src/fleet.rs
+++ b/components/place/src/fleet.rs
@@ -79,13 +79,14 @@
         }
     }
 
-    /// A fleet that leaves out the scores of these names, to measure what each
-    /// is worth.
+    /// A fleet with other scores, to measure what the registered ones are worth.
+    /// With none, a task goes to a random worker with room.
     #[must_use]
-    pub fn without_scores(names: &[&str]) -> Self {
-        let mut fleet = Self::new();
-        fleet.scores.retain(|score| !names.contains(&score.name));
-        fleet
+    pub fn with_scores(scores: Vec<&'static Score>) -> Self {
+        Self {
+            scores,
+            ..Self::new()
+        }
     }
 
     /// Adds a worker or replaces its facts; its reservations stay.
@@ -272,6 +273,16 @@
         self.rooms.iter().flatten().any(fits)
     }
 
+    /// The tasks whose evictions have made their room, or failed to in time;
+    /// they are to be placed before all others.
+    pub(crate) fn claims_due(&self, now: Time) -> impl Iterator<Item = &TaskId> {
+        let due = move |(_, claim): &(&TaskId, &Claim)| {
+            let slot = self.slot(&claim.vm);
+            claim.until.passed(now) || slot.is_some_and(|slot| slot.has_claimed_room(claim.need))
+        };
+        self.claims.iter().filter(due).map(|(task, _)| task)
+    }
+
     /// A number that changes whenever room may have been gained.
     #[must_use]
     pub const fn room_changes(&self) -> u64 {
--- a/components/place/src/queue.rs
+++ b/components/place/src/queue.rs
@@ -115,7 +115,8 @@
 
     /// Takes out the task whose turn it is; push it again if it can't be bound.
     ///
-    /// Urgent and latency-critical tasks come first, then the team that holds
+    /// Tasks for which room was made come first, then urgent and latency-critical
+    /// ones, then those of the team that holds
     /// the smallest part of its share; within a team the earliest deadline, then
     /// the longest wait. A team at its quota is passed over, and so is normal
     /// work that no worker has room for, unless its team starves: then the task
@@ -127,9 +128,15 @@
             self.blocked_at = fleet.room_changes();
             self.blocked.clear();
         }
-        let task = match self.next_pressing(objects, fleet) {
+        let claimed = fleet
+            .claims_due(now)
+            .find(|task| self.entries.contains_key(task));
+        let task = match claimed.cloned() {
             Some(task) => task,
-            None => self.next_normal(now, objects, fleet)?,
+            None => match self.next_pressing(objects, fleet) {
+                Some(task) => task,
+                None => self.next_normal(now, objects, fleet)?,
+            },
         };
         let mut want = self.remove(&task)?;
         self.fill_payers(&mut want, fleet);
--- a/components/place/src/worker.rs
+++ b/components/place/src/worker.rs
@@ -106,6 +106,11 @@
         self.free.minus(self.claimed)
     }
 
+    /// Whether a claim of `need` can be fulfilled now, beside all other claims.
+    pub(crate) fn has_claimed_room(&self, need: Resources) -> bool {
+        need.fits(self.free.minus(self.claimed.minus(need)))
+    }
+
     /// Recomputes what is free from what is held, so that a worker that shrank
     /// below its reservations counts right again as they end.
     pub(crate) fn recount(&mut self) {
