Learn how much each family of jobs slows each service

Cause: interference depends on which two tasks meet and shows only in reports that come late, so a report matched by its arrival blames the wrong task.

--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod family;
 pub mod fleet;
 pub mod harm;
+pub mod interference;
 mod lane;
 pub mod plugin;
 pub mod queue;
