--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod harm;
 pub mod interference;
 mod lane;
+pub mod learn;
 pub mod plugin;
 pub mod queue;
 mod share;
