Tell broken workers from tasks that can't run

Cause: a worker that fails everything uses up the tries of its tasks, and a task that fails everywhere makes sound workers look broken.

Change: a worker on which three families fail in a row, or two of whose failed tasks end well elsewhere, is quarantined, and its failures do not count against the tasks; a task that fails on three sound workers stops; at most a quarter of the workers are in quarantine, so that a common cause does not close the fleet.

--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -16,6 +16,7 @@
 mod lane;
 pub mod learn;
 pub mod plugin;
+pub mod quarantine;
 pub mod queue;
 mod share;
 mod spread;
