Split a team's quota over cells by what waits in each

Cause: a quota holds over all cells, but each cell decides by itself.

Change: cells tell one another what each team holds and wants; each may fill the quota up to what it holds and its part of what is left. A fixed part for each cell was ruled out, since a team whose work waits in one cell could never use its quota; asking before each start was ruled out, since it adds a call to each.

--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod plugin;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 mod share;
 mod spread;
 pub mod worker;
