Join the decisions of a cell, and measure them against plain baselines

Cause: the owner of a cell would have to know which part learns what and whom to tell; and no bound on services, urgent work or starvation was shown.

A small fleet in virtual time carries out its decisions with late reports and slow orders; the policies example prints the figures, tests hold the bounds of the issues.

--- /dev/null
+++ b/components/place/examples/policies.rs
@@ -0,0 +1,88 @@
+//! Measures the policies against plain baselines, seeded and in virtual time.
+//!
+//! `cargo run --release -p place --example policies`
+
+mod sim;
+
+use std::time::Duration;
+
+use sim::{
+    quantile,
+    scenarios::{self, Kind, Load, SEED},
+};
+
+fn main() {
+    println!("seed {SEED}, virtual time");
+    print_waves(Load::Spare);
+    print_waves(Load::Full);
+    print_sizes();
+    print_urgent();
+    print_starvation();
+}
+
+fn print_waves(load: Load) {
+    println!("\nNoisy batch waves, 24 VMs, 2 h, load: {load:?}");
+    println!(
+        "{:>16} {:>10} {:>10} {:>8} {:>9} {:>9}",
+        "policy", "inflation", "of base", "work", "throttles", "evictions"
+    );
+    let span = Duration::from_secs(7200);
+    let base = scenarios::waves(Kind::NoInterference, load, SEED, span);
+    for kind in [
+        Kind::NoInterference,
+        Kind::Random,
+        Kind::FirstFit,
+        Kind::ThrottlingOnly,
+        Kind::PlacementOnly,
+        Kind::Product,
+    ] {
+        let outcome = scenarios::waves(kind, load, SEED, span);
+        println!(
+            "{:>16} {:>10.3} {:>10.2} {:>8.3} {:>9} {:>9}",
+            format!("{kind:?}"),
+            outcome.inflation(),
+            outcome.inflation() / base.inflation(),
+            outcome.work_done / base.work_done,
+            outcome.throttles,
+            outcome.evictions
+        );
+    }
+}
+
+fn print_sizes() {
+    println!("\nDeclared sizes off by ten either way, 12 VMs, 1 h");
+    println!(
+        "{:>16} {:>16} {:>10} {:>8}",
+        "policy", "overloaded VM s", "inflation", "work"
+    );
+    let span = Duration::from_secs(3600);
+    let base = scenarios::sizes(Kind::NoLearning, SEED, span);
+    for kind in [Kind::NoLearning, Kind::Product] {
+        let outcome = scenarios::sizes(kind, SEED, span);
+        println!(
+            "{:>16} {:>16.0} {:>10.3} {:>8.3}",
+            format!("{kind:?}"),
+            outcome.overloaded_seconds,
+            outcome.inflation(),
+            outcome.work_done / base.work_done
+        );
+    }
+}
+
+fn print_urgent() {
+    let outcome = scenarios::urgent(SEED, Duration::from_secs(600));
+    let waits = outcome.waits.get(&("bookings", true));
+    let waits = waits.map_or(&[][..], Vec::as_slice);
+    println!(
+        "\nUrgent work on a full fleet: {} tasks, wait p50 {:.1} s, longest {:.1} s, {} evictions",
+        waits.len(),
+        quantile(waits, 0.5),
+        quantile(waits, 1.0),
+        outcome.evictions
+    );
+}
+
+fn print_starvation() {
+    let longest = scenarios::starvation(SEED, Duration::from_secs(1800));
+    println!("\nLongest wait without a start of a team below its share: {longest:.0} s");
+}
--- a/components/place/tests/common/mod.rs
+++ b/components/place/tests/common/mod.rs
@@ -51,3 +51,8 @@
         started,
     }
 }
+
+/// The name of [`worker`] `number`.
+pub(crate) fn vm(number: u32) -> kernel::VmName {
+    format!("vm-{number}").parse().unwrap()
+}
--- a/components/place/tests/fleet.rs
+++ b/components/place/tests/fleet.rs
@@ -1,5 +1,6 @@
 //! Placement on the workers of a cell.
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
+#![allow(dead_code, reason = "other test files use the rest of the makers")]
 
 mod common;
 
--- /dev/null
+++ b/components/place/tests/learning.rs
@@ -0,0 +1,270 @@
+//! What is learnt of interference, sizes, failures and quotas.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+#![allow(dead_code, reason = "other test files use the rest of the makers")]
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use common::{run, vm};
+use kernel::{JobName, Resources, ServiceName, TeamName, Time};
+use place::{
+    family::family,
+    harm::PRIOR_SLOWDOWN,
+    interference::{Calm, Estimator, Matched, Suspect, Throttler},
+    learn::Sizes,
+    quarantine::{AfterFailure, Quarantine},
+    quota::{Split, TeamSum},
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const CAPACITY: Resources = Resources::new(16_000, 65_536, 0);
+const HALF: Resources = Resources::new(8000, 4096, 0);
+
+fn service() -> ServiceName {
+    "lookups".parse().unwrap()
+}
+
+fn job(name: &str) -> JobName {
+    JobName::new(name).unwrap()
+}
+
+fn at(seconds: u64) -> Time {
+    Time::from_secs(10_000 + seconds)
+}
+
+#[test]
+fn repeated_jobs_are_one_family() {
+    assert_eq!(family(&job("statements-2026-49")), job("statements"));
+    assert_eq!(family(&job("2026-49")), job("2026-49"));
+}
+
+/// Feeds both truths: beside `scans` on half the cores latency doubles, beside
+/// `statements` it stays. Usage comes `usage_lag` seconds late, latency
+/// `latency_lag`; what runs alternates, so that matching by arrival would mix
+/// the two up.
+fn learn(usage_lag: u64, latency_lag: u64) -> Estimator {
+    let mut estimator = Estimator::new();
+    let vm = vm(0);
+    estimator.on_worker(&vm, CAPACITY);
+    let mut reports = Vec::new();
+    for round in 0..200u64 {
+        let measured = at(round * 20);
+        reports.push((measured + Duration::from_secs(usage_lag), true, round));
+        reports.push((measured + Duration::from_secs(latency_lag), false, round));
+    }
+    reports.sort();
+    for (now, is_usage, round) in reports {
+        let noisy = round % 2 == 0;
+        let family = if noisy { "scans-1" } else { "statements-1" };
+        let measured = at(round * 20);
+        if is_usage {
+            estimator.on_usage(now, measured, &vm, &run(family, 0), HALF);
+        } else {
+            let p99 = if noisy { 20_000 } else { 10_000 };
+            estimator.on_latency(now, measured, &vm, &service(), p99);
+        }
+    }
+    estimator
+}
+
+#[rstest::rstest]
+#[case(0, 0)]
+#[case(30, 10)]
+#[case(10, 30)]
+fn reports_are_matched_by_the_time_of_measurement(#[case] usage: u64, #[case] latency: u64) {
+    let estimator = learn(usage, latency);
+    let noisy = estimator.slowdown(&service(), &job("scans-7"));
+    let quiet = estimator.slowdown(&service(), &job("statements-7"));
+    let told_apart = (noisy - quiet) * 0.5;
+    // Twice as slow beside one as beside the other.
+    assert!((told_apart - 2f64.ln()).abs() < 0.2, "{noisy} {quiet}");
+}
+
+#[test]
+fn what_was_never_measured_stays_at_the_prior_and_usage_that_stops_teaches_nothing() {
+    let mut estimator = Estimator::new();
+    let vm = vm(0);
+    estimator.on_worker(&vm, CAPACITY);
+    assert_eq!(
+        estimator.slowdown(&service(), &job("scans")),
+        PRIOR_SLOWDOWN
+    );
+    for second in 0..200 {
+        let matched = estimator.on_latency(at(second), at(second), &vm, &service(), 90_000);
+        assert_eq!(matched, Vec::new());
+    }
+    assert!(estimator.changed().is_empty());
+}
+
+fn report(second: u64, inflation: f64, blames: &[(&str, f64)]) -> Matched {
+    Matched {
+        at: at(second),
+        vm: vm(0),
+        service: service(),
+        inflation,
+        suspects: blames
+            .iter()
+            .map(|(job, blame)| Suspect {
+                run: run(job, 0),
+                blame: *blame,
+            })
+            .collect(),
+    }
+}
+
+#[test]
+fn a_session_of_throttling_evicting_and_letting_go() {
+    let mut throttler = Throttler::new(Calm::default());
+    let mut session = String::new();
+    let noisy = [
+        ("serving", 0.9),
+        ("scans", 0.5),
+        ("dumps", 0.2),
+        ("statements", 0.01),
+    ];
+    for second in (0..300).step_by(5) {
+        let inflation = match second {
+            0..20 => 1.0,
+            20..55 => 1.8,
+            55..80 => 1.0,
+            // Between the two bounds: neither calm nor disturbed.
+            80..100 => 1.2,
+            _ => 1.0,
+        };
+        let now = at(second + 10);
+        // The evicted one stops after 20 s; the serving task is never touched.
+        let allowed = |run: &kernel::TaskRun| match run.task.job.as_str() {
+            "scans" => second < 65,
+            other => other != "serving",
+        };
+        let report = report(second, inflation, &noisy);
+        if let Some(action) = throttler.on_report(now, &report, allowed) {
+            session.push_str(&format!("{second:>4} s x{inflation}: {action:?}\n"));
+        }
+    }
+    insta::assert_snapshot!(session);
+}
+
+#[test]
+fn reservations_are_the_larger_of_declared_and_learnt() {
+    let mut sizes = Sizes::new();
+    let declared = Resources::new(300, 400, 0);
+    let largest = Resources::new(16_000, 65_536, 0);
+    for index in 0..10 {
+        let attempt = run("statements-1", index);
+        sizes.on_usage(at(1), &attempt, Resources::new(3000, 4000, 0));
+        sizes.on_finished(at(2), &attempt, Duration::from_secs(100));
+    }
+    let learnt = sizes.reservation(&job("statements-2"), declared, largest);
+    assert!(Resources::new(3000, 4000, 0).fits(learnt), "{learnt}");
+    let overstated = Resources::new(30_000, 40_000, 0);
+    assert_eq!(
+        sizes.reservation(&job("statements-2"), overstated, largest),
+        overstated
+    );
+    let small = Resources::new(1000, 1000, 0);
+    assert_eq!(
+        sizes.reservation(&job("statements-2"), declared, small),
+        small
+    );
+    let running = run("statements-3", 0);
+    sizes.on_usage(at(3), &running, Resources::new(5000, 100, 0));
+    let held = Resources::new(2000, 8000, 0);
+    assert_eq!(
+        sizes.at_least(&running, held),
+        Resources::new(5000, 8000, 0)
+    );
+    let expected = sizes.run_time(&job("statements-9"), Duration::from_secs(10), 0.0);
+    assert_eq!(expected.as_secs_f64().round(), 100.0);
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_quarantined_and_its_tasks_are_not_blamed() {
+    let mut quarantine = Quarantine::new();
+    quarantine.on_fleet_size(20);
+    for (second, family) in ["statements", "scans", "invoices"].iter().enumerate() {
+        assert!(quarantine.allows(at(0), &vm(0)));
+        let after = quarantine.on_failure(at(second as u64), &run(family, 0), &vm(0));
+        assert_eq!(after, AfterFailure::Retry { avoid: vec![vm(0)] });
+    }
+    assert_eq!(quarantine.quarantined(at(3)).count(), 1);
+    assert!(!quarantine.allows(at(300), &vm(0)));
+    assert!(quarantine.allows(at(700), &vm(0)));
+    // Two sound workers and the broken one are no three that blame the task.
+    quarantine.on_failure(at(10), &run("scans", 0), &vm(1));
+    let after = quarantine.on_failure(at(11), &run("scans", 0), &vm(2));
+    assert!(matches!(after, AfterFailure::Retry { .. }));
+}
+
+#[test]
+fn a_task_that_fails_on_three_sound_workers_is_stopped_and_they_stay_open() {
+    let mut quarantine = Quarantine::new();
+    quarantine.on_fleet_size(20);
+    let poison = run("poison", 0);
+    for number in 0..3 {
+        quarantine.on_success(at(0), &run("statements", number), &vm(number));
+        let after = quarantine.on_failure(at(1), &poison, &vm(number));
+        assert_eq!(number == 2, matches!(after, AfterFailure::Stop { .. }));
+    }
+    for number in 0..3 {
+        assert!(quarantine.allows(at(2), &vm(number)));
+    }
+}
+
+#[test]
+fn tasks_that_end_well_elsewhere_prove_a_worker_broken() {
+    let mut quarantine = Quarantine::new();
+    quarantine.on_fleet_size(20);
+    for index in 0..2 {
+        quarantine.on_failure(at(0), &run("statements", index), &vm(0));
+        quarantine.on_success(at(60), &run("statements", index), &vm(1));
+    }
+    assert!(!quarantine.allows(at(61), &vm(0)));
+    assert!(quarantine.allows(at(61), &vm(1)));
+}
+
+#[test]
+fn when_everything_fails_everywhere_most_workers_stay_in_use() {
+    let mut quarantine = Quarantine::new();
+    quarantine.on_fleet_size(20);
+    for number in 0..20 {
+        for family in ["statements", "scans", "invoices", "dumps"] {
+            quarantine.on_failure(at(0), &run(family, number), &vm(number));
+        }
+    }
+    assert_eq!(quarantine.quarantined(at(1)).count(), 5);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(12),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn allowances_of_all_cells_together_stay_within_the_quota(
+        sums in prop::collection::vec((0u64..5000, 0u64..5000, 0u32..4, 0u32..4), 1..8),
+    ) {
+        let team = TeamName::new("royalties").unwrap();
+        let quota = Resources::new(40_000, 40_000, 32);
+        let mut split = Split::new();
+        let mut held = Resources::default();
+        for (number, (cpu, wanted, accelerators, more)) in sums.iter().enumerate() {
+            let sum = TeamSum {
+                held: Resources::new(*cpu, *cpu, *accelerators),
+                wanted: Resources::new(*wanted, *wanted, *more),
+            };
+            held = held.plus(sum.held);
+            let cell = format!("cell-{number}").parse().unwrap();
+            split.on_sums(&cell, BTreeMap::from([(team.clone(), sum)]));
+        }
+        let mut allowed = Resources::default();
+        for number in 0..sums.len() {
+            let cell = format!("cell-{number}").parse().unwrap();
+            allowed = allowed.plus(split.allowance(&cell, &team, quota));
+        }
+        prop_assert!(allowed.fits(quota.max(held)), "{allowed} of {quota}");
+    }
+}
