--- a/components/entry/src/accounts.rs
+++ b/components/entry/src/accounts.rs
@@ -21,7 +21,7 @@
 pub mod write;
 
 pub use book::{Book, PartWrite};
-pub use gather::{Gathering, Peers, gather};
+pub use gather::{Gathering, Peers, Sources, gather};
 
 /// The shared handle through which an entry's tasks record events.
 #[derive(Clone, Debug)]
--- a/components/entry/src/accounts/gather.rs
+++ b/components/entry/src/accounts/gather.rs
@@ -1,6 +1,6 @@
 //! Collecting the accounts of all entries and cells for a report.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use kernel::{AccountPart, EntryName, Event, Incarnation, Span, Sum, Time, secret::Secrets};
 use proto::{
@@ -53,6 +53,52 @@
     }
 }
 
+/// Where a running entry gathers accounts from.
+pub struct Sources {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// The accounts of this entry.
+    pub accounts: super::Accounts,
+    /// The events of the cells that this entry owns.
+    pub cells: Box<dyn Fn(&EventQuery) -> EventReply + Send + Sync>,
+    /// The other entries that are known to live.
+    pub peers: Box<dyn Fn() -> Peers + Send + Sync>,
+    /// The secret of the calls between entries.
+    pub secrets: Secrets,
+}
+
+impl std::fmt::Debug for Sources {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Sources").finish_non_exhaustive()
+    }
+}
+
+impl Sources {
+    /// The answer to another entry that makes a report.
+    #[must_use]
+    pub fn answer(&self, query: &EventQuery) -> EventReply {
+        self.accounts.answer((self.cells)(query))
+    }
+
+    /// Gathers the accounts of all entries and cells.
+    pub async fn gather(&self, period: Period) -> Accounts {
+        let query = EventQuery {
+            from: period.from,
+            until: period.until,
+        };
+        let peers = (self.peers)();
+        gather(Gathering {
+            store: &*self.store,
+            own: self.answer(&query),
+            peers: &peers,
+            secrets: &self.secrets,
+            period,
+            now: self.accounts.now(),
+        })
+        .await
+    }
+}
+
 type PartName = (EntryName, Incarnation, u64);
 
 /// The accounts as they come in, each part once.
