Daemons: an entry and an agent that start and stop in one process

Cause: the areas stood side by side; nothing ran end to end. Change: entry::daemon wires the store, membership, cells, callers, operators and accounts; entry::system answers agents and entries, entry::exchange spreads what an entry hears; agent::daemon serves forwarded requests.

--- a/components/agent/src/daemon.rs
+++ b/components/agent/src/daemon.rs
@@ -6,15 +6,19 @@
 use kernel::{Clock, EndpointInfo, Incarnation, VmInfo, secret::Secrets};
 use observe::Health;
 use prometheus_client::registry::Registry;
-use smol::{Task, net::TcpListener};
+use proto::{Router, RpcError, methods::ForwardCall};
+use smol::{Task, channel::Sender, net::TcpListener};
 
 use crate::{
-    config::AgentConfig, heartbeat::Heartbeats, targets::Targets, tasks::Tasks, worker::HttpWorker,
-    worker::Worker,
+    LocalEndpoint, Proxy, config::AgentConfig, heartbeat::Heartbeats, targets::Targets,
+    tasks::Tasks, worker::HttpWorker, worker::Worker,
 };
 
 /// How often a graceful stop looks whether everything has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
+/// How many heartbeats announce the leaving before the process may end; more
+/// than one, since the answer to the first may belong to an earlier heartbeat.
+const HEARTBEATS_BEFORE_STOP: u64 = 2;
 
 /// Why an agent could not start.
 #[derive(Debug, thiserror::Error)]
@@ -44,7 +48,10 @@
     settings: AgentSettings,
     heartbeats: Arc<Heartbeats>,
     tasks: Arc<Tasks>,
+    proxy: Arc<Proxy>,
     ready: Health,
+    stop_system: Sender<()>,
+    serving_system: Task<()>,
     running: Vec<Task<()>>,
 }
 
@@ -65,16 +72,27 @@
         .map(|address| Arc::new(HttpWorker::new(address)) as Arc<dyn Worker>);
     let tasks = Tasks::new(worker, settings.capacity, clock);
     let config = Arc::new(AgentConfig::default());
+    let proxy = Arc::new(proxy_of(&settings, info.incarnation, clock));
     let interval = Duration::from_millis(settings.heartbeat_millis);
+    let loaded = Arc::clone(&proxy);
     let heartbeats = Arc::new(Heartbeats::new(
         info,
         Arc::clone(&tasks),
-        config,
-        Arc::new(Vec::new),
+        Arc::clone(&config),
+        Arc::new(move || loaded.load()),
         interval,
-        secrets,
+        secrets.clone(),
         clock,
     ));
+    let (stop_system, stopped) = smol::channel::bounded(1);
+    let serving_system = smol::spawn(proto::serve(
+        system_listener,
+        router(&proxy),
+        secrets,
+        async move {
+            let _ = stopped.recv().await;
+        },
+    ));
     let spread = usize::try_from(clock.now().0).unwrap_or_default();
     let targets = Targets::new(settings.entries.clone(), spread).ok_or(StartError::NoEntry)?;
     let ready = Health::default();
@@ -84,6 +102,7 @@
     let running = vec![
         smol::spawn(Arc::clone(&tasks).run(interval)),
         smol::spawn(async move { beating.run(targets).await }),
+        smol::spawn(put_in_force(config, Arc::clone(&proxy))),
         smol::spawn(
             trillium_smol::config()
                 .without_signals()
@@ -98,35 +117,83 @@
         settings,
         heartbeats,
         tasks,
+        proxy,
         ready,
+        stop_system,
+        serving_system,
         running,
     })
 }
 
 impl Agent {
-    /// Stops gracefully: takes no new work, lets everything end, then ends.
+    /// Stops gracefully: takes no new work, lets requests under way end and
+    /// tasks be evicted, then ends.
     ///
     /// Tasks are evicted by the owner of the cell, which hears of the leaving
     /// by the next heartbeat; `stop_millis` bounds the wait.
     pub async fn stop(self) {
-        let clock = Clock::start();
-        let stop_by = clock.now() + Duration::from_millis(self.settings.stop_millis);
         self.ready.set_ready(false);
         self.heartbeats.leave();
         self.tasks.leave();
-        let told = self.heartbeats.answered() + 2;
-        loop {
-            let heard = self.heartbeats.answered() >= told;
-            let done = heard && self.tasks.idle();
-            if done || stop_by.passed(clock.now()) {
-                break;
-            }
-            smol::Timer::after(STOP_POLL).await;
-        }
+        self.proxy.leave();
+        let orderly = async {
+            self.settle().await;
+            let _ = self.stop_system.send(()).await;
+        };
+        let expiry = async {
+            smol::Timer::after(Duration::from_millis(self.settings.stop_millis)).await;
+            tracing::warn!("the graceful stop took too long");
+        };
+        futures_lite::future::or(orderly, expiry).await;
         for task in self.running {
             task.cancel().await;
         }
+        self.serving_system.cancel().await;
+    }
+
+    /// Waits until entries know of the leaving and nothing is under way.
+    async fn settle(&self) {
+        let told = self.heartbeats.answered() + HEARTBEATS_BEFORE_STOP;
+        while self.heartbeats.answered() < told || !self.tasks.idle() {
+            smol::Timer::after(STOP_POLL).await;
+        }
+        self.proxy.idle().await;
+    }
+}
+
+/// Hands every configuration that comes into force to the proxy.
+async fn put_in_force(config: Arc<AgentConfig>, proxy: Arc<Proxy>) {
+    loop {
+        let in_force = config.changed().await;
+        proxy.set_objects(Arc::clone(&in_force.objects));
+    }
+}
+
+fn router(proxy: &Arc<Proxy>) -> Router {
+    let proxy = Arc::clone(proxy);
+    Router::new().on::<ForwardCall, _, _>(move |forward| {
+        let proxy = Arc::clone(&proxy);
+        async move { Ok::<_, RpcError>(proxy.forward(forward).await) }
+    })
+}
+
+fn proxy_of(settings: &AgentSettings, incarnation: Incarnation, clock: Clock) -> Proxy {
+    let mut endpoints = Vec::new();
+    for endpoint in &settings.endpoints {
+        endpoints.push(LocalEndpoint {
+            service: endpoint.service.clone(),
+            address: endpoint.address,
+            slots: endpoint.slots,
+            connections: endpoint.connections,
+        });
     }
+    Proxy::new(
+        settings.vm.clone(),
+        incarnation,
+        settings.zone.clone(),
+        endpoints,
+        clock,
+    )
 }
 
 async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
--- /dev/null
+++ b/components/entry/src/daemon.rs
@@ -0,0 +1,423 @@
+//! Starts and stops an entry in this process.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use conf::settings::{EntrySettings, EntryTimings};
+use kernel::{Clock, Incarnation, secret::Secrets};
+use observe::Health;
+use prometheus_client::registry::Registry;
+use proto::messages::EventQuery;
+use report::Period;
+use smol::{
+    Task,
+    channel::{Receiver, Sender},
+    net::TcpListener,
+};
+use store::Store;
+
+use crate::{
+    Callers, Members, Parts,
+    accounts::{self, Accounts},
+    caller,
+    cells::{Cells, ConfigView, Setup},
+    config::Follower,
+    exchange,
+    operator::{self, Context, ProcessRevision, Revisions},
+    peers::{EntryRecord, Peers},
+    system::{self, System},
+};
+
+/// How often deadlines of members and requests are looked at.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Why an entry could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A port is taken or not allowed.
+    #[error("can't listen on {address} ({field}): {source}; choose a free port")]
+    Listen {
+        /// The setting.
+        field: &'static str,
+        /// Its value.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// The secrets of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySecrets {
+    /// Shared by the system's own processes.
+    pub system: Secrets,
+    /// Shown by operators.
+    pub operators: Secrets,
+}
+
+/// An entry that runs in this process; dropping it ends it at once.
+pub struct Entry {
+    /// Where it takes calls of the system's own processes.
+    pub system: SocketAddr,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where it takes operators' requests.
+    pub operators: SocketAddr,
+    parts: Shared,
+    ready: Health,
+    stop_by: Duration,
+    stop_callers: Sender<()>,
+    serving_callers: Task<()>,
+    stop_system: Sender<()>,
+    serving_system: Task<()>,
+    running: Vec<Task<()>>,
+}
+
+impl std::fmt::Debug for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Entry")
+            .field("system", &self.system)
+            .field("callers", &self.callers)
+            .field("operators", &self.operators)
+            .finish_non_exhaustive()
+    }
+}
+
+/// The parts that the tasks of an entry share.
+#[derive(Clone)]
+struct Shared {
+    clock: Clock,
+    store: Arc<dyn Store>,
+    system: Arc<System>,
+    callers: Arc<Callers>,
+}
+
+/// Starts an entry on `store`.
+///
+/// # Errors
+///
+/// Returns a [`StartError`] if a port can't be opened.
+pub async fn start(
+    settings: EntrySettings,
+    store: Arc<dyn Store>,
+    secrets: EntrySecrets,
+) -> Result<Entry, StartError> {
+    let clock = Clock::start();
+    let (system_port, system) = listen("system", settings.system).await?;
+    let (callers_port, callers) = listen("callers", settings.callers).await?;
+    let (operators_port, operators) = listen("operators", settings.operators).await?;
+    let own = EntryRecord {
+        name: settings.name.clone(),
+        incarnation: Incarnation(clock.now().0),
+        system,
+        operators,
+    };
+    let mut registry = Registry::with_prefix("hemlockmoor");
+    let parts = assemble(&settings, own, store, &secrets, clock, &mut registry);
+    let ready = Health::default();
+    let running = spawn_loops(&settings, &parts);
+
+    let (stop_callers, callers_stop) = smol::channel::bounded(1);
+    let serving = caller::serve(callers_port, Arc::clone(&parts.callers), told(callers_stop));
+    let serving_callers = smol::spawn(serving);
+    let (stop_system, system_stop) = smol::channel::bounded(1);
+    let serving_system = smol::spawn(proto::serve(
+        system_port,
+        system::router(&parts.system),
+        secrets.system,
+        told(system_stop),
+    ));
+    let mut running = running;
+    running.push(serve_operators(
+        operators_port,
+        context(&settings, &parts, secrets.operators),
+        ready.clone(),
+        registry,
+    ));
+    ready.set_ready(true);
+    Ok(Entry {
+        system,
+        callers,
+        operators,
+        parts,
+        ready,
+        stop_by: Duration::from_millis(settings.timings.stop_millis),
+        stop_callers,
+        serving_callers,
+        stop_system,
+        serving_system,
+        running,
+    })
+}
+
+impl Entry {
+    /// Stops gracefully: hands its cells over, takes no new work and lets
+    /// requests under way end.
+    ///
+    /// The wait is bounded by the setting `stop_millis`.
+    pub async fn stop(self) {
+        let orderly = async {
+            self.ready.set_ready(false);
+            let _ = self.stop_callers.send(()).await;
+            self.serving_callers.await;
+            self.parts.callers.flush();
+            self.parts.system.cells.stop().await;
+            let store = Arc::clone(&self.parts.store);
+            let accounts = self.parts.system.accounts.clone();
+            accounts::write::run(accounts, Arc::clone(&store), async {}).await;
+            if let Err(error) = self.parts.system.peers.unregister(&*store).await {
+                tracing::warn!(%error, "can't remove the entry's key");
+            }
+            let _ = self.stop_system.send(()).await;
+            self.serving_system.await;
+        };
+        let expiry = async {
+            smol::Timer::after(self.stop_by).await;
+            tracing::warn!("the graceful stop took too long");
+        };
+        futures_lite::future::or(orderly, expiry).await;
+        for task in self.running {
+            task.cancel().await;
+        }
+    }
+}
+
+fn assemble(
+    settings: &EntrySettings,
+    own: EntryRecord,
+    store: Arc<dyn Store>,
+    secrets: &EntrySecrets,
+    clock: Clock,
+    registry: &mut Registry,
+) -> Shared {
+    let timings = &settings.timings;
+    let peers = Peers::new(own.clone(), clock);
+    let members = Arc::new(Members::new(clock));
+    let proof = Duration::from_millis(timings.proof_millis);
+    let config = Follower::with_interval(Arc::clone(&store), clock, proof);
+    let accounts = Accounts::new(own.name.clone(), own.incarnation, clock);
+    let (view, alive) = (Arc::clone(&config), Arc::clone(&peers));
+    let cells = Cells::new(Setup {
+        store: Arc::clone(&store),
+        entry: own.name,
+        address: own.system,
+        incarnation: own.incarnation,
+        clock,
+        timing: timing(timings),
+        ownership_lease: Duration::from_millis(timings.cell_lease_millis),
+        config: Arc::new(move || view_of(&view)),
+        live: Arc::new(move || alive.live().into_iter().map(|entry| entry.name).collect()),
+        secrets: secrets.system.clone(),
+        seed: own.incarnation.0,
+    });
+    let book = accounts.clone();
+    let parts = Parts {
+        members: Arc::clone(&members),
+        clock,
+        secrets: secrets.system.clone(),
+        accounts: Arc::new(move |event| book.record(&event)),
+        seed: own.incarnation.0,
+    };
+    let callers = Arc::new(Callers::new(parts, registry));
+    let system = Arc::new(System {
+        clock,
+        secrets: secrets.system.clone(),
+        peers,
+        members,
+        cells,
+        config,
+        accounts,
+        heard: Mutex::new(BTreeMap::new()),
+    });
+    Shared {
+        clock,
+        store,
+        system,
+        callers,
+    }
+}
+
+fn timing(timings: &EntryTimings) -> cell::Timing {
+    let millis = Duration::from_millis;
+    cell::Timing {
+        lease: millis(timings.task_lease_millis),
+        drift_margin: millis(timings.drift_margin_millis),
+        owner_grace: millis(timings.owner_grace_millis),
+        proof_max_age: millis(timings.proof_max_age_millis),
+        suspect: millis(timings.suspect_millis),
+        forget: millis(timings.forget_millis),
+        group_interval: millis(timings.journal_group_millis),
+        ..cell::Timing::default()
+    }
+}
+
+fn view_of(config: &Follower) -> ConfigView {
+    let in_force = config.in_force();
+    ConfigView {
+        objects: Arc::clone(&in_force.objects),
+        revision: in_force.revision,
+        proved_at: in_force.proved_at,
+    }
+}
+
+fn spawn_loops(settings: &EntrySettings, parts: &Shared) -> Vec<Task<()>> {
+    let timings = &settings.timings;
+    let (store, system) = (&parts.store, &parts.system);
+    let lease = Duration::from_millis(timings.entry_lease_millis);
+    let exchange = Duration::from_millis(timings.exchange_millis);
+    let config = Arc::clone(&system.config);
+    vec![
+        smol::spawn(Arc::clone(&system.peers).follow(Arc::clone(store))),
+        smol::spawn(Arc::clone(&system.peers).register(Arc::clone(store), lease)),
+        smol::spawn(async move { config.run().await }),
+        smol::spawn(Arc::clone(&system.cells).run()),
+        smol::spawn(exchange::run(Arc::clone(system), exchange)),
+        smol::spawn(tick(parts.clone())),
+        smol::spawn(put_in_force(parts.clone())),
+        smol::spawn(accounts::write::run(
+            system.accounts.clone(),
+            Arc::clone(store),
+            smol::future::pending(),
+        )),
+        smol::spawn(accounts::compact::run(
+            system.accounts.clone(),
+            Arc::clone(store),
+        )),
+    ]
+}
+
+/// Lets deadlines of members and requests pass.
+async fn tick(parts: Shared) {
+    loop {
+        smol::Timer::after(TICK).await;
+        for change in parts.system.members.tick() {
+            tracing::info!(?change, "membership");
+        }
+        parts.callers.refresh();
+    }
+}
+
+/// Hands every configuration that comes into force to the parts that keep it.
+async fn put_in_force(parts: Shared) {
+    let mut revision = kernel::Revision(0);
+    loop {
+        let in_force = parts.system.config.newer_than(revision).await;
+        revision = in_force.revision;
+        tracing::info!(revision = revision.0, "configuration in force");
+        parts.callers.set_config(crate::InForce {
+            revision,
+            objects: Arc::clone(&in_force.objects),
+        });
+        let accounts = &parts.system.accounts;
+        accounts.config_in_force(revision, &in_force.objects);
+    }
+}
+
+fn context(settings: &EntrySettings, parts: &Shared, secrets: Secrets) -> Context {
+    let (revisions, zones) = (Arc::clone(&parts.system), Arc::clone(&parts.system));
+    let accounting = parts.clone();
+    Context {
+        secrets,
+        body_bytes: settings.limits.operator_body_bytes,
+        clock: parts.clock,
+        store: Arc::clone(&parts.store),
+        config: Arc::clone(&parts.system.config),
+        revisions: Box::new(move || revisions_of(&revisions)),
+        zone_of: Box::new(move |vm| {
+            zones.members.with(|members| {
+                let member = members.get(vm)?;
+                Some(member.news.info.zone.clone())
+            })
+        }),
+        accounts: Box::new(move |period| {
+            let parts = accounting.clone();
+            Box::pin(async move { accounts_of(&parts, period).await })
+        }),
+    }
+}
+
+/// The accounts of all entries and cells, as far as they can be read.
+async fn accounts_of(parts: &Shared, period: Period) -> report::Accounts {
+    let system = &parts.system;
+    let query = EventQuery {
+        from: period.from,
+        until: period.until,
+    };
+    let others = system.peers.others().into_iter();
+    let peers = accounts::Peers {
+        entries: others.map(|entry| (entry.name, entry.system)).collect(),
+    };
+    let gathering = accounts::Gathering {
+        store: &*parts.store,
+        own: system.accounts.answer(system.cells.events(&query)),
+        peers: &peers,
+        secrets: &system.secrets,
+        period,
+        now: parts.clock.now(),
+    };
+    accounts::gather(gathering).await
+}
+
+fn revisions_of(system: &System) -> Revisions {
+    let here = system.config.in_force().revision;
+    let mut entries = Vec::new();
+    for entry in system.peers.live() {
+        let heard = system.lock_heard().get(&entry.name).copied();
+        let revision = match entry.name == system.peers.own().name {
+            true => here,
+            false => heard.map(|news| news.revision).unwrap_or_default(),
+        };
+        entries.push(ProcessRevision {
+            name: entry.name.to_string(),
+            revision,
+        });
+    }
+    let vms = system.members.with(|members| {
+        members
+            .iter()
+            .map(|member| ProcessRevision {
+                name: member.news.info.vm.to_string(),
+                revision: member.news.revision,
+            })
+            .collect()
+    });
+    Revisions { here, entries, vms }
+}
+
+fn serve_operators(
+    listener: TcpListener,
+    cx: Context,
+    ready: Health,
+    registry: Registry,
+) -> Task<()> {
+    let pages = observe::routes(ready, Arc::new(registry));
+    smol::spawn(
+        trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_prebound_server(listener)
+            .run_async((pages, operator::handler(cx))),
+    )
+}
+
+async fn told(stop: Receiver<()>) {
+    let _ = stop.recv().await;
+}
+
+async fn listen(
+    field: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |source| StartError::Listen {
+        field,
+        address,
+        source,
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let local = listener.local_addr().map_err(failed)?;
+    Ok((listener, local))
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,4 +1,7 @@
 //! The process on each entry VM.
+//!
+//! It takes callers' and operators' requests, owns cells of workers and keeps
+//! their journals in the platform's store. See `docs/ARCHITECTURE.md`.
 
 pub mod accounts;
 pub mod caller;
@@ -6,11 +9,14 @@
 pub mod caller_http;
 mod caller_run;
 mod caller_service;
+pub mod cells;
 pub mod config;
+pub mod daemon;
+mod exchange;
 pub mod members;
 pub mod operator;
 pub mod peers;
+mod system;
 
 pub use caller::{Callers, InForce, Parts};
 pub use members::Members;
-pub mod cells;
