Command line of operators, and the client it uses

Cause: operators could not reach an entry. Change: src/cli.rs builds all commands by clap, src/cmd has one file each, src/client.rs asks the named entries in turn and keeps the verdict of all tries; a change carries its own id, so it can be repeated at the next entry. Exit codes 0, 1, 2 and 3 by verdict. conf::render writes a set as operators write it. The daemons' and dev's files load their settings only; the daemons follow. Conclusion: jobs and reports answer once their routes are there.

--- a/components/conf/src/lib.rs
+++ b/components/conf/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod objects;
 pub mod problem;
 pub mod publish;
+pub mod render;
 pub mod settings;
 mod syntax;
 
--- a/components/entry/src/operator/mod.rs
+++ b/components/entry/src/operator/mod.rs
@@ -7,6 +7,7 @@
 mod objects;
 pub mod reply;
 mod reports;
+mod submit;
 
 use std::sync::Arc;
 
@@ -18,6 +19,7 @@
 pub use objects::{ApplyRequest, CheckRequest, DiffReply, EditRequest, ObjectsReply};
 pub use reply::Failure;
 pub use reports::AccountsOf;
+pub use submit::{FromTemplate, SubmitRequest};
 
 use crate::config::Follower;
 
--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,20 @@
+//! `diff`: what publishing a set would change.
+
+use clap::ArgMatches;
+use entry::operator::{CheckRequest, DiffReply};
+
+use super::required;
+use crate::{client::Client, failure::CommandError, output};
+
+pub(super) async fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    let files = conf::read_dir(required(matches, "dir")?)?;
+    conf::parse(&files)?;
+    let client = Client::of(matches)?;
+    let reply: DiffReply = client
+        .post("/v1/objects/diff", &CheckRequest { files })
+        .await?;
+    output::result(matches.get_flag("json"), &reply, || {
+        format!("against revision {}\n{}", reply.revision, reply.difference)
+    });
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/get.rs
@@ -0,0 +1,22 @@
+//! `get`: the set in force.
+
+use clap::ArgMatches;
+use entry::operator::ObjectsReply;
+
+use crate::{client::Client, failure::CommandError, output};
+
+pub(super) async fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    let client = Client::of(matches)?;
+    let reply: ObjectsReply = client.get("/v1/objects").await?;
+    output::result(matches.get_flag("json"), &reply, || shown(&reply));
+    Ok(())
+}
+
+fn shown(reply: &ObjectsReply) -> String {
+    let proof = match reply.proof_age_millis {
+        Some(age) => format!("proved to be the newest {age} ms ago"),
+        None => "never proved to be the newest".to_owned(),
+    };
+    let objects = conf::render::to_toml(&reply.objects);
+    format!("# revision {}, {proof}\n{objects}", reply.revision)
+}
--- /dev/null
+++ b/src/cmd/identity.rs
@@ -0,0 +1,22 @@
+//! Who asks for a change, and under which identity it can be repeated.
+
+use clap::ArgMatches;
+use conf::publish::ApplyId;
+use kernel::Clock;
+
+/// The `--apply-id`, or a new one.
+pub(crate) fn apply_id(matches: &ArgMatches) -> ApplyId {
+    let given = matches.get_one::<String>("apply-id").cloned();
+    ApplyId(given.unwrap_or_else(|| {
+        let at = Clock::start().now().as_millis();
+        format!("{at}-{:016x}", rand::random::<u64>())
+    }))
+}
+
+/// The `--who`, or the user's name.
+pub(crate) fn who(matches: &ArgMatches) -> String {
+    let given = matches.get_one::<String>("who").cloned();
+    given
+        .or_else(|| std::env::var("USER").ok())
+        .unwrap_or_else(|| "unknown".to_owned())
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,63 @@
+//! The commands, each in a file of its own.
+
+mod agent;
+mod apply;
+mod cancel;
+mod check;
+mod completions;
+mod dev;
+mod diff;
+mod drain;
+mod entry;
+mod get;
+mod identity;
+mod jobs;
+mod report;
+mod settings;
+mod submit;
+mod tasks;
+mod wait;
+mod zone;
+
+use clap::ArgMatches;
+
+use crate::failure::CommandError;
+
+/// Runs the command that the line names.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Err(CommandError::usage("no command is named; see --help"));
+    };
+    match name {
+        "entry" => entry::run(matches),
+        "agent" => agent::run(matches),
+        "dev" => dev::run(matches),
+        "settings" => settings::run(matches),
+        "completions" => completions::run(matches),
+        "check" => check::run(matches),
+        _ => smol::block_on(run_at_entry(name, matches)),
+    }
+}
+
+/// Runs a command that talks to an entry.
+async fn run_at_entry(name: &str, matches: &ArgMatches) -> Result<(), CommandError> {
+    match name {
+        "apply" => apply::run(matches).await,
+        "diff" => diff::run(matches).await,
+        "get" => get::run(matches).await,
+        "submit" => submit::run(matches).await,
+        "cancel" => cancel::run(matches).await,
+        "jobs" => jobs::run(matches).await,
+        "tasks" => tasks::run(matches).await,
+        "zone" => zone::run(matches).await,
+        "drain" => drain::run(matches).await,
+        "report" => report::run(matches).await,
+        _ => Err(CommandError::usage(format!("there is no command {name}"))),
+    }
+}
+
+/// A string argument that the line must have.
+fn required<'m>(matches: &'m ArgMatches, name: &str) -> Result<&'m str, CommandError> {
+    let value = matches.get_one::<String>(name).map(String::as_str);
+    value.ok_or_else(|| CommandError::usage(format!("{name} is missing; see --help")))
+}
--- /dev/null
+++ b/src/cmd/submit.rs
@@ -0,0 +1,73 @@
+//! `submit`: a job from a file or from a published template.
+
+use std::fs;
+
+use clap::ArgMatches;
+use entry::operator::{FromTemplate, SubmitRequest};
+use kernel::{JobName, JobSpec, Verdict};
+use proto::messages::SubmitReply;
+use serde::Serialize;
+
+use super::required;
+use crate::{client::Client, failure::CommandError, output};
+
+/// What is printed of an accepted job.
+#[derive(Serialize)]
+struct Accepted {
+    job: JobName,
+}
+
+pub(super) async fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    let req = match matches.get_one::<String>("template") {
+        Some(template) => SubmitRequest::Template(from_template(matches, template)?),
+        None => SubmitRequest::Spec(read_spec(required(matches, "file")?)?),
+    };
+    let job = match &req {
+        SubmitRequest::Spec(spec) => spec.name.clone(),
+        SubmitRequest::Template(job) => job.name.clone(),
+    };
+    let client = Client::of(matches)?;
+    let reply: SubmitReply = client.post("/v1/jobs", &req).await?;
+    match reply.verdict {
+        Verdict::Done => {}
+        Verdict::NotRun => return Err(CommandError::not_run(reply.reason)),
+        Verdict::MayHaveRun => return Err(CommandError::may_have_run(reply.reason)),
+    }
+    let shown = format!("accepted {job}");
+    output::result(matches.get_flag("json"), &Accepted { job }, || shown);
+    Ok(())
+}
+
+fn from_template(matches: &ArgMatches, template: &str) -> Result<FromTemplate, CommandError> {
+    let name = required(matches, "name")?;
+    Ok(FromTemplate {
+        template: job_name(template)?,
+        name: job_name(name)?,
+        tasks: matches.get_one::<u32>("tasks").copied(),
+        finish_by: time(matches, "finish-by")?,
+    })
+}
+
+/// A job's name from the command line.
+pub(super) fn job_name(name: &str) -> Result<JobName, CommandError> {
+    JobName::new(name).map_err(|error| CommandError::usage(error.to_string()))
+}
+
+/// A time from the command line.
+pub(super) fn time(matches: &ArgMatches, name: &str) -> Result<Option<kernel::Time>, CommandError> {
+    let Some(text) = matches.get_one::<String>(name) else {
+        return Ok(None);
+    };
+    let time = report::format::parse_time(text);
+    time.map(Some)
+        .map_err(|error| CommandError::usage(format!("--{name}: {error}")))
+}
+
+fn read_spec(file: &str) -> Result<JobSpec, CommandError> {
+    let unusable = |error: &dyn std::fmt::Display| CommandError::usage(format!("{file}: {error}"));
+    let text = fs::read_to_string(file).map_err(|error| unusable(&error))?;
+    if file.ends_with(".json") {
+        return serde_json::from_str(&text).map_err(|error| unusable(&error));
+    }
+    toml::from_str(&text).map_err(|error| unusable(&error))
+}
--- /dev/null
+++ b/src/cmd/tasks.rs
@@ -0,0 +1,34 @@
+//! `tasks`: where each task is.
+
+use clap::ArgMatches;
+use proto::messages::{JobReply, TaskLine};
+
+use super::jobs::{path, state_name};
+use crate::{client::Client, failure::CommandError, output};
+
+pub(super) async fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    let client = Client::of(matches)?;
+    let job = matches.get_one::<String>("job").map(String::as_str);
+    let reply: JobReply = client.get(&path(job, true)).await?;
+    let mut lines: Vec<TaskLine> = reply.jobs.into_iter().flat_map(|part| part.tasks).collect();
+    lines.sort_by(|a, b| a.run.cmp(&b.run));
+    output::result(matches.get_flag("json"), &lines, || table(&lines));
+    Ok(())
+}
+
+fn table(lines: &[TaskLine]) -> String {
+    if lines.is_empty() {
+        return "no tasks".to_owned();
+    }
+    let rows = lines.iter().map(|line| {
+        let vm = line.vm.as_ref().map_or("-", |vm| vm.as_str());
+        let zone = line.zone.as_ref().map_or("-", |zone| zone.as_str());
+        format!(
+            "{}\t{}\t{vm}\t{zone}\t{}",
+            line.run,
+            state_name(line.state),
+            line.note
+        )
+    });
+    rows.collect::<Vec<_>>().join("\n")
+}
