Plan recorded requests anew after probes; keep records for longer

Cause: random histories found a booking that ran twice: while its former homes were probed, its home restarted; the plan made before was carried out with the new life, which knew nothing. They also found that a message as old as a record could run after the record had expired. Ruled out: checking only that the home still lives, since a changed set may bring other holders of the record. Change: the plan is made anew after each round of probes; records live for twice the time for repeats and age only while the agent runs; what is known of a restart no longer ends with the next change of standing.

--- a/components/agent/src/proxy.rs
+++ b/components/agent/src/proxy.rs
@@ -100,9 +100,11 @@
         self.objects.store(objects);
     }
 
-    /// The load of each endpoint, for the next heartbeat.
+    /// The load of each endpoint, for the next heartbeat; also lets records of
+    /// requests expire.
     #[must_use]
     pub fn load(&self) -> Vec<EndpointLoad> {
+        lock(&self.records).expire(self.clock.now());
         self.gates.values().map(|gate| gate.load()).collect()
     }
 
--- a/components/route/src/pending.rs
+++ b/components/route/src/pending.rs
@@ -1,6 +1,6 @@
 //! A request under way.
 
-use kernel::{AvailabilityZoneName, Time, VmName};
+use kernel::{AvailabilityZoneName, Incarnation, Time, VmName};
 
 use crate::request::{Attempt, Recording, Request};
 
@@ -21,11 +21,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Try {
     pub(crate) vm: VmName,
+    pub(crate) incarnation: Incarnation,
     pub(crate) zone: AvailabilityZoneName,
     pub(crate) purpose: Purpose,
     pub(crate) sent_at: Time,
     pub(crate) is_open: bool,
     pub(crate) may_have_run: bool,
+    /// The agent will not run it any more.
+    pub(crate) is_fenced: bool,
 }
 
 /// A request under way with its attempts.
@@ -35,8 +38,6 @@
     pub(crate) arrived: Time,
     pub(crate) tries: Vec<Try>,
     pub(crate) hedge_at: Option<Time>,
-    /// Where to run it once all probes found nothing.
-    pub(crate) home: Option<VmName>,
 }
 
 impl Pending {
@@ -46,7 +47,6 @@
             arrived,
             tries: Vec::new(),
             hedge_at: None,
-            home: None,
         }
     }
 
@@ -89,6 +89,13 @@
             .any(|attempt| attempt.is_open || attempt.may_have_run)
     }
 
+    /// Whether this life of the agent on `vm` was probed and found nothing.
+    pub(crate) fn is_fenced_at(&self, vm: &VmName, incarnation: Incarnation) -> bool {
+        self.tries
+            .iter()
+            .any(|probe| probe.is_fenced && probe.vm == *vm && probe.incarnation == incarnation)
+    }
+
     /// Attempts that could have run it, which leaves probes out.
     pub(crate) fn runs(&self) -> usize {
         let runs = self
--- a/components/route/src/record.rs
+++ b/components/route/src/record.rs
@@ -13,8 +13,14 @@
 
 use kernel::{RequestId, ServiceName, Time};
 
-/// How long after its end a request's repeat is recognised.
-pub const RECORD_LIFETIME: Duration = Duration::from_secs(300);
+/// How long after its first try a request may be repeated.
+pub const REPEAT_WINDOW: Duration = Duration::from_secs(300);
+/// How long a record is kept: the time for repeats, and as long again for
+/// messages that arrive late and entries that hear of changes late.
+pub const RECORD_LIFETIME: Duration = Duration::from_secs(600);
+/// The most that one look at the clock may age records. A paused agent finds
+/// old messages in its sockets when it goes on, and must still know their ids.
+const MAX_AGING_STEP: Duration = Duration::from_secs(3);
 /// The most requests remembered.
 const MAX_RECORDS: usize = 100_000;
 /// The most memory for recorded answers, in bytes.
@@ -85,6 +91,9 @@
 pub struct Records<A> {
     records: BTreeMap<RecordKey, Record<A>>,
     expiry: BTreeSet<(Time, RecordKey)>,
+    /// The time during which the agent ran, as far as records age by it.
+    lived: Time,
+    looked_at: Time,
     answer_bytes: usize,
     max_records: usize,
     max_answer_bytes: usize,
@@ -103,6 +112,8 @@
         Self {
             records: BTreeMap::new(),
             expiry: BTreeSet::new(),
+            lived: Time::ZERO,
+            looked_at: Time::MAX,
             answer_bytes: 0,
             max_records,
             max_answer_bytes,
@@ -127,10 +138,14 @@
         self.answer_bytes
     }
 
-    /// Forgets what has expired at `now`.
+    /// Forgets what has expired at `now`; to be called at least every second,
+    /// since a longer gap counts as a pause in which nothing ages.
     pub fn expire(&mut self, now: Time) {
+        let step = now.since(self.looked_at).min(MAX_AGING_STEP);
+        self.looked_at = now;
+        self.lived = self.lived + step;
         while let Some((at, _)) = self.expiry.first() {
-            if !at.passed(now) {
+            if !at.passed(self.lived) {
                 break;
             }
             let Some((_, key)) = self.expiry.pop_first() else {
@@ -142,8 +157,8 @@
         }
     }
 
-    /// Takes the record of `key` out of order of expiry and replaces its state.
-    fn settle(&mut self, now: Time, key: &RecordKey, state: State<A>) {
+    /// Replaces the state of the record of `key`, which then lives anew.
+    fn settle(&mut self, key: &RecordKey, state: State<A>) {
         let Some(record) = self.records.get_mut(key) else {
             return;
         };
@@ -151,7 +166,7 @@
         self.answer_bytes -= bytes_of(&record.state);
         self.answer_bytes += bytes_of(&state);
         record.state = state;
-        record.expires_at = now + RECORD_LIFETIME;
+        record.expires_at = self.lived + RECORD_LIFETIME;
         self.expiry.insert((record.expires_at, key.clone()));
         self.shrink();
     }
@@ -171,12 +186,14 @@
 
     /// Notes that a request ended at `now` without a known answer.
     pub fn lose(&mut self, now: Time, key: &RecordKey) {
-        self.settle(now, key, State::Unknown);
+        self.expire(now);
+        self.settle(key, State::Unknown);
     }
 
     /// Notes the whole answer to a request, which takes `bytes` of memory.
     pub fn answer(&mut self, now: Time, key: &RecordKey, answer: A, bytes: usize) {
-        self.settle(now, key, State::Answered { answer, bytes });
+        self.expire(now);
+        self.settle(key, State::Answered { answer, bytes });
     }
 
     fn shrink(&mut self) {
@@ -241,7 +258,8 @@
             if self.records.len() >= self.max_records {
                 return Probed::Full;
             }
-            self.insert(key, fingerprint, State::Fenced, now + RECORD_LIFETIME);
+            let until = self.lived + RECORD_LIFETIME;
+            self.insert(key, fingerprint, State::Fenced, until);
             return Probed::NotHere;
         };
         if record.fingerprint != fingerprint {
@@ -251,7 +269,7 @@
             State::Answered { answer, .. } => Probed::Answered(answer.clone()),
             State::Running | State::Unknown => Probed::MayHaveRun,
             State::Fenced => {
-                self.settle(now, key, State::Fenced);
+                self.settle(key, State::Fenced);
                 Probed::NotHere
             }
         }
--- a/components/route/src/roster.rs
+++ b/components/route/src/roster.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     members::{Member, Members, Standing},
-    record::RECORD_LIFETIME,
+    record::{RECORD_LIFETIME, REPEAT_WINDOW},
     request::{Candidate, Usable},
 };
 
@@ -19,6 +19,14 @@
     service: ServiceName,
     revision: Revision,
     candidates: BTreeMap<VmName, Candidate>,
+    restarts: BTreeMap<VmName, Restart>,
+}
+
+/// The last known restart of an agent, which lost its records.
+#[derive(Clone, Copy, Debug)]
+struct Restart {
+    at: Time,
+    lost_until: Time,
 }
 
 impl Roster {
@@ -29,6 +37,7 @@
             service,
             revision: Revision(0),
             candidates: BTreeMap::new(),
+            restarts: BTreeMap::new(),
         }
     }
 
@@ -46,11 +55,11 @@
     ) -> Vec<Candidate> {
         let passed_over = revision.0 > self.revision.0 + 1;
         self.revision = revision;
+        self.note_restarts(now, members);
         let mut candidates = BTreeMap::new();
         for member in members.iter() {
             let info = &member.news.info;
-            let before = self.candidates.get(&info.vm);
-            let Some(mut candidate) = self.candidate(now, member, before, objects) else {
+            let Some(mut candidate) = self.candidate(now, member, objects) else {
                 continue;
             };
             if passed_over && candidate.usable <= Usable::IfAlone {
@@ -62,19 +71,30 @@
         self.candidates.values().cloned().collect()
     }
 
-    fn candidate(
-        &self,
-        now: Time,
-        member: &Member,
-        before: Option<&Candidate>,
-        objects: &ObjectSet,
-    ) -> Option<Candidate> {
+    fn note_restarts(&mut self, now: Time, members: &Members) {
+        self.restarts
+            .retain(|_, restart| !restart.lost_until.passed(now));
+        for (vm, before) in &self.candidates {
+            let life = members.get(vm).map(|member| member.news.info.incarnation);
+            if life.is_none_or(|life| life == before.incarnation) {
+                continue;
+            }
+            let restart = Restart {
+                at: now,
+                lost_until: now + REPEAT_WINDOW,
+            };
+            self.restarts.insert(vm.clone(), restart);
+        }
+    }
+
+    fn candidate(&self, now: Time, member: &Member, objects: &ObjectSet) -> Option<Candidate> {
         let info = &member.news.info;
         let endpoint = info
             .endpoints
             .iter()
             .find(|endpoint| endpoint.service == self.service)?;
         let usable = usable(member, objects);
+        let before = self.candidates.get(&info.vm);
         let same_life = before.filter(|before| before.incarnation == info.incarnation);
         let load = member
             .news
@@ -95,10 +115,6 @@
             lost_until: Time::ZERO,
             lost_before: None,
         };
-        if let Some(before) = same_life {
-            candidate.lost_until = before.lost_until;
-            candidate.lost_before = before.lost_before;
-        }
         let was_usable = same_life.filter(|before| before.usable <= Usable::IfAlone);
         match usable {
             Usable::Yes | Usable::IfAlone => {
@@ -112,7 +128,15 @@
                 };
             }
         }
-        note_lost(now, member, before, &mut candidate);
+        if let Some(restart) = self.restarts.get(&info.vm) {
+            candidate.lost_until = restart.lost_until;
+            candidate.lost_before = Some(restart.at);
+        }
+        if usable == Usable::No {
+            candidate.lost_until = candidate.held_until;
+            let left = member.news.leaving;
+            candidate.lost_before = left.then_some(member.news.heard_at);
+        }
         Some(candidate)
     }
 }
@@ -127,18 +151,3 @@
         Standing::Alive => Usable::Yes,
     }
 }
-
-/// Notes that records are gone, with a removed VM or an earlier life of it.
-fn note_lost(now: Time, member: &Member, before: Option<&Candidate>, candidate: &mut Candidate) {
-    if candidate.usable == Usable::No {
-        candidate.lost_until = candidate.held_until;
-        let left = member.news.leaving;
-        candidate.lost_before = left.then_some(member.news.heard_at);
-        return;
-    }
-    let restarted = before.is_some_and(|before| before.incarnation != candidate.incarnation);
-    if restarted {
-        candidate.lost_until = now + RECORD_LIFETIME;
-        candidate.lost_before = Some(now);
-    }
-}
--- a/components/route/src/router.rs
+++ b/components/route/src/router.rs
@@ -193,6 +193,8 @@
         }
     }
 
+    /// Probes those that may hold the record, then sends to the home. The set of
+    /// endpoints may have changed meanwhile, so the plan is made anew each time.
     fn start_recorded(
         &mut self,
         now: Time,
@@ -200,7 +202,7 @@
         purpose: Purpose,
         actions: &mut Vec<Action>,
     ) {
-        let Some(pending) = self.pending.get_mut(&key) else {
+        let Some(pending) = self.pending.get(&key) else {
             return;
         };
         let Some(id) = &pending.request.id else {
@@ -210,11 +212,15 @@
         if plan.record_lost {
             return self.finish_unknown(now, key, Cause::NoEndpoint, actions);
         }
-        pending.home.clone_from(&plan.home);
-        for vm in &plan.probes {
+        let mut probes = plan.probes;
+        probes.retain(|vm| {
+            let known = self.endpoints.get(vm);
+            known.is_some_and(|known| !pending.is_fenced_at(vm, known.candidate.incarnation))
+        });
+        for vm in &probes {
             self.send(now, key, vm, Purpose::Probe, actions);
         }
-        if !plan.probes.is_empty() {
+        if !probes.is_empty() {
             return;
         }
         match plan.home {
@@ -239,11 +245,13 @@
         let candidate = &known.candidate;
         pending.tries.push(Try {
             vm: vm.clone(),
+            incarnation: candidate.incarnation,
             zone: candidate.zone.clone(),
             purpose,
             sent_at: now,
             is_open: true,
             may_have_run: false,
+            is_fenced: false,
         });
         actions.push(Action::Send {
             key,
@@ -272,6 +280,7 @@
             return;
         };
         ended.may_have_run = outcome == Outcome::Unknown;
+        ended.is_fenced = outcome == Outcome::NotHere;
         let ended = ended.clone();
         self.note_end(now, &ended, outcome);
         let is_probe = ended.purpose == Purpose::Probe;
@@ -337,10 +346,7 @@
         if pending.has_open() {
             return;
         }
-        match pending.home.clone() {
-            Some(vm) => self.send(now, key, &vm, Purpose::First, actions),
-            None => self.fail(now, key, Cause::NoEndpoint, actions),
-        }
+        self.start_recorded(now, key, Purpose::First, actions);
     }
 
     /// Tries again what did not run or may run twice, if budget and time allow.
