Configuration under races, lost answers and clean-ups, checked by history

Cause: publication and following were tested only in order, one at a time. Two targeted interruptions cover the clean-up. What is in force is tested through cuts, compaction, outages and a store that went back. An entry may be offered a newer set by another process, without proof, so that one started in an outage can serve. An unchanged set costs one read, a change of one chunk three.

--- a/components/conf/tests/publish.rs
+++ b/components/conf/tests/publish.rs
@@ -1,6 +1,8 @@
 //! Publication stands up to lost answers, races and clean-ups.
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
+mod interrupted;
+
 use std::time::Duration;
 
 use conf::publish::{
@@ -9,6 +11,7 @@
 };
 use fakes::store::MemStore;
 use futures_lite::FutureExt;
+use interrupted::{Interrupted, Meanwhile};
 use kernel::{
     ObjectSet, Revision, Time, Verdict,
     object::{AvailabilityZone, ZoneState},
@@ -170,6 +173,36 @@
     });
 }
 
+#[test]
+fn a_clean_up_between_chunks_and_head_breaks_no_publication() {
+    run(async {
+        let store = MemStore::manual();
+        let interrupted = Interrupted::new(&store, Meanwhile::CleanUpBeforeSwap);
+        let set = zones(&["plateau"]);
+        publish(&interrupted, &set, &apply("a"), None)
+            .await
+            .unwrap();
+        assert!(interrupted.happened());
+        assert_eq!(in_force(&store).await, (Revision(1), set));
+    });
+}
+
+#[test]
+fn a_publication_during_a_clean_up_keeps_its_chunks() {
+    run(async {
+        let store = MemStore::manual();
+        let set = zones(&["plateau"]);
+        store.faults().lose_requests_under(keys::CONFIG_HEAD, 1000);
+        publish(&store, &set, &apply("a"), None).await.unwrap_err();
+        store.faults().clear();
+        let meanwhile = Meanwhile::PublishBeforeDelete(set.clone(), apply("b"));
+        let interrupted = Interrupted::new(&store, meanwhile);
+        clean_up(&interrupted).await.unwrap();
+        assert!(interrupted.happened());
+        assert_eq!(in_force(&store).await, (Revision(1), set));
+    });
+}
+
 #[test]
 fn a_large_set_is_split_below_the_largest_value_and_read_back() {
     run(async {
--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -154,6 +154,22 @@
         Ok(())
     }
 
+    /// Takes a set that another process has in force, if it is newer.
+    ///
+    /// An entry that starts while the store is down can serve by it; it stays
+    /// without proof until the store answers.
+    pub async fn offer(&self, revision: Revision, objects: Arc<ObjectSet>) {
+        let _reading = self.loader.lock().await;
+        if revision <= self.in_force().revision {
+            return;
+        }
+        self.put(InForce {
+            revision,
+            objects,
+            proved_at: None,
+        });
+    }
+
     fn put(&self, next: InForce) {
         let before = self.in_force.swap(Arc::new(next));
         let now = self.in_force();
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,180 @@
+//! The published configuration is linearizable, and what is in force at an
+//! entry never goes back.
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod history;
+mod scheduled;
+
+use std::{sync::Arc, time::Duration};
+
+use conf::publish::{Apply, ApplyId, Published, publish};
+use entry::config::Follower;
+use fakes::store::MemStore;
+use futures_lite::FutureExt;
+use kernel::{Clock, ObjectSet, Revision, Time, object::AvailabilityZone};
+use rstest::rstest;
+use store::{KeyRange, Op, Store, Txn, keys};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn run<T>(future: impl Future<Output = T>) -> T {
+    let expired = async {
+        smol::Timer::after(PATIENCE).await;
+        panic!("nothing happened within {PATIENCE:?}");
+    };
+    smol::block_on(future.or(expired))
+}
+
+fn apply(id: impl Into<String>) -> Apply {
+    Apply {
+        id: ApplyId(id.into()),
+        who: "aminata".to_owned(),
+        at: Time::from_secs(1),
+    }
+}
+
+/// A set that can be told apart from others by its number.
+fn numbered(number: u64) -> ObjectSet {
+    let mut set = ObjectSet::default();
+    let name = format!("zone-{number}").parse().unwrap();
+    set.zones.insert(name, AvailabilityZone::default());
+    set
+}
+
+async fn publish_number(store: &MemStore, number: u64) -> Published {
+    let id = format!("a{number}");
+    publish(store, &numbered(number), &apply(id), None)
+        .await
+        .unwrap()
+}
+
+/// A follower with its loops running.
+fn follow(store: &MemStore) -> Arc<Follower> {
+    let interval = Duration::from_millis(20);
+    let follower = Follower::with_interval(Arc::new(store.clone()), Clock::start(), interval);
+    let running = Arc::clone(&follower);
+    smol::spawn(async move { running.run().await }).detach();
+    follower
+}
+
+#[test]
+fn changes_come_into_force_through_cuts_outages_and_compaction() {
+    run(async {
+        let store = MemStore::manual();
+        let follower = follow(&store);
+        for number in 1..=12 {
+            match number % 4 {
+                1 => store.cut_watches(),
+                2 => store.compact(),
+                3 => {
+                    store.set_outage(true);
+                    store.set_outage(false);
+                }
+                _ => {}
+            }
+            publish_number(&store, number).await;
+            let in_force = follower.newer_than(Revision(number - 1)).await;
+            assert_eq!(in_force.revision, Revision(number));
+            assert_eq!(*in_force.objects, numbered(number));
+            assert!(in_force.proved_at.is_some());
+        }
+    });
+}
+
+#[test]
+fn the_revision_in_force_never_goes_back() {
+    run(async {
+        let store = MemStore::manual();
+        let follower = Follower::new(Arc::new(store.clone()), Clock::start());
+        publish_number(&store, 1).await;
+        let first = store.peek(&KeyRange::one(keys::CONFIG_HEAD)).remove(0);
+        publish_number(&store, 2).await;
+        follower.refresh().await.unwrap();
+        let proved = follower.in_force().proved_at;
+        // A store that was restored from an old copy.
+        let old = Txn {
+            ops: vec![Op::put(keys::CONFIG_HEAD, first.value)],
+            ..Txn::default()
+        };
+        store.txn(old).await.unwrap();
+        follower.refresh().await.unwrap();
+        assert_eq!(follower.in_force().revision, Revision(2));
+        assert_eq!(*follower.in_force().objects, numbered(2));
+        assert_eq!(follower.in_force().proved_at, proved);
+        let empty = Txn {
+            ops: vec![Op::Delete(KeyRange::prefix(keys::ROOT))],
+            ..Txn::default()
+        };
+        store.txn(empty).await.unwrap();
+        follower.refresh().await.unwrap();
+        assert_eq!(follower.in_force().revision, Revision(2));
+        assert_eq!(follower.in_force().proved_at, proved);
+    });
+}
+
+#[test]
+fn a_proof_gets_old_in_an_outage_and_the_set_stays() {
+    run(async {
+        let store = MemStore::manual();
+        let clock = Clock::start();
+        let follower = Follower::new(Arc::new(store.clone()), clock);
+        publish_number(&store, 1).await;
+        follower.refresh().await.unwrap();
+        let before = follower.in_force();
+        store.set_outage(true);
+        follower.refresh().await.unwrap_err();
+        assert_eq!(follower.in_force().proved_at, before.proved_at);
+        assert_eq!(*follower.in_force().objects, numbered(1));
+        store.set_outage(false);
+        let asked_at = clock.now();
+        follower.refresh().await.unwrap();
+        assert!(follower.in_force().proved_at.unwrap() >= asked_at);
+    });
+}
+
+#[test]
+fn a_set_offered_by_another_process_is_taken_only_if_newer_and_proves_nothing() {
+    run(async {
+        let store = MemStore::manual();
+        let follower = Follower::new(Arc::new(store.clone()), Clock::start());
+        store.set_outage(true);
+        let changed = follower.changed();
+        follower.offer(Revision(3), Arc::new(numbered(3))).await;
+        changed.await;
+        assert_eq!(follower.in_force().revision, Revision(3));
+        follower.offer(Revision(2), Arc::new(numbered(2))).await;
+        assert_eq!(*follower.in_force().objects, numbered(3));
+        assert_eq!(follower.in_force().proved_at, None);
+    });
+}
+
+#[test]
+fn an_unchanged_set_costs_one_read_and_a_change_reads_only_changed_chunks() {
+    run(async {
+        let store = MemStore::manual();
+        let follower = Follower::new(Arc::new(store.clone()), Clock::start());
+        let mut set = numbered(1);
+        set.teams.insert(
+            "yards".parse().unwrap(),
+            serde_json::from_str(r#"{"weight": 1, "quota": {}}"#).unwrap(),
+        );
+        publish(&store, &set, &apply("a"), None).await.unwrap();
+        follower.refresh().await.unwrap();
+        let reads = || store.counts().range;
+        let before = reads();
+        follower.refresh().await.unwrap();
+        assert_eq!(reads() - before, 1);
+        set.zones.values_mut().next().unwrap().region = "dakar".to_owned();
+        publish(&store, &set, &apply("b"), None).await.unwrap();
+        let before = reads();
+        follower.refresh().await.unwrap();
+        // The head twice, then one of two chunks.
+        assert_eq!(reads() - before, 3);
+    });
+}
+
+#[rstest]
+fn publications_by_racing_operators_are_linearizable(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let history = run(scheduled::race(seed));
+    history::assert_linearizable(history);
+}
