--- /dev/null
+++ b/components/dev/src/system.rs
@@ -0,0 +1,227 @@
+//! Starts stand-ins, entries and agents in one process.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+
+use agent::daemon::Agent;
+use conf::settings::{AgentSettings, EndpointSettings, EntryLimits, EntrySettings, EntryTimings};
+use entry::daemon::{Entry, EntrySecrets};
+use fakes::{
+    endpoint::Endpoint,
+    history::{History, Record},
+    store::MemStore,
+    worker::{FakeWorker, SharedWorker},
+};
+use kernel::{Clock, NameError, secret::SecretError, secret::Secrets};
+use smol::{Task, net::TcpListener};
+use store::{Store, etcd::EtcdStore};
+
+use crate::plan::{OPERATOR_SECRET, Plan, SERVICE, SYSTEM_SECRET};
+
+/// Why the system could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A name of the plan can't be used.
+    #[error("the plan: {0}")]
+    Name(#[from] NameError),
+    /// A secret can't be used.
+    #[error("the plan: {0}")]
+    Secret(#[from] SecretError),
+    /// A port can't be had.
+    #[error("can't listen on loopback: {0}")]
+    Listen(#[from] std::io::Error),
+    /// An entry did not start.
+    #[error("entry: {0}")]
+    Entry(#[from] entry::daemon::StartError),
+    /// An agent did not start.
+    #[error("agent: {0}")]
+    Agent(#[from] agent::daemon::StartError),
+}
+
+/// One VM: its stand-ins and its agent.
+pub struct DevVm {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The platform's worker.
+    pub worker: SharedWorker,
+    /// The endpoint of the demo's service.
+    pub endpoint: Endpoint,
+    /// The agent; nothing while it is stopped.
+    pub agent: Option<Agent>,
+    worker_address: SocketAddr,
+    _serving: Task<()>,
+}
+
+/// The running system.
+pub struct System {
+    /// What it consists of.
+    pub plan: Plan,
+    /// The stand-in store.
+    pub store: MemStore,
+    /// Where the store answers.
+    pub store_address: SocketAddr,
+    /// The entries; nothing in the place of a stopped one.
+    pub entries: Vec<Option<Entry>>,
+    /// The VMs.
+    pub vms: Vec<DevVm>,
+    /// What happened at the stand-ins.
+    pub history: History,
+    /// The clock of the history.
+    pub clock: Clock,
+    _serving: Task<()>,
+}
+
+impl std::fmt::Debug for System {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("System")
+            .field("plan", &self.plan)
+            .finish_non_exhaustive()
+    }
+}
+
+impl System {
+    /// Starts everything that `plan` names.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] if a port can't be had or a name can't be used.
+    pub async fn start(plan: Plan) -> Result<Self, StartError> {
+        let clock = Clock::start();
+        let store = MemStore::new();
+        let (listener, store_address) = listen().await?;
+        let forever = smol::future::pending();
+        let serving = smol::spawn(fakes::store::serve(listener, store.clone(), forever));
+        let mut system = Self {
+            plan,
+            store,
+            store_address,
+            entries: Vec::new(),
+            vms: Vec::new(),
+            history: History::new(),
+            clock,
+            _serving: serving,
+        };
+        for number in 0..system.plan.entries {
+            let entry = system.start_entry(number).await?;
+            system.entries.push(Some(entry));
+        }
+        for (name, zone) in system.plan.vms() {
+            let mut vm = system.start_vm(&name, &zone).await?;
+            vm.agent = Some(system.start_agent(&vm).await?);
+            system.vms.push(vm);
+        }
+        Ok(system)
+    }
+
+    /// The entries that run.
+    pub fn running(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().flatten()
+    }
+
+    /// Starts an entry under the name of its number.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] if a port can't be had.
+    pub async fn start_entry(&self, number: usize) -> Result<Entry, StartError> {
+        let zone = &self.plan.zones[number % self.plan.zones.len()];
+        let settings = EntrySettings {
+            name: format!("entry-{}", number + 1).parse()?,
+            zone: zone.parse()?,
+            system: any_port(),
+            callers: any_port(),
+            operators: any_port(),
+            store: vec![self.store_address],
+            secret_file: PathBuf::new(),
+            operator_secret_file: PathBuf::new(),
+            timings: EntryTimings {
+                task_lease_millis: self.plan.task_lease_millis,
+                ..EntryTimings::default()
+            },
+            limits: EntryLimits::default(),
+        };
+        let secrets = EntrySecrets {
+            system: Secrets::parse(SYSTEM_SECRET)?,
+            operators: Secrets::parse(OPERATOR_SECRET)?,
+        };
+        let store: Arc<dyn Store> = Arc::new(EtcdStore::new(&[self.store_address]));
+        Ok(entry::daemon::start(settings, store, secrets).await?)
+    }
+
+    async fn start_vm(&self, name: &str, zone: &str) -> Result<DevVm, StartError> {
+        let capacity = self.plan.capacity;
+        self.history.add(Record::Vm {
+            vm: name.parse()?,
+            zone: zone.parse()?,
+            capacity,
+        });
+        let worker = FakeWorker::new(name.parse()?, capacity, self.history.clone());
+        let worker = SharedWorker::new(worker, self.clock);
+        let (listener, worker_address) = listen().await?;
+        let serving = smol::spawn(fakes::worker::serve(listener, worker.clone()));
+        Ok(DevVm {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            worker,
+            endpoint: Endpoint::start().await?,
+            agent: None,
+            worker_address,
+            _serving: serving,
+        })
+    }
+
+    /// Starts the agent of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] if a port can't be had.
+    pub async fn start_agent(&self, vm: &DevVm) -> Result<Agent, StartError> {
+        let settings = AgentSettings {
+            vm: vm.name.parse()?,
+            zone: vm.zone.parse()?,
+            rack: format!("{}-rack", vm.zone).parse()?,
+            cell: None,
+            system: any_port(),
+            health: any_port(),
+            entries: self.running().map(|entry| entry.system).collect(),
+            secret_file: PathBuf::new(),
+            worker: Some(vm.worker_address),
+            capacity: self.plan.capacity,
+            heartbeat_millis: self.plan.heartbeat_millis,
+            usage_millis: self.plan.heartbeat_millis,
+            stop_millis: 10_000,
+            body_bytes: 1 << 20,
+            endpoints: vec![EndpointSettings {
+                service: SERVICE.parse()?,
+                address: vm.endpoint.address(),
+                slots: self.plan.slots,
+                connections: 64,
+            }],
+        };
+        let secrets = Secrets::parse(SYSTEM_SECRET)?;
+        Ok(agent::daemon::start(settings, secrets).await?)
+    }
+
+    /// Stops everything gracefully, agents first.
+    pub async fn stop(mut self) {
+        for vm in &mut self.vms {
+            if let Some(agent) = vm.agent.take() {
+                agent.stop().await;
+            }
+        }
+        for entry in self.entries.iter_mut().filter_map(Option::take) {
+            entry.stop().await;
+        }
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn listen() -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(any_port()).await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -27,7 +27,7 @@
     cells::{Cells, ConfigView, Setup},
     config::Follower,
     exchange,
-    operator::{self, Context, ProcessRevision, Revisions},
+    operator::{self, Context, Jobs, ProcessRevision, Revisions},
     peers::{EntryRecord, Peers},
     system::{self, System},
 };
@@ -337,6 +337,11 @@
             let parts = accounting.clone();
             Box::pin(async move { accounts_of(&parts, period).await })
         }),
+        jobs: Some(Arc::new(Jobs {
+            cells: Arc::clone(&parts.system.cells),
+            peers: Arc::clone(&parts.system.peers),
+            secrets: parts.system.secrets.clone(),
+        })),
     }
 }
 
--- a/components/entry/src/operator/mod.rs
+++ b/components/entry/src/operator/mod.rs
@@ -4,6 +4,23 @@
 //! carries one of the operators' secrets; every answer carries the verdict as a
 //! header, and a failed one a [`Failure`] as its body. See `docs/OPERATIONS.md`.
 
+/// Registers a path whose answer comes from an asynchronous function.
+macro_rules! route {
+    ($router:expr, $method:ident, $path:literal, $cx:expr, $answer:path) => {{
+        let cx = Arc::clone($cx);
+        $router.$method($path, move |mut conn: Conn| {
+            let cx = Arc::clone(&cx);
+            async move {
+                match $answer(&cx, &mut conn).await {
+                    Ok(value) => done(conn, &value),
+                    Err((status, failure)) => failed(conn, status, &failure),
+                }
+            }
+        })
+    }};
+}
+
+mod jobs;
 mod objects;
 pub mod reply;
 mod reports;
@@ -16,6 +33,7 @@
 use store::Store;
 use trillium::{Conn, Handler, Status};
 
+pub use jobs::Jobs;
 pub use objects::{ApplyRequest, CheckRequest, DiffReply, EditRequest, ObjectsReply};
 pub use reply::Failure;
 pub use reports::AccountsOf;
@@ -66,6 +84,8 @@
     pub zone_of: ZoneOf,
     /// The accounts of all entries and cells.
     pub accounts: AccountsOf,
+    /// The jobs of all cells; nothing where no cells can be owned.
+    pub jobs: Option<Arc<Jobs>>,
 }
 
 /// Answers operators' requests.
@@ -75,6 +95,7 @@
     (
         Authorise(Arc::clone(&cx)),
         reports::routes(&cx),
+        jobs::routes(&cx),
         objects::routes(cx),
         |conn: Conn| async move { not_found(conn) },
     )
--- a/components/entry/src/operator/objects.rs
+++ b/components/entry/src/operator/objects.rs
@@ -72,23 +72,8 @@
     pub objects: ObjectSet,
 }
 
-type Answer<T> = Result<T, (Status, Failure)>;
-
-/// Registers a path whose answer comes from an asynchronous function.
-macro_rules! route {
-    ($router:expr, $method:ident, $path:literal, $cx:expr, $answer:path) => {{
-        let cx = Arc::clone($cx);
-        $router.$method($path, move |mut conn: Conn| {
-            let cx = Arc::clone(&cx);
-            async move {
-                match $answer(&cx, &mut conn).await {
-                    Ok(value) => done(conn, &value),
-                    Err((status, failure)) => failed(conn, status, &failure),
-                }
-            }
-        })
-    }};
-}
+/// What a path is answered with, or the status and the reason of a failure.
+pub(super) type Answer<T> = Result<T, (Status, Failure)>;
 
 pub(crate) fn routes(cx: Arc<Context>) -> Router {
     let cx = &cx;
@@ -208,7 +193,8 @@
     }
 }
 
-fn name<N: DeserializeOwned>(conn: &Conn) -> Answer<N> {
+/// The `:name` of the path.
+pub(super) fn name<N: DeserializeOwned>(conn: &Conn) -> Answer<N> {
     let text = conn.param("name").unwrap_or_default();
     let value = serde_json::Value::String(text.to_owned());
     serde_json::from_value(value).map_err(|error| {
@@ -217,6 +203,27 @@
     })
 }
 
+/// A field of the query string, read as the JSON value or the text it holds.
+pub(super) fn query<T: DeserializeOwned>(conn: &Conn, field: &str) -> Answer<Option<T>> {
+    let pairs = conn.querystring().split('&');
+    let found = pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(name, value)| *name == field && !value.is_empty());
+    let Some((_, text)) = found else {
+        return Ok(None);
+    };
+    let plain = serde_json::Value::String(text.to_owned());
+    let value = match text {
+        "true" | "false" => serde_json::Value::Bool(text == "true"),
+        _ => plain,
+    };
+    serde_json::from_value(value).map(Some).map_err(|error| {
+        let message = format!("the query field {field} can't be read: {error}");
+        let failure = Failure::new(Verdict::NotRun, message);
+        (Status::BadRequest, failure)
+    })
+}
+
 fn refused(problems: Problems) -> (Status, Failure) {
     (Status::UnprocessableEntity, problems.into())
 }
--- a/components/entry/tests/accounts.rs
+++ b/components/entry/tests/accounts.rs
@@ -349,6 +349,7 @@
                 }
             })
         }),
+        jobs: None,
     };
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
--- a/src/client.rs
+++ b/src/client.rs
@@ -194,7 +194,7 @@
     })
 }
 
-fn read_secrets(file: &Path) -> Result<Secrets, CommandError> {
+pub(crate) fn read_secrets(file: &Path) -> Result<Secrets, CommandError> {
     let unusable =
         |error: &dyn std::fmt::Display| CommandError::usage(format!("{}: {error}", file.display()));
     let text = fs::read_to_string(file).map_err(|error| unusable(&error))?;
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -1,16 +1,28 @@
-//! `agent`: the daemon on each agent's VM.
-
-use std::path::PathBuf;
+//! `agent`: the daemon beside an endpoint or a worker.
 
+use agent::daemon;
 use clap::ArgMatches;
-use conf::settings::load_agent;
+use conf::settings::{AgentSettings, load_agent};
+use kernel::secret::Secrets;
 
-use crate::failure::CommandError;
+use super::{daemon_settings, until_signal};
+use crate::{client::read_secrets, failure::CommandError};
 
 pub(super) fn run(matches: &ArgMatches) -> Result<(), CommandError> {
-    let Some(file) = matches.get_one::<PathBuf>("settings") else {
-        return Err(CommandError::usage("name the settings with --settings F"));
-    };
-    let _settings = load_agent(file)?;
-    Err(CommandError::not_run("this build has no agent daemon"))
+    let settings = load_agent(daemon_settings(matches)?)?;
+    let secrets = read_secrets(&settings.secret_file)?;
+    observe::logs::init();
+    smol::block_on(serve(settings, secrets))
+}
+
+async fn serve(settings: AgentSettings, secrets: Secrets) -> Result<(), CommandError> {
+    let vm = settings.vm.clone();
+    let agent = daemon::start(settings, secrets)
+        .await
+        .map_err(CommandError::not_run)?;
+    tracing::info!(%vm, system = %agent.system, health = %agent.health, "listening");
+    until_signal().await?;
+    tracing::info!(%vm, "stopping");
+    agent.stop().await;
+    Ok(())
 }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -1,16 +1,43 @@
 //! `entry`: the daemon on each entry's VM.
 
-use std::path::PathBuf;
+use std::sync::Arc;
 
 use clap::ArgMatches;
-use conf::settings::load_entry;
+use conf::settings::{EntrySettings, load_entry};
+use entry::daemon::{self, EntrySecrets};
+use kernel::Clock;
+use store::{Store, budget::Budgeted, etcd::EtcdStore};
 
-use crate::failure::CommandError;
+use super::{daemon_settings, until_signal};
+use crate::{client::read_secrets, failure::CommandError};
 
 pub(super) fn run(matches: &ArgMatches) -> Result<(), CommandError> {
-    let Some(file) = matches.get_one::<PathBuf>("settings") else {
-        return Err(CommandError::usage("name the settings with --settings F"));
+    let settings = load_entry(daemon_settings(matches)?)?;
+    let secrets = EntrySecrets {
+        system: read_secrets(&settings.secret_file)?,
+        operators: read_secrets(&settings.operator_secret_file)?,
     };
-    let _settings = load_entry(file)?;
-    Err(CommandError::not_run("this build has no entry daemon"))
+    observe::logs::init();
+    smol::block_on(serve(settings, secrets))
+}
+
+async fn serve(settings: EntrySettings, secrets: EntrySecrets) -> Result<(), CommandError> {
+    let per_second = settings.limits.store_calls_per_second;
+    let etcd: Arc<dyn Store> = Arc::new(EtcdStore::new(&settings.store));
+    let store = Arc::new(Budgeted::new(etcd, Clock::start(), per_second));
+    let name = settings.name.clone();
+    let entry = daemon::start(settings, store, secrets)
+        .await
+        .map_err(CommandError::not_run)?;
+    tracing::info!(
+        entry = %name,
+        system = %entry.system,
+        callers = %entry.callers,
+        operators = %entry.operators,
+        "listening"
+    );
+    until_signal().await?;
+    tracing::info!(entry = %name, "stopping");
+    entry.stop().await;
+    Ok(())
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -19,7 +19,11 @@
 mod wait;
 mod zone;
 
+use std::path::PathBuf;
+
+use async_signal::{Signal, Signals};
 use clap::ArgMatches;
+use futures_lite::StreamExt;
 
 use crate::failure::CommandError;
 
@@ -61,3 +65,17 @@
     let value = matches.get_one::<String>(name).map(String::as_str);
     value.ok_or_else(|| CommandError::usage(format!("{name} is missing; see --help")))
 }
+
+/// The settings file that a daemon's command line names.
+fn daemon_settings(matches: &ArgMatches) -> Result<&PathBuf, CommandError> {
+    matches
+        .get_one::<PathBuf>("settings")
+        .ok_or_else(|| CommandError::usage("name the settings with --settings F"))
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn until_signal() -> Result<(), CommandError> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(CommandError::not_run)?;
+    signals.next().await;
+    Ok(())
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -100,6 +100,7 @@
         }),
         zone_of: Box::new(|vm| (vm.as_str() == "vm-7").then(|| "medina".parse().unwrap())),
         accounts: Box::new(|_| Box::pin(async { Accounts::default() })),
+        jobs: None,
     }
 }
 
