--- a/components/conf/tests/settings.rs
+++ b/components/conf/tests/settings.rs
@@ -1,7 +1,12 @@
 //! Settings are checked whole, and every error says where and what to do.
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
-use conf::settings::{AgentSettings, EntrySettings, parse};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    path::PathBuf,
+};
+
+use conf::settings::{AgentSettings, EntrySettings, load_agent, load_entry, parse};
 use kernel::CellName;
 use rstest::rstest;
 
@@ -109,3 +114,126 @@
     let error = parse::<AgentSettings>("agent.toml", &text).unwrap_err();
     assert_eq!(error.to_string(), expected);
 }
+
+/// A path in the repository.
+fn at_root(path: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../..")
+        .join(path)
+}
+
+fn files_in(path: &str) -> Vec<PathBuf> {
+    let listed = std::fs::read_dir(at_root(path)).unwrap();
+    let mut files: Vec<PathBuf> = listed.map(|file| file.unwrap().path()).collect();
+    files.sort();
+    files
+}
+
+#[rstest]
+#[case("examples/maison-diagne", 4, "directory")]
+#[case("examples/brenes", 3, "depot")]
+fn the_samples_are_in_order_and_fit_together(
+    #[case] sample: &str,
+    #[case] zones: usize,
+    #[case] service: &str,
+) {
+    let sources = conf::read_dir(at_root(&format!("{sample}/objects"))).unwrap();
+    let set = conf::parse(&sources).unwrap();
+    assert_eq!(set.zones.len(), zones);
+    let pool = set.pools.values().next().unwrap();
+    assert_eq!(pool.workers, 11);
+    let entries = files_in(&format!("{sample}/entries"));
+    let entries = entries.iter().map(|file| load_entry(file).unwrap());
+    let entries: Vec<EntrySettings> = entries.collect();
+    assert!(
+        entries
+            .iter()
+            .all(|entry| set.zones.contains_key(&entry.zone))
+    );
+    let system: Vec<_> = entries.iter().map(|entry| entry.system).collect();
+    let agents = files_in(&format!("{sample}/agents"));
+    let agents = agents.iter().map(|file| load_agent(file).unwrap());
+    let agents: Vec<AgentSettings> = agents.collect();
+    assert_eq!(agents.len(), 11);
+    let mut racks: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for agent in &agents {
+        racks.entry(&agent.rack).or_default().push(&agent.zone);
+        assert!(set.zones.contains_key(&agent.zone));
+        assert_eq!(agent.entries, system);
+        assert_eq!(agent.capacity, pool.capacity);
+        let [endpoint] = &agent.endpoints[..] else {
+            panic!("{} has not one endpoint", agent.vm);
+        };
+        assert_eq!(endpoint.service.as_str(), service);
+        assert!(set.services.contains_key(&endpoint.service));
+        assert_eq!((endpoint.slots, endpoint.connections), (8, 64));
+    }
+    for zones_of_rack in racks.values() {
+        assert!(zones_of_rack.len() <= 3);
+        assert!(zones_of_rack.iter().all(|zone| *zone == zones_of_rack[0]));
+    }
+    let vms: BTreeSet<_> = agents.iter().map(|agent| &agent.vm).collect();
+    let addresses: BTreeSet<_> = agents.iter().map(|agent| agent.system).collect();
+    assert_eq!((vms.len(), addresses.len()), (11, 11));
+}
+
+/// The paths of all fields with their values.
+fn leaves(path: &str, value: &toml::Value, found: &mut BTreeMap<String, String>) {
+    match value {
+        toml::Value::Table(table) => {
+            for (name, value) in table {
+                let path = format!("{path}{}{name}", if path.is_empty() { "" } else { "." });
+                leaves(&path, value, found);
+            }
+        }
+        toml::Value::Array(items) if items.iter().all(toml::Value::is_table) => {
+            for item in items {
+                leaves(path, item, found);
+            }
+        }
+        value => {
+            found.insert(path.to_owned(), value.to_string());
+        }
+    }
+}
+
+fn fields_of(settings: &impl serde::Serialize) -> BTreeMap<String, String> {
+    let mut found = BTreeMap::new();
+    let value = toml::Value::try_from(settings).unwrap();
+    leaves("", &value, &mut found);
+    found
+}
+
+#[test]
+fn every_setting_is_described_with_its_default() {
+    let page = std::fs::read_to_string(at_root("docs/SETTINGS.md")).unwrap();
+    let entry: EntrySettings = parse("entry.toml", ENTRY).unwrap();
+    let agent: AgentSettings = parse("agent.toml", AGENT).unwrap();
+    let stated = |text: &str| text.parse::<toml::Table>().unwrap();
+    let mut described = BTreeSet::new();
+    for (fields, text) in [
+        (fields_of(&entry), stated(ENTRY)),
+        (fields_of(&agent), stated(AGENT)),
+    ] {
+        for (field, value) in fields {
+            let top = field.split('.').next().unwrap();
+            let default = match text.contains_key(top) {
+                true => "required".to_owned(),
+                false => value,
+            };
+            let row = format!("| `{field}` | {default} |");
+            assert!(page.contains(&row), "docs/SETTINGS.md lacks {row}");
+            described.insert(field);
+        }
+    }
+    // Optional fields have no value in the texts above.
+    for (field, default) in [("cell", "the zone's name"), ("worker", "none")] {
+        assert!(page.contains(&format!("| `{field}` | {default} |")));
+        described.insert(field.to_owned());
+    }
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    for row in rows {
+        let field = row.split('`').next().unwrap();
+        assert!(described.contains(field), "there is no setting {field}");
+    }
+}
