--- a/components/route/examples/requests.rs
+++ b/components/route/examples/requests.rs
@@ -22,7 +22,7 @@
         "{what:<28} {:<9} {:>8} {:>8.1} {:>8.1} {:>7.2} {:>8.3} {:>9.3} {:>8} {:>8}",
         format!("{deciding:?}"),
         summary.requests,
-        summary.p50_millis(),
+        summary.latency.value_at_quantile(0.5) as f64 / 1000.0,
         summary.p99_millis(),
         summary.p99_millis() / undisturbed.p99_millis(),
         summary.goodput(),
@@ -55,6 +55,7 @@
     let faults = [
         ("undisturbed, load 0.5", Fault::None, 0.5),
         ("one endpoint 20x slow", Fault::Slow(20), 0.5),
+        ("one request in 50 20x slow", Fault::Hiccups(20), 0.5),
         ("availability zone out", Fault::ZoneOut, 0.5),
         ("overload 2x", Fault::None, 2.0),
         ("no endpoint reachable", Fault::Unreachable, 0.5),
--- a/components/route/examples/sim/endpoint.rs
+++ b/components/route/examples/sim/endpoint.rs
@@ -18,6 +18,9 @@
 /// The length of the agent's queue.
 const QUEUE: u32 = 64;
 
+/// How many requests are slow while endpoints have hiccups.
+const HICCUP_SHARE: f64 = 0.02;
+
 /// What an agent does next.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Next {
@@ -182,6 +185,7 @@
         let time = SERVICE_BASE + SERVICE_MEAN_EXTRA.mul_f64(draw);
         match self.fault {
             Fault::Slow(factor) => time * factor,
+            Fault::Hiccups(factor) if self.rng.random_bool(HICCUP_SHARE) => time * factor,
             _ => time,
         }
     }
--- a/components/route/examples/sim/mod.rs
+++ b/components/route/examples/sim/mod.rs
@@ -44,6 +44,8 @@
     None,
     /// One endpoint takes this many times as long.
     Slow(u32),
+    /// One request in fifty takes this many times as long, on any endpoint.
+    Hiccups(u32),
     /// No endpoint accepts connections.
     Unreachable,
     /// Every endpoint reads requests and closes the connection.
@@ -109,12 +111,6 @@
         self.latency.value_at_quantile(0.99) as f64 / 1000.0
     }
 
-    /// The median of the latency, in milliseconds.
-    #[must_use]
-    pub(crate) fn p50_millis(&self) -> f64 {
-        self.latency.value_at_quantile(0.5) as f64 / 1000.0
-    }
-
     /// Good answers per second as a share of what all endpoints can answer.
     #[must_use]
     pub(crate) fn goodput(&self) -> f64 {
--- a/components/route/examples/sim/world.rs
+++ b/components/route/examples/sim/world.rs
@@ -222,7 +222,7 @@
         match self.scenario.fault {
             Fault::None => {}
             Fault::Slow(_) => self.endpoints[0].fault = self.scenario.fault,
-            Fault::Unreachable | Fault::Crashing => {
+            Fault::Unreachable | Fault::Crashing | Fault::Hiccups(_) => {
                 for endpoint in &mut self.endpoints {
                     endpoint.fault = self.scenario.fault;
                 }
