Every setting has an effect

Cause: the daemons read neither the entry's body_bytes, connections, timeout_millis and heartbeat_millis nor the agent's usage_millis and body_bytes. Bodies and timeouts are bounded by each service's limit in the object set, usage comes with the list of attempts, and agents set their own heartbeat. Change: connections of callers are bounded; the others are removed. An operator's body must come within 30 s. Conclusion: no setting is read and then ignored.

--- a/components/conf/src/settings/agent.rs
+++ b/components/conf/src/settings/agent.rs
@@ -8,9 +8,7 @@
 use super::{Checked, SettingsError, bounds::Bounds};
 
 const DEFAULT_HEARTBEAT_MILLIS: u64 = 1_000;
-const DEFAULT_USAGE_MILLIS: u64 = 5_000;
 const DEFAULT_STOP_MILLIS: u64 = 30_000;
-const DEFAULT_BODY_BYTES: u64 = 8 << 20;
 
 /// The settings of one agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,15 +40,9 @@
     /// How often a heartbeat is sent, in milliseconds.
     #[serde(default = "default_heartbeat")]
     pub heartbeat_millis: u64,
-    /// How often the worker is asked for the usage of its tasks, in milliseconds.
-    #[serde(default = "default_usage")]
-    pub usage_millis: u64,
     /// How long a graceful stop may take, in milliseconds.
     #[serde(default = "default_stop")]
     pub stop_millis: u64,
-    /// The largest body of a request or its answer, in bytes.
-    #[serde(default = "default_body")]
-    pub body_bytes: u64,
     /// The endpoints beside it.
     #[serde(default)]
     pub endpoints: Vec<EndpointSettings>,
@@ -60,18 +52,10 @@
     DEFAULT_HEARTBEAT_MILLIS
 }
 
-const fn default_usage() -> u64 {
-    DEFAULT_USAGE_MILLIS
-}
-
 const fn default_stop() -> u64 {
     DEFAULT_STOP_MILLIS
 }
 
-const fn default_body() -> u64 {
-    DEFAULT_BODY_BYTES
-}
-
 /// One endpoint beside an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -109,9 +93,7 @@
         bounds.list("entries", &self.entries);
         bounds.path("secret_file", &self.secret_file);
         bounds.within("heartbeat_millis", self.heartbeat_millis, 10..=60_000);
-        bounds.within("usage_millis", self.usage_millis, 10..=600_000);
         bounds.within("stop_millis", self.stop_millis, 100..=600_000);
-        bounds.within("body_bytes", self.body_bytes, 1_024..=1 << 30);
         self.check_worker(&mut bounds);
         self.check_endpoints(&mut bounds);
         bounds.into_result()
--- a/components/conf/src/settings/entry.rs
+++ b/components/conf/src/settings/entry.rs
@@ -39,9 +39,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EntryTimings {
-    /// How often an agent sends a heartbeat.
-    pub heartbeat_millis: u64,
-    /// How long an agent may be silent before it gets no new work.
+    /// How long an agent may be silent before it gets no new tasks.
     pub suspect_millis: u64,
     /// How long an agent may be silent before it is forgotten.
     pub forget_millis: u64,
@@ -70,7 +68,6 @@
 impl Default for EntryTimings {
     fn default() -> Self {
         Self {
-            heartbeat_millis: 1_000,
             suspect_millis: 3_000,
             forget_millis: 60_000,
             task_lease_millis: 10_000,
@@ -91,14 +88,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EntryLimits {
-    /// The largest body of a caller's request or its answer, in bytes.
-    pub body_bytes: u64,
     /// The largest body of an operator's request, in bytes.
     pub operator_body_bytes: u64,
     /// The most connections of callers at a time.
     pub connections: u32,
-    /// The longest deadline that a caller may ask for, in milliseconds.
-    pub timeout_millis: u64,
     /// The most calls a second to the store.
     pub store_calls_per_second: u32,
 }
@@ -106,10 +99,8 @@
 impl Default for EntryLimits {
     fn default() -> Self {
         Self {
-            body_bytes: 8 << 20,
             operator_body_bytes: 8 << 20,
             connections: 4_096,
-            timeout_millis: 60_000,
             store_calls_per_second: 100,
         }
     }
@@ -154,7 +145,6 @@
 impl EntryTimings {
     fn check(&self, bounds: &mut Bounds) {
         let ranges = [
-            ("heartbeat_millis", self.heartbeat_millis, 10..=60_000),
             ("suspect_millis", self.suspect_millis, 20..=600_000),
             ("forget_millis", self.forget_millis, 100..=86_400_000),
             ("task_lease_millis", self.task_lease_millis, 100..=3_600_000),
@@ -192,24 +182,12 @@
 
     fn check_order(&self, bounds: &mut Bounds) {
         let pairs = [
-            (
-                "heartbeat_millis",
-                self.heartbeat_millis,
-                "suspect_millis",
-                self.suspect_millis,
-            ),
             (
                 "suspect_millis",
                 self.suspect_millis,
                 "forget_millis",
                 self.forget_millis,
             ),
-            (
-                "heartbeat_millis",
-                self.heartbeat_millis,
-                "task_lease_millis",
-                self.task_lease_millis,
-            ),
             (
                 "drift_margin_millis",
                 self.drift_margin_millis,
@@ -245,14 +223,12 @@
 impl EntryLimits {
     fn check(&self, bounds: &mut Bounds) {
         let ranges = [
-            ("body_bytes", self.body_bytes, 1_024..=1 << 30),
             (
                 "operator_body_bytes",
                 self.operator_body_bytes,
                 1_024..=1 << 30,
             ),
             ("connections", u64::from(self.connections), 1..=1_000_000),
-            ("timeout_millis", self.timeout_millis, 1..=3_600_000),
             (
                 "store_calls_per_second",
                 u64::from(self.store_calls_per_second),
--- a/components/dev/src/system.rs
+++ b/components/dev/src/system.rs
@@ -189,9 +189,7 @@
             worker: Some(vm.worker_address),
             capacity: self.plan.capacity,
             heartbeat_millis: self.plan.heartbeat_millis,
-            usage_millis: self.plan.heartbeat_millis,
             stop_millis: 10_000,
-            body_bytes: 1 << 20,
             endpoints: vec![EndpointSettings {
                 service: SERVICE.parse()?,
                 address: vm.endpoint.address(),
--- a/components/entry/src/caller.rs
+++ b/components/entry/src/caller.rs
@@ -259,6 +259,7 @@
 pub async fn serve(
     listener: TcpListener,
     callers: Arc<Callers>,
+    connections: usize,
     stop: impl Future<Output = ()> + Send,
 ) {
     let handler = move |conn: Conn| {
@@ -271,6 +272,7 @@
     let server = trillium_smol::config()
         .without_signals()
         .with_nodelay()
+        .with_max_connections(Some(connections))
         .with_http_config(http)
         .with_prebound_server(listener)
         .spawn(handler);
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -122,7 +122,12 @@
     let running = spawn_loops(&settings, &parts);
 
     let (stop_callers, callers_stop) = smol::channel::bounded(1);
-    let serving = caller::serve(callers_port, Arc::clone(&parts.callers), told(callers_stop));
+    let serving = caller::serve(
+        callers_port,
+        Arc::clone(&parts.callers),
+        usize::try_from(settings.limits.connections).unwrap_or(usize::MAX),
+        told(callers_stop),
+    );
     let serving_callers = smol::spawn(serving);
     let (stop_system, system_stop) = smol::channel::bounded(1);
     let serving_system = smol::spawn(proto::serve(
--- a/components/entry/src/operator/reply.rs
+++ b/components/entry/src/operator/reply.rs
@@ -1,12 +1,16 @@
 //! Answers to operators: JSON with a verdict.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use conf::{Problem, Problems};
+use futures_lite::FutureExt;
 use kernel::{Verdict, verdict::VERDICT_HEADER};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use trillium::{Conn, Status};
 
+/// How long an operator may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The body of every answer that is not a success.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
@@ -60,13 +64,24 @@
 /// # Errors
 ///
 /// Returns the status and failure to answer with, if the body is larger than
-/// `most` bytes or something else.
+/// `most` bytes, comes too slowly or is something else.
 pub async fn read_json<T: DeserializeOwned>(
     conn: &mut Conn,
     most: u64,
 ) -> Result<T, (Status, Failure)> {
     let refuse = |status, message: String| (status, Failure::new(Verdict::NotRun, message));
-    let body = conn.request_body().with_max_len(most).read_string().await;
+    let reading = async {
+        let body = conn.request_body().with_max_len(most).read_string();
+        Some(body.await)
+    };
+    let expiry = async {
+        smol::Timer::after(BODY_TIMEOUT).await;
+        None
+    };
+    let Some(body) = reading.or(expiry).await else {
+        let message = format!("the body did not come within {BODY_TIMEOUT:?}");
+        return Err(refuse(Status::RequestTimeout, message));
+    };
     let text = body.map_err(|error| {
         let message = format!("the body can't be read: {error}; at most {most} bytes are taken");
         refuse(Status::PayloadTooLarge, message)
