--- a/components/conf/tests/settings.rs
+++ b/components/conf/tests/settings.rs
@@ -250,21 +250,40 @@
     }
 }
 
-#[test]
-fn every_setting_is_read_by_a_daemon() {
-    let mut sources = String::new();
-    for path in ["components/entry/src", "components/agent/src", "src/cmd"] {
-        sources_in(path, &mut sources);
+/// How a daemon's source writes a field: by its group, or as `settings`.
+fn as_read(field: &str) -> String {
+    match field.split_once('.') {
+        Some(("endpoints", leaf)) => format!("endpoint.{leaf}"),
+        Some(("capacity", _)) => "settings.capacity".to_owned(),
+        Some(_) => field.to_owned(),
+        None => format!("settings.{field}"),
     }
+}
+
+/// Two spellings that are not a plain field.
+const READ_BY_METHOD: [(&str, &str); 2] = [("cell", "settings.cell_name()"), ("worker", ".worker")];
+
+#[test]
+fn every_setting_is_read_by_its_daemon() {
     let entry: EntrySettings = parse("entry.toml", ENTRY).unwrap();
     let agent: AgentSettings = parse("agent.toml", AGENT).unwrap();
-    let fields = [fields_of(&entry), fields_of(&agent)];
-    for field in fields.iter().flat_map(BTreeMap::keys) {
-        if field.starts_with("capacity.") {
-            continue;
+    let mut unread = Vec::new();
+    for (daemon, fields) in [("entry", fields_of(&entry)), ("agent", fields_of(&agent))] {
+        let mut sources = String::new();
+        sources_in(&format!("components/{daemon}/src"), &mut sources);
+        sources
+            .push_str(&std::fs::read_to_string(at_root(&format!("src/cmd/{daemon}.rs"))).unwrap());
+        let fields = fields.keys().map(|field| (field.clone(), as_read(field)));
+        let mut expected: Vec<(String, String)> = fields.collect();
+        if daemon == "agent" {
+            let methods = READ_BY_METHOD.iter();
+            expected.extend(methods.map(|(field, read)| ((*field).to_owned(), (*read).to_owned())));
+        }
+        for (field, read) in expected {
+            if !sources.contains(&read) {
+                unread.push(format!("{daemon}: {field}"));
+            }
         }
-        let leaf = field.rsplit('.').next().unwrap();
-        let read = format!(".{leaf}");
-        assert!(sources.contains(&read), "no daemon reads {field}");
     }
+    assert!(unread.is_empty(), "no daemon reads {unread:?}");
 }
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -8,7 +8,7 @@
 };
 
 use conf::settings::{EntrySettings, EntryTimings};
-use kernel::{Clock, Incarnation, secret::Secrets};
+use kernel::{AvailabilityZoneName, Clock, Incarnation, secret::Secrets};
 use observe::Health;
 use prometheus_client::registry::Registry;
 use proto::messages::EventQuery;
@@ -74,6 +74,7 @@
     serving_callers: Task<()>,
     stop_system: Sender<()>,
     serving_system: Task<()>,
+    putting_in_force: Task<()>,
     running: Vec<Task<()>>,
 }
 
@@ -120,6 +121,9 @@
     let parts = assemble(&settings, own, store, &secrets, clock, &mut registry);
     let ready = Health::default();
     let running = spawn_loops(&settings, &parts);
+    ready.set_ready(true);
+    let in_force = put_in_force(parts.clone(), ready.clone(), settings.zone.clone());
+    let putting_in_force = smol::spawn(in_force);
 
     let (stop_callers, callers_stop) = smol::channel::bounded(1);
     let serving = caller::serve(
@@ -143,7 +147,6 @@
         ready.clone(),
         registry,
     ));
-    ready.set_ready(true);
     Ok(Entry {
         system,
         callers,
@@ -155,6 +158,7 @@
         serving_callers,
         stop_system,
         serving_system,
+        putting_in_force,
         running,
     })
 }
@@ -165,6 +169,7 @@
     ///
     /// The wait is bounded by the setting `stop_millis`.
     pub async fn stop(self) {
+        self.putting_in_force.cancel().await;
         let orderly = async {
             self.ready.set_ready(false);
             let _ = self.stop_callers.send(()).await;
@@ -282,7 +287,6 @@
         smol::spawn(Arc::clone(&system.cells).run()),
         smol::spawn(exchange::run(Arc::clone(system), exchange)),
         smol::spawn(tick(parts.clone())),
-        smol::spawn(put_in_force(parts.clone())),
         smol::spawn(accounts::write::run(
             system.accounts.clone(),
             Arc::clone(store),
@@ -307,7 +311,10 @@
 }
 
 /// Hands every configuration that comes into force to the parts that keep it.
-async fn put_in_force(parts: Shared) {
+///
+/// An entry in an availability zone that operators took out still answers, but
+/// asks the balancer to send callers elsewhere before its VM goes.
+async fn put_in_force(parts: Shared, ready: Health, zone: AvailabilityZoneName) {
     let mut revision = kernel::Revision(0);
     loop {
         let in_force = parts.system.config.newer_than(revision).await;
@@ -317,6 +324,7 @@
             revision,
             objects: Arc::clone(&in_force.objects),
         });
+        ready.set_ready(in_force.objects.zone_takes_work(&zone));
         let accounts = &parts.system.accounts;
         accounts.config_in_force(revision, &in_force.objects);
     }
--- a/components/kernel/src/object.rs
+++ b/components/kernel/src/object.rs
@@ -190,10 +190,15 @@
     /// zones shows it as unnamed.
     #[must_use]
     pub fn takes_work(&self, zone: &AvailabilityZoneName, vm: &VmName) -> bool {
-        let Some(zone) = self.zones.get(zone) else {
-            return true;
-        };
-        zone.state == ZoneState::In && !zone.drained.contains(vm)
+        let drained = |zone: &AvailabilityZone| zone.drained.contains(vm);
+        self.zone_takes_work(zone) && !self.zones.get(zone).is_some_and(drained)
+    }
+
+    /// Whether an availability zone as a whole takes work.
+    #[must_use]
+    pub fn zone_takes_work(&self, zone: &AvailabilityZoneName) -> bool {
+        let state = self.zones.get(zone).map(|zone| zone.state);
+        state.unwrap_or_default() == ZoneState::In
     }
 
     /// The limit in force for `service`.
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -7,11 +7,21 @@
 
 use std::{sync::Arc, time::Duration};
 
-use conf::publish::{Apply, ApplyId, Published, publish};
-use entry::config::Follower;
+use conf::{
+    publish::{Apply, ApplyId, Published, edit, publish, set_zone_state},
+    settings::EntrySettings,
+};
+use entry::{
+    config::Follower,
+    daemon::{self, EntrySecrets},
+};
 use fakes::store::MemStore;
 use futures_lite::FutureExt;
-use kernel::{Clock, ObjectSet, Revision, Time, object::AvailabilityZone};
+use kernel::{
+    Clock, ObjectSet, Revision, Time,
+    object::{AvailabilityZone, ZoneState},
+    secret::Secrets,
+};
 use rstest::rstest;
 use store::{KeyRange, Op, Store, Txn, keys};
 
@@ -173,6 +183,55 @@
     });
 }
 
+/// The settings of an entry on ports that the system chooses.
+fn settings(zone: &str) -> EntrySettings {
+    let text = format!(
+        "name = \"entry-1\"\nzone = \"{zone}\"\nsystem = \"127.0.0.1:0\"\n\
+         callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n\
+         store = [\"127.0.0.1:2379\"]\nsecret_file = \"a\"\noperator_secret_file = \"b\"\n"
+    );
+    conf::settings::parse("entry.toml", &text).unwrap()
+}
+
+#[test]
+fn an_entry_in_a_zone_that_is_out_asks_the_balancer_to_turn_away() {
+    run(async {
+        let store = MemStore::manual();
+        let secret = Secrets::parse("a secret of some length").unwrap();
+        let secrets = EntrySecrets {
+            system: secret.clone(),
+            operators: secret,
+        };
+        let entry = daemon::start(settings("zone-1"), Arc::new(store.clone()), secrets)
+            .await
+            .unwrap();
+        let http = trillium_client::Client::new(trillium_smol::ClientConfig::new());
+        let ready = async |expected: u16| {
+            let url = format!("http://{}/readyz", entry.operators);
+            loop {
+                let conn = http.get(url.as_str()).await.unwrap();
+                if conn
+                    .status()
+                    .is_some_and(|status| status as u16 == expected)
+                {
+                    return;
+                }
+                smol::Timer::after(Duration::from_millis(5)).await;
+            }
+        };
+        publish_number(&store, 1).await;
+        ready(200).await;
+        for (id, state, expected) in [("out", ZoneState::Out, 503), ("in", ZoneState::In, 200)] {
+            let zone = "zone-1".parse().unwrap();
+            edit(&store, &apply(id), |set| set_zone_state(set, &zone, state))
+                .await
+                .unwrap();
+            ready(expected).await;
+        }
+        entry.stop().await;
+    });
+}
+
 #[rstest]
 fn publications_by_racing_operators_are_linearizable(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
     let history = run(scheduled::race(seed));
