Agent: don't believe old lists, don't forget while a start may be on its way

A list that the worker made before it took a start, and that came back after the start was confirmed, made the agent report a running attempt as stopped; its task was bound again elsewhere while it ran. And a copy of a start call that was held up between agent and worker ran an attempt a second time after its end was recorded and forgotten. Heartbeat replies out of order were ruled out, they are dropped already.

Change: an attempt keeps the time at which the worker was last seen to know it, and older lists don't count against it; a recorded attempt is forgotten only once its `start_until` has passed.

--- a/components/agent/src/runs.rs
+++ b/components/agent/src/runs.rs
@@ -82,6 +82,13 @@
     start: Option<StartRun>,
     /// Until when a start that the worker has not confirmed may still reach it.
     unconfirmed_until: Option<Time>,
+    /// When the worker last showed that it knows the attempt; a list that was
+    /// asked for earlier may lack it.
+    known_at: Time,
+    /// After this no copy of the start that is on its way can take effect.
+    start_until: Time,
+    /// The owner has recorded the end.
+    recorded: bool,
     /// How many times the start was sent to the worker.
     sends: u32,
     reserved: Resources,
@@ -97,6 +104,9 @@
             phase: Phase::Ended(TaskPhase::Stopped),
             start: None,
             unconfirmed_until: None,
+            known_at: Time::ZERO,
+            start_until: Time::ZERO,
+            recorded: false,
             sends: 0,
             reserved: Resources::NONE,
             lease_until: Time::ZERO,
@@ -160,6 +170,9 @@
     pub fn reports(&self, now: Time) -> Vec<TaskReport> {
         let mut reports = Vec::new();
         for (run, held) in &self.held {
+            if held.recorded {
+                continue;
+            }
             let phase = match held.phase {
                 Phase::Live(phase) | Phase::Ended(phase) => phase,
                 Phase::Starting { .. } | Phase::Stopping(_) => TaskPhase::Running,
@@ -184,7 +197,7 @@
         match event {
             Event::Reply { sent_at, reply } => self.obey(now, sent_at, *reply, &mut actions),
             Event::Listed { asked_at, runs } => self.listed(asked_at, runs, &mut actions),
-            Event::Started(run) => self.started(&run, &mut actions),
+            Event::Started(run) => self.started(now, &run, &mut actions),
             Event::Refused(run) => self.refused(&run, &mut actions),
             Event::Stopped(run) => self.take(run, &mut actions),
             Event::Open(open) => self.open = open,
@@ -208,7 +221,7 @@
             self.order(now, sent_at, order, out);
         }
         for run in reply.recorded {
-            self.forget(run, out);
+            self.recorded(now, run, out);
         }
     }
 
@@ -262,6 +275,7 @@
             };
             held.start = Some(start.clone());
             held.unconfirmed_until = Some(start.start_until);
+            held.start_until = start.start_until;
             held.sends = 1;
             out.push(Action::Start(order.run.clone(), start));
         } else {
@@ -326,12 +340,22 @@
         }
     }
 
-    fn forget(&mut self, run: TaskRun, out: &mut Vec<Action>) {
-        let ended = self
+    fn recorded(&mut self, now: Time, run: TaskRun, out: &mut Vec<Action>) {
+        let Some(held) = self.held.get_mut(&run) else {
+            return;
+        };
+        held.recorded = matches!(held.phase, Phase::Ended(_));
+        self.forget_if_safe(now, run, out);
+    }
+
+    /// Forgets a recorded attempt, but not while a copy of its start could
+    /// still reach the worker, which would run it again.
+    fn forget_if_safe(&mut self, now: Time, run: TaskRun, out: &mut Vec<Action>) {
+        let safe = self
             .held
             .get(&run)
-            .is_some_and(|held| matches!(held.phase, Phase::Ended(_)));
-        if ended {
+            .is_some_and(|held| held.recorded && held.start_until.passed(now));
+        if safe {
             self.held.remove(&run);
             out.push(Action::Forget(run));
         }
@@ -346,7 +370,8 @@
             let on_its_way = held
                 .unconfirmed_until
                 .is_some_and(|until| !until.passed(asked_at));
-            if !on_its_way && !runs.iter().any(|shown| shown.run == *run) {
+            let outdated = asked_at <= held.known_at;
+            if !on_its_way && !outdated && !runs.iter().any(|shown| shown.run == *run) {
                 gone.push(run.clone());
             }
         }
@@ -388,12 +413,13 @@
         }
     }
 
-    fn started(&mut self, run: &TaskRun, out: &mut Vec<Action>) {
+    fn started(&mut self, now: Time, run: &TaskRun, out: &mut Vec<Action>) {
         let Some(held) = self.held.get_mut(run) else {
             return;
         };
         held.start = None;
         held.unconfirmed_until = None;
+        held.known_at = now;
         match held.phase {
             Phase::Starting { .. } => held.phase = Phase::Live(TaskPhase::Running),
             Phase::Stopping(how) => out.push(stop_action(run.clone(), how)),
@@ -426,6 +452,15 @@
 
     /// Repeats what the worker has not confirmed and ends leases that passed.
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        let recorded: Vec<TaskRun> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.recorded)
+            .map(|(run, _)| run.clone())
+            .collect();
+        for run in recorded {
+            self.forget_if_safe(now, run, out);
+        }
         for (run, held) in &mut self.held {
             match held.phase {
                 Phase::Ended(_) => {}
