History: judge what could be known

Cause: the checker called a start broken if an earlier attempt had ended well at its worker, also where nobody could know: the VM was lost before it reported, or its agent was paused past the lease. And an attempt that started and ended at one time counted as running for ever.

Change: a start after the recorded end of its task is broken, as is the record of an attempt that a later one has replaced, which was not checked before. Starts and ends of one moment keep their order.

Conclusion: as strict for all that the system can know.

--- a/components/fakes/src/history.rs
+++ b/components/fakes/src/history.rs
@@ -192,17 +192,29 @@
     broken
 }
 
-/// The time-ordered starts and ends of attempts; ends come first at one time.
+/// The time-ordered starts and ends of attempts; ends come first at one time,
+/// but for attempts that start and end in the same moment.
 fn moves(records: &[Record]) -> Vec<(Time, &Record)> {
     let mut moves = Vec::new();
+    let mut starts = BTreeSet::new();
     for record in records {
         match record {
-            Record::Stopped { at, .. } | Record::Started { at, .. } => moves.push((*at, record)),
+            Record::Stopped { at, run, .. } => {
+                let rank = if starts.contains(&(*at, run)) { 2 } else { 0 };
+                moves.push((*at, rank, record));
+            }
+            Record::Started { at, run, .. } => {
+                starts.insert((*at, run));
+                moves.push((*at, 1, record));
+            }
             _ => {}
         }
     }
-    moves.sort_by_key(|(at, record)| (*at, matches!(record, Record::Started { .. })));
+    moves.sort_by_key(|(at, rank, _)| (*at, *rank));
     moves
+        .into_iter()
+        .map(|(at, _, record)| (at, record))
+        .collect()
 }
 
 fn check_capacity(records: &[Record], broken: &mut Vec<String>) {
@@ -263,29 +275,35 @@
     }
 }
 
+/// Attempts of a task start in their order, none after its end was recorded,
+/// and no end counts of an attempt that a later one has replaced.
+///
+/// An attempt that ended well without anybody hearing of it, since its VM was
+/// lost or its agent paused past the lease, is rightly followed by another.
 fn check_resumes(records: &[Record], broken: &mut Vec<String>) {
+    let mut finished: BTreeMap<&TaskId, (Time, &TaskRun)> = BTreeMap::new();
+    for record in records {
+        if let Record::Finished { at, run } = record {
+            finished.entry(&run.task).or_insert((*at, run));
+        }
+    }
     let mut last: BTreeMap<&TaskId, &TaskRun> = BTreeMap::new();
-    let mut succeeded: BTreeSet<&TaskId> = BTreeSet::new();
     for (at, record) in moves(records) {
-        match record {
-            Record::Started { run, .. } => {
-                if let Some(earlier) = last.insert(&run.task, run)
-                    && earlier.attempt >= run.attempt
-                {
-                    broken.push(format!("at {at}, {run} starts after {earlier}"));
-                }
-                if succeeded.contains(&run.task) {
-                    broken.push(format!("at {at}, {run} starts after its task ended well"));
-                }
-            }
-            Record::Stopped {
-                run,
-                succeeded: true,
-                ..
-            } => {
-                succeeded.insert(&run.task);
-            }
-            _ => {}
+        let Record::Started { run, .. } = record else {
+            continue;
+        };
+        if let Some(earlier) = last.insert(&run.task, run)
+            && earlier.attempt >= run.attempt
+        {
+            broken.push(format!("at {at}, {run} starts after {earlier}"));
+        }
+        let Some((recorded, counted)) = finished.get(&run.task) else {
+            continue;
+        };
+        if at >= *recorded {
+            broken.push(format!("at {at}, {run} starts after its end was recorded"));
+        } else if counted.attempt < run.attempt {
+            broken.push(format!("{counted} is recorded after {run} started"));
         }
     }
 }
--- a/components/fakes/tests/history.rs
+++ b/components/fakes/tests/history.rs
@@ -107,9 +107,12 @@
 #[case::older_attempt_after_newer(vec![
     starts(1, "j", 2, "a", HALF), stops(2, "j", 2, "a", false), starts(3, "j", 1, "b", HALF)],
     "starts after")]
-#[case::again_after_success(vec![
-    starts(1, "j", 1, "a", HALF), stops(2, "j", 1, "a", true), starts(3, "j", 2, "a", HALF)],
-    "ended well")]
+#[case::again_after_recorded_success(vec![
+    starts(1, "j", 1, "a", HALF), stops(2, "j", 1, "a", true), finished(3, "j", 1),
+    starts(4, "j", 2, "a", HALF)], "its end was recorded")]
+#[case::late_success_recorded(vec![
+    starts(1, "j", 1, "a", HALF), stops(2, "j", 1, "a", true), starts(3, "j", 2, "a", HALF),
+    finished(4, "j", 1)], "is recorded after")]
 #[case::recorded_twice(vec![
     starts(1, "j", 1, "a", HALF), stops(2, "j", 1, "a", true),
     finished(3, "j", 1), finished(4, "j", 1)], "is recorded after")]
