Queue: keep asking for tasks that no worker can hold

Cause: a need without room was held back until room grew, also when it was larger than any worker; such a job was never refused for good if nothing else happened in the cell.

Change: needs that can't ever fit are given out at their retry time.

--- a/components/place/src/queue.rs
+++ b/components/place/src/queue.rs
@@ -230,8 +230,12 @@
                 if !self.within_quota(team, need, &turn.task, objects, fleet) {
                     continue;
                 }
+                // Asked for again and again until it is refused for good.
+                if !fleet.can_ever_fit(need) {
+                    return Some(turn.task.clone());
+                }
                 if !self.blocked.contains(&need) {
-                    if fleet.has_room(need) || !fleet.can_ever_fit(need) {
+                    if fleet.has_room(need) {
                         return Some(turn.task.clone());
                     }
                     self.blocked.push(need);
