Cells: explore faults at random, and check the bounds in virtual time

Change: a world in virtual time with three processes, five VMs with the agent's own state machine, two cells and the stand-in store. One history is checked after each run. Tests of the bounds: lost VM, lost owner, zone out and back, ten minutes without store, urgent work, waves of cancellations, jobs that never fit, broken workers.

A dead entry's running tasks were stopped before the next owner was found with an ownership lease of 6 s; 3 s keeps them running.

--- a/components/cell/src/owner/lists.rs
+++ b/components/cell/src/owner/lists.rs
@@ -111,7 +111,7 @@
 
 fn note(task: &Task) -> String {
     if task.state == TaskState::Waiting && !task.failed_on.is_empty() {
-        return format!("waits after failing on {} workers", task.failed_on.len());
+        return format!("waits; {}", task.failures());
     }
     task.note.clone()
 }
--- a/components/cell/src/owner/runs.rs
+++ b/components/cell/src/owner/runs.rs
@@ -165,7 +165,7 @@
 
     /// Extends what is known of the leases of an attempt to one granted now.
     pub(super) fn grant(&mut self, now: Time, run: &TaskRun) {
-        let until = now + self.timing.lease + self.timing.drift_margin;
+        let until = self.timing.lease_end(now);
         if let Some(live) = self.live.get_mut(run) {
             live.lease_until = live.lease_until.max(until);
             live.told = true;
--- a/components/cell/src/owner/schedule.rs
+++ b/components/cell/src/owner/schedule.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use kernel::{Cause, JobName, TaskId, TaskRun, TaskState, Time};
-use place::{Decision, Want};
+use place::{Decision, Want, Why};
 
 use super::Owner;
 use crate::{Bound, Record};
@@ -200,11 +200,24 @@
                 }
                 false
             }
+            Decision::Wait(Why::Avoided) if self.failed_everywhere(want) => {
+                let anywhere = Want {
+                    avoid: Vec::new(),
+                    ..want.clone()
+                };
+                self.try_place(now, &anywhere)
+            }
             Decision::Wait(_) => false,
             Decision::Never(why) => self.give_up(now, want, why.as_str()),
         }
     }
 
+    /// Whether no worker is left where the task has not failed yet.
+    fn failed_everywhere(&self, want: &Want) -> bool {
+        let avoided = |vm| want.avoid.contains(vm) || self.state.quarantined.contains_key(vm);
+        self.workers.keys().all(avoided)
+    }
+
     fn bind_to(&mut self, now: Time, want: &Want, vm: kernel::VmName) -> bool {
         let Some(worker) = self.workers.get(&vm) else {
             return false;
--- a/components/cell/src/state.rs
+++ b/components/cell/src/state.rs
@@ -3,7 +3,10 @@
 //! The state changes only by [`State::apply`], so the same records always give
 //! the same state: at the owner that decided them and at the one that recovers.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use kernel::{
     Attempt, AvailabilityZoneName, CellName, Checkpoint, Incarnation, JobName, JobSpec, Resources,
@@ -18,6 +21,9 @@
 /// On how many workers a task may fail before it stops for good.
 pub const MAX_FAILED_WORKERS: usize = 3;
 
+/// How often a task may fail before it stops for good, on whichever workers.
+pub const MAX_FAILURES: usize = 5;
+
 /// Where an attempt is bound.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Binding {
@@ -48,7 +54,7 @@
     /// Where the next attempt resumes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Checkpoint>,
-    /// Where it failed.
+    /// Where it failed, once for each failure.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failed_on: Vec<VmName>,
     /// Why it stopped for good, for the operator.
@@ -70,6 +76,23 @@
             note: String::new(),
         }
     }
+
+    /// Whether it failed so often that it is not tried again.
+    #[must_use]
+    pub fn is_spent(&self) -> bool {
+        self.failed_workers() >= MAX_FAILED_WORKERS || self.failed_on.len() >= MAX_FAILURES
+    }
+
+    /// Its failures in words.
+    #[must_use]
+    pub fn failures(&self) -> String {
+        let (times, workers) = (self.failed_on.len(), self.failed_workers());
+        format!("failed {times} times, on {workers} workers")
+    }
+
+    fn failed_workers(&self) -> usize {
+        self.failed_on.iter().collect::<BTreeSet<_>>().len()
+    }
 }
 
 /// The part of a job that lies in the cell.
--- a/components/cell/src/state/apply.rs
+++ b/components/cell/src/state/apply.rs
@@ -7,7 +7,7 @@
     TaskRun, TaskState, Time, VmName,
 };
 
-use super::{Binding, Job, MAX_FAILED_WORKERS, State, Task};
+use super::{Binding, Job, State, Task};
 use crate::{Bound, End, Group, MovedTask, Record};
 
 impl State {
@@ -187,20 +187,19 @@
         if checkpoint.is_some() {
             task.checkpoint = checkpoint.cloned();
         }
-        if end == End::Failed && !task.failed_on.contains(&binding.vm) {
+        if end == End::Failed {
             task.failed_on.push(binding.vm.clone());
         }
         task.state = match end {
             End::Finished => TaskState::Finished,
             _ if cancelling => TaskState::Cancelled,
-            End::Failed if task.failed_on.len() >= MAX_FAILED_WORKERS => TaskState::Failed,
+            End::Failed if task.is_spent() => TaskState::Failed,
             _ if hopeless.is_some() => TaskState::Failed,
             End::Failed | End::Stopped | End::Lost => TaskState::Waiting,
         };
         task.since = at;
         if task.state == TaskState::Failed {
-            let failed = || format!("failed on {} workers", task.failed_on.len());
-            task.note = hopeless.unwrap_or_else(failed);
+            task.note = hopeless.unwrap_or_else(|| task.failures());
         }
         let (kind, cause) = outcome(task.state, end, checkpoint.is_some());
         let state = task.state;
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use kernel::Time;
+
 /// Spans of leases, proofs and intervals; all entries must use the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
@@ -48,3 +50,27 @@
         }
     }
 }
+
+impl Timing {
+    /// When a lease granted at `now` has ended by any clock within the margin.
+    #[must_use]
+    pub fn lease_end(&self, now: Time) -> Time {
+        now + self.lease + self.drift_margin
+    }
+
+    /// When every lease of earlier owners has ended, for one that takes the
+    /// cell at `now`.
+    ///
+    /// An owner that handed the cell over granted nothing afterwards. Any other
+    /// may have gone on until its grace ended, which its clock also measures,
+    /// so the margin grows with the span.
+    #[must_use]
+    pub fn earlier_leases_end(&self, now: Time, handed_over: bool) -> Time {
+        if handed_over {
+            return self.lease_end(now);
+        }
+        let drift = self.drift_margin.as_secs_f64() / self.lease.as_secs_f64();
+        let span = self.owner_grace + self.lease;
+        now + span.mul_f64(1.0 + drift)
+    }
+}
--- a/components/cell/tests/common/mod.rs
+++ b/components/cell/tests/common/mod.rs
@@ -2,7 +2,10 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod machine;
+pub(crate) mod process;
 pub(crate) mod session;
+pub(crate) mod world;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
--- a/components/conf/src/settings/entry.rs
+++ b/components/conf/src/settings/entry.rs
@@ -73,7 +73,7 @@
             task_lease_millis: 10_000,
             drift_margin_millis: 500,
             entry_lease_millis: 6_000,
-            cell_lease_millis: 6_000,
+            cell_lease_millis: 3_000,
             owner_grace_millis: 900_000,
             journal_group_millis: 200,
             proof_millis: 1_000,
--- a/components/entry/src/cells/journal.rs
+++ b/components/entry/src/cells/journal.rs
@@ -95,27 +95,35 @@
         };
         let value = serde_json::to_vec(&new_head).unwrap_or_default();
         let txn = Txn {
-            compares: vec![epoch_is(cell, epoch)],
+            // Names the head that it replaces, so that a try which the network
+            // held back can't replace a newer one.
+            compares: vec![epoch_is(cell, epoch), head_is(cell, head)],
             ops: vec![
                 Op::put(keys::snapshot_head(cell), value.clone()),
                 Op::Delete(keys::journal_through(cell, epoch, seq)),
                 Op::Delete(keys::older_chunks(cell, epoch, seq)),
             ],
-            otherwise: Vec::new(),
+            otherwise: vec![
+                KeyRange::one(keys::epoch(cell)),
+                KeyRange::one(keys::snapshot_head(cell)),
+            ],
         };
-        let settled = self.write(slot, txn, None).await;
+        let settled = self.write(slot, txn, Some(&value)).await;
         *head = Some(value);
         settled
     }
 
     /// Runs a transaction that may be repeated until its end is known.
-    async fn write(&self, slot: &Slot, txn: Txn, group: Option<&[u8]>) -> Settled {
+    ///
+    /// If it names the epoch and the written key as what to read otherwise,
+    /// `written` is the value that shows that an earlier try took effect.
+    async fn write(&self, slot: &Slot, txn: Txn, written: Option<&[u8]>) -> Settled {
         let mut pause = FIRST_PAUSE;
         loop {
             let sent = self.now();
             match self.setup.store.txn(txn.clone()).await {
                 Ok(reply) if reply.succeeded => return Settled::Durable(sent),
-                Ok(reply) => return settle(sent, &reply.otherwise, group, slot.epoch),
+                Ok(reply) => return settle(sent, &reply.otherwise, written, slot.epoch),
                 Err(error) => {
                     tracing::warn!(cell = %slot.cell, %error, "the journal can't be written");
                 }
@@ -174,7 +182,7 @@
 fn settle(
     sent: Time,
     otherwise: &[Vec<store::KeyValue>],
-    group: Option<&[u8]>,
+    written: Option<&[u8]>,
     epoch: Epoch,
 ) -> Settled {
     let value = |range: usize| -> Option<&[u8]> {
@@ -182,8 +190,8 @@
         Some(&kv.value)
     };
     let same_term = value(0) == Some(epoch.0.to_string().as_bytes());
-    let written = group.is_some() && value(1) == group;
-    match same_term && written {
+    let is_written = written.is_some() && value(1) == written;
+    match same_term && is_written {
         true => Settled::Durable(sent),
         false => Settled::Refused,
     }
--- a/components/entry/src/cells/ownership.rs
+++ b/components/entry/src/cells/ownership.rs
@@ -302,16 +302,12 @@
 
     /// When every lease that an earlier owner may have granted has ended.
     fn earlier_leases_end(&self, seen: &Seen) -> Time {
-        let timing = &self.setup.timing;
         let now = self.now();
         let Some(earlier) = seen.epoch else {
             return now;
         };
-        let lease = timing.lease + timing.drift_margin;
-        if seen.handover == Some(earlier) {
-            return now + lease;
-        }
-        now + timing.owner_grace + lease
+        let handed_over = seen.handover == Some(earlier);
+        self.setup.timing.earlier_leases_end(now, handed_over)
     }
 
     fn pause(&self, cell: &CellName) {
