Daemons beside stand-ins by hand, and what a new user stumbled on

Cause: entry and agent could be started as processes only with a store, workers and endpoints that a new user does not have.

--- a/components/conf/src/lib.rs
+++ b/components/conf/src/lib.rs
@@ -17,3 +17,4 @@
 pub use diff::{Diff, diff};
 pub use objects::{SourceFile, check, parse, read_dir};
 pub use problem::{Problem, Problems};
+pub use syntax::from_toml;
--- a/components/conf/src/settings/mod.rs
+++ b/components/conf/src/settings/mod.rs
@@ -18,7 +18,7 @@
 use crate::{
     locate::line_of_path,
     problem::{Problem, Problems},
-    syntax::problem_of,
+    syntax::from_toml,
 };
 
 /// Why settings can't be used: a list of problems.
@@ -58,8 +58,7 @@
 ///
 /// Returns all problems with file, line, field and what to do.
 pub fn parse<S: Checked>(file: &str, text: &str) -> Result<S, SettingsError> {
-    let settings: S =
-        toml::from_str(text).map_err(|error| Problems(vec![problem_of(file, text, &error)]))?;
+    let settings: S = from_toml(file, text)?;
     settings.check().map_err(|problems| {
         let located = problems.0.into_iter().map(|problem| Problem {
             file: file.to_owned(),
--- a/components/conf/src/syntax.rs
+++ b/components/conf/src/syntax.rs
@@ -1,10 +1,21 @@
 //! Errors of the TOML library as problems.
 
+use serde::de::DeserializeOwned;
+
 use crate::{
     locate::{line_of, path_at},
-    problem::Problem,
+    problem::{Problem, Problems},
 };
 
+/// Reads `text`; `file` is only named in errors.
+///
+/// # Errors
+///
+/// Returns the problem with file, line, field and what to do.
+pub fn from_toml<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Problems> {
+    toml::from_str(text).map_err(|error| Problems(vec![problem_of(file, text, &error)]))
+}
+
 /// The problem that stands behind an error of the TOML library.
 pub(crate) fn problem_of(file: &str, text: &str, error: &toml::de::Error) -> Problem {
     let span = error.span();
--- a/components/dev/src/lib.rs
+++ b/components/dev/src/lib.rs
@@ -7,8 +7,12 @@
 pub mod client;
 pub mod demo;
 pub mod plan;
+pub mod platform;
 pub mod system;
+pub mod vm;
 
 pub use client::Operator;
 pub use plan::Plan;
+pub use platform::Platform;
 pub use system::{StartError, System};
+pub use vm::Standins;
--- a/components/dev/src/system.rs
+++ b/components/dev/src/system.rs
@@ -5,17 +5,15 @@
 use agent::daemon::Agent;
 use conf::settings::{AgentSettings, EndpointSettings, EntryLimits, EntrySettings, EntryTimings};
 use entry::daemon::{Entry, EntrySecrets};
-use fakes::{
-    endpoint::Endpoint,
-    history::{History, Record},
-    store::MemStore,
-    worker::{FakeWorker, SharedWorker},
-};
+use fakes::{history::History, store::MemStore};
 use kernel::{Clock, NameError, secret::SecretError, secret::Secrets};
-use smol::{Task, net::TcpListener};
+use smol::Task;
 use store::{Store, etcd::EtcdStore};
 
-use crate::plan::{OPERATOR_SECRET, Plan, SERVICE, SYSTEM_SECRET};
+use crate::{
+    plan::{OPERATOR_SECRET, Plan, SERVICE, SYSTEM_SECRET},
+    vm::{Standins, any_port, listen},
+};
 
 /// Why the system could not start.
 #[derive(Debug, thiserror::Error)]
@@ -43,14 +41,10 @@
     pub name: String,
     /// Its availability zone.
     pub zone: String,
-    /// The platform's worker.
-    pub worker: SharedWorker,
-    /// The endpoint of the demo's service.
-    pub endpoint: Endpoint,
+    /// What the platform gives there.
+    pub standins: Standins,
     /// The agent; nothing while it is stopped.
     pub agent: Option<Agent>,
-    worker_address: SocketAddr,
-    _serving: Task<()>,
 }
 
 /// The running system.
@@ -151,23 +145,12 @@
 
     async fn start_vm(&self, name: &str, zone: &str) -> Result<DevVm, StartError> {
         let capacity = self.plan.capacity;
-        self.history.add(Record::Vm {
-            vm: name.parse()?,
-            zone: zone.parse()?,
-            capacity,
-        });
-        let worker = FakeWorker::new(name.parse()?, capacity, self.history.clone());
-        let worker = SharedWorker::new(worker, self.clock);
-        let (listener, worker_address) = listen().await?;
-        let serving = smol::spawn(fakes::worker::serve(listener, worker.clone()));
+        let standins = Standins::start(name, zone, capacity, &self.history, self.clock).await?;
         Ok(DevVm {
             name: name.to_owned(),
             zone: zone.to_owned(),
-            worker,
-            endpoint: Endpoint::start().await?,
+            standins,
             agent: None,
-            worker_address,
-            _serving: serving,
         })
     }
 
@@ -186,13 +169,13 @@
             health: any_port(),
             entries: self.running().map(|entry| entry.system).collect(),
             secret_file: PathBuf::new(),
-            worker: Some(vm.worker_address),
+            worker: Some(vm.standins.worker_address),
             capacity: self.plan.capacity,
             heartbeat_millis: self.plan.heartbeat_millis,
             stop_millis: 10_000,
             endpoints: vec![EndpointSettings {
                 service: SERVICE.parse()?,
-                address: vm.endpoint.address(),
+                address: vm.standins.endpoint.address(),
                 slots: self.plan.slots,
                 connections: 64,
             }],
@@ -213,13 +196,3 @@
         }
     }
 }
-
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-async fn listen() -> std::io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(any_port()).await?;
-    let address = listener.local_addr()?;
-    Ok((listener, address))
-}
--- /dev/null
+++ b/components/dev/src/vm.rs
@@ -0,0 +1,66 @@
+//! The platform's part of one VM.
+
+use std::{io, net::SocketAddr};
+
+use fakes::{
+    endpoint::Endpoint,
+    history::{History, Record},
+    worker::{FakeWorker, SharedWorker},
+};
+use kernel::{Clock, Resources};
+use smol::{Task, net::TcpListener};
+
+use crate::StartError;
+
+/// The stand-ins on one VM.
+pub struct Standins {
+    /// The platform's worker.
+    pub worker: SharedWorker,
+    /// Where the worker answers.
+    pub worker_address: SocketAddr,
+    /// The endpoint of the demo's service.
+    pub endpoint: Endpoint,
+    _serving: Task<()>,
+}
+
+impl Standins {
+    /// Starts the worker and the endpoint of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] if a port can't be had or a name can't be used.
+    pub async fn start(
+        name: &str,
+        zone: &str,
+        capacity: Resources,
+        history: &History,
+        clock: Clock,
+    ) -> Result<Self, StartError> {
+        history.add(Record::Vm {
+            vm: name.parse()?,
+            zone: zone.parse()?,
+            capacity,
+        });
+        let worker = FakeWorker::new(name.parse()?, capacity, history.clone());
+        let worker = SharedWorker::new(worker, clock);
+        let (listener, worker_address) = listen().await?;
+        let serving = smol::spawn(fakes::worker::serve(listener, worker.clone()));
+        Ok(Self {
+            worker,
+            worker_address,
+            endpoint: Endpoint::start().await?,
+            _serving: serving,
+        })
+    }
+}
+
+/// Port 0: the operating system chooses.
+pub(crate) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub(crate) async fn listen() -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(any_port()).await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -71,7 +71,20 @@
                 "demo",
                 "Run lookups and a night of batch, then print the reports",
             ))
-            .after_help("Examples:\n  hemlockmoor dev\n  hemlockmoor dev --demo"),
+            .arg(
+                file_arg(
+                    "platform",
+                    "DIR",
+                    "Run only the stand-ins, and write settings for entries and agents to DIR",
+                )
+                .long("platform")
+                .value_hint(ValueHint::DirPath)
+                .conflicts_with("demo"),
+            )
+            .after_help(
+                "Examples:\n  hemlockmoor dev\n  hemlockmoor dev --demo\n  \
+                 hemlockmoor dev --platform /tmp/moor",
+            ),
     ]
 }
 
@@ -136,7 +149,7 @@
     at_entry(Command::new("submit"))
         .about("Submit a job; repeating it under the same name changes nothing")
         .arg(
-            file_arg("file", "FILE", "The job, as .toml or .json")
+            file_arg("file", "FILE", "The job, as TOML")
                 .value_parser(value_parser!(String))
                 .required_unless_present("template")
                 .conflicts_with("template"),
--- a/src/cmd/cancel.rs
+++ b/src/cmd/cancel.rs
@@ -22,7 +22,7 @@
         }
     }
     output::result(matches.get_flag("json"), &reply, || {
-        format!("cancelled {job}")
+        format!("cancelled {job}: none of its tasks starts any more")
     });
     Ok(())
 }
--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -1,17 +1,56 @@
 //! `dev`: the whole system in one process.
 
+use std::path::{Path, PathBuf};
+
 use clap::ArgMatches;
-use dev::{Plan, System, demo};
+use dev::{Plan, Platform, System, demo, platform::Files};
 
 use super::until_signal;
 use crate::failure::CommandError;
 
 pub(super) fn run(matches: &ArgMatches) -> Result<(), CommandError> {
     observe::logs::init_with("warn");
+    if let Some(directory) = matches.get_one::<PathBuf>("platform") {
+        return smol::block_on(serve_platform(directory));
+    }
     let runs_demo = matches.get_flag("demo");
     smol::block_on(serve(runs_demo))
 }
 
+/// Runs only the stand-ins, for daemons that are started by hand.
+async fn serve_platform(directory: &Path) -> Result<(), CommandError> {
+    let platform = Platform::start(Plan::default())
+        .await
+        .map_err(CommandError::not_run)?;
+    let files = platform
+        .write(directory)
+        .await
+        .map_err(CommandError::not_run)?;
+    show_files(&files);
+    println!("\nThe stand-ins run until Ctrl-C and keep nothing after it.");
+    until_signal().await
+}
+
+/// Shows the commands to copy into other terminals.
+fn show_files(files: &Files) {
+    println!("Start the daemons, each in its own terminal or in the background:");
+    for file in &files.entries {
+        println!("  hemlockmoor entry --settings {}", file.display());
+    }
+    for file in &files.agents {
+        println!("  hemlockmoor agent --settings {}", file.display());
+    }
+    println!("\nThen, as an operator:");
+    println!("  export HEMLOCKMOOR_ENTRY={}", files.operators);
+    println!(
+        "  export HEMLOCKMOOR_SECRET_FILE={}",
+        files.operator_secret.display()
+    );
+    println!("  hemlockmoor apply {} --wait", files.objects.display());
+    println!("\nAnd as a caller:");
+    println!("  curl http://{}/{}/", files.callers, dev::plan::SERVICE);
+}
+
 async fn serve(runs_demo: bool) -> Result<(), CommandError> {
     let system = System::start(Plan::default())
         .await
--- a/src/cmd/jobs.rs
+++ b/src/cmd/jobs.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use clap::ArgMatches;
-use kernel::{JobName, TaskState, TeamName};
+use kernel::{Clock, JobName, TaskState, TeamName};
 use proto::messages::JobReply;
 use serde::Serialize;
 
@@ -11,6 +11,8 @@
 
 /// How often a watched list is asked for.
 const INTERVAL: Duration = Duration::from_secs(1);
+/// How long a watched list may be refused without interruption.
+const PATIENCE: Duration = Duration::from_secs(60);
 
 /// One job over all cells.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -31,15 +33,32 @@
         output::result(json, &lines, || table(&lines));
         return Ok(());
     }
+    watch(&client, &path, json).await
+}
+
+/// Prints changes until every job has ended.
+///
+/// A list is refused while an entry that owns a part of it is being replaced;
+/// that is waited out.
+async fn watch(client: &Client, path: &str, json: bool) -> Result<(), CommandError> {
+    let clock = Clock::start();
     let mut shown = Vec::new();
+    let mut give_up_at = clock.now();
     loop {
-        let lines = lines(&client.get(&path).await?);
-        if lines != shown {
-            output::result(json, &lines, || table(&lines));
-            shown.clone_from(&lines);
-        }
-        if !lines.is_empty() && lines.iter().all(|line| line.ended) {
-            return Ok(());
+        match client.get::<JobReply>(path).await {
+            Ok(reply) => {
+                give_up_at = clock.now() + PATIENCE;
+                let lines = lines(&reply);
+                if lines != shown {
+                    output::result(json, &lines, || table(&lines));
+                    shown.clone_from(&lines);
+                }
+                if !lines.is_empty() && lines.iter().all(|line| line.ended) {
+                    return Ok(());
+                }
+            }
+            Err(error) if give_up_at.passed(clock.now()) => return Err(error),
+            Err(error) => output::progress(&format!("waiting: {error}")),
         }
         smol::Timer::after(INTERVAL).await;
     }
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -1,16 +1,55 @@
 //! `submit`: a job from a file or from a published template.
 
-use std::fs;
+use std::{fs, time::Duration};
 
 use clap::ArgMatches;
 use entry::operator::{FromTemplate, SubmitRequest};
-use kernel::{JobName, JobSpec, Verdict};
+use kernel::{JobName, JobSpec, Resources, ServiceName, TaskClass, TeamName, Urgency, Verdict};
 use proto::messages::SubmitReply;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::required;
 use crate::{client::Client, failure::CommandError, output};
 
+/// A job as it is written in a file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobFile {
+    name: JobName,
+    team: TeamName,
+    #[serde(default)]
+    class: TaskClass,
+    #[serde(default)]
+    urgency: Urgency,
+    tasks: u32,
+    need: Resources,
+    expected_run_millis: u64,
+    finish_by: Option<String>,
+    service: Option<ServiceName>,
+    #[serde(default)]
+    program: String,
+}
+
+impl JobFile {
+    fn into_spec(self, file: &str) -> Result<JobSpec, CommandError> {
+        let finish_by = self.finish_by.as_deref().map(report::format::parse_time);
+        let finish_by = finish_by.transpose();
+        Ok(JobSpec {
+            name: self.name,
+            team: self.team,
+            class: self.class,
+            urgency: self.urgency,
+            tasks: self.tasks,
+            need: self.need,
+            expected_run: Duration::from_millis(self.expected_run_millis),
+            finish_by: finish_by
+                .map_err(|error| CommandError::usage(format!("{file}: finish_by: {error}")))?,
+            service: self.service,
+            program: self.program,
+        })
+    }
+}
+
 /// What is printed of an accepted job.
 #[derive(Serialize)]
 struct Accepted {
@@ -64,10 +103,8 @@
 }
 
 fn read_spec(file: &str) -> Result<JobSpec, CommandError> {
-    let unusable = |error: &dyn std::fmt::Display| CommandError::usage(format!("{file}: {error}"));
-    let text = fs::read_to_string(file).map_err(|error| unusable(&error))?;
-    if file.ends_with(".json") {
-        return serde_json::from_str(&text).map_err(|error| unusable(&error));
-    }
-    toml::from_str(&text).map_err(|error| unusable(&error))
+    let text = fs::read_to_string(file)
+        .map_err(|error| CommandError::usage(format!("{file}: {error}")))?;
+    let job: JobFile = conf::from_toml(file, &text)?;
+    job.into_spec(file)
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 
 use common::Served;
+use conf::SourceFile;
 use rstest::rstest;
 use store::{KeyRange, keys};
 
@@ -208,3 +209,53 @@
         assert!(completions.contains(command), "{command}");
     }
 }
+
+#[test]
+fn a_wrong_job_file_is_refused_with_line_and_field() {
+    let served = Served::start();
+    let file = served.directory.path().join("job.toml");
+    std::fs::write(
+        &file,
+        "name = \"night\"\nteam = \"yards\"\ntasks = \"ten\"\n",
+    )
+    .unwrap();
+    let file = common::path(&file);
+    let error = served.run(&["submit", &file]).failed(1);
+    assert!(error.contains("job.toml:3: tasks: invalid type"), "{error}");
+}
+
+#[rstest]
+#[case("examples/maison-diagne/jobs/calendar-repair.toml")]
+#[case("examples/brenes/jobs/reconciliation-rerun.toml")]
+fn the_sample_jobs_can_be_read(#[case] file: &str) {
+    let served = Served::start();
+    let file = format!("{}/{file}", env!("CARGO_MANIFEST_DIR"));
+    // This entry has no cells, so it knows no jobs; the file was read and sent.
+    let error = served.run(&["submit", &file]).failed(1);
+    assert!(error.contains("there is no POST /v1/jobs"), "{error}");
+}
+
+#[test]
+fn the_files_for_daemons_beside_stand_ins_are_in_order() {
+    smol::block_on(async {
+        let directory = tempfile::tempdir().unwrap();
+        let platform = dev::Platform::start(dev::Plan::default()).await.unwrap();
+        let files = platform.write(directory.path()).await.unwrap();
+        for file in &files.entries {
+            conf::settings::load_entry(file).unwrap();
+        }
+        for file in &files.agents {
+            conf::settings::load_agent(file).unwrap();
+        }
+        assert_eq!((files.entries.len(), files.agents.len()), (2, 6));
+        let sources = conf::read_dir(&files.objects).unwrap();
+        let set = conf::parse(&sources).unwrap();
+        assert_eq!(set.zones.len(), 3);
+        // What is shown of a set reads back as the same set.
+        let shown = SourceFile {
+            file: "shown.toml".to_owned(),
+            text: conf::render::to_toml(&set),
+        };
+        assert_eq!(conf::parse(&[shown]).unwrap(), set);
+    });
+}
