--- a/components/agent/src/daemon.rs
+++ b/components/agent/src/daemon.rs
@@ -97,7 +97,9 @@
     let targets = Targets::new(settings.entries.clone(), spread).ok_or(StartError::NoEntry)?;
     let ready = Health::default();
     ready.set_ready(true);
-    let pages = observe::routes(ready.clone(), Arc::new(Registry::default()));
+    let mut registry = Registry::with_prefix("hemlockmoor");
+    proxy.register(&mut registry);
+    let pages = observe::routes(ready.clone(), Arc::new(registry));
     let beating = Arc::clone(&heartbeats);
     let running = vec![
         smol::spawn(Arc::clone(&tasks).run(interval)),
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod heartbeat;
 pub mod proxy;
 pub mod proxy_http;
+mod proxy_metrics;
 mod proxy_slots;
 pub mod runs;
 pub mod targets;
--- a/components/agent/src/proxy.rs
+++ b/components/agent/src/proxy.rs
@@ -18,6 +18,7 @@
 use crate::{
     endpoint::{EndpointClient, EndpointError},
     proxy_http,
+    proxy_metrics::Metrics,
     proxy_slots::{Gate, UnderWay, lock},
 };
 use arc_swap::ArcSwap;
@@ -25,6 +26,7 @@
     AvailabilityZoneName, Clock, EndpointLoad, Incarnation, ObjectSet, ServiceName, Time, Verdict,
     VmName, object::Limit,
 };
+use prometheus_client::registry::Registry;
 use proto::messages::{Answer, Forward, ForwardOutcome, ForwardReply, RecordMode, Refusal};
 use route::{
     admission::Ticket,
@@ -57,6 +59,7 @@
     leaving: AtomicBool,
     next_ticket: AtomicU64,
     under_way: Arc<UnderWay>,
+    metrics: Metrics,
 }
 
 impl Proxy {
@@ -87,9 +90,15 @@
             leaving: AtomicBool::new(false),
             next_ticket: AtomicU64::new(0),
             under_way: Arc::default(),
+            metrics: Metrics::default(),
         }
     }
 
+    /// Adds the proxy's metrics to `registry`.
+    pub fn register(&self, registry: &mut Registry) {
+        self.metrics.register(registry);
+    }
+
     /// Takes over a newer configuration.
     pub fn set_objects(&self, objects: Arc<ObjectSet>) {
         for (name, gate) in &self.gates {
@@ -105,7 +114,11 @@
     #[must_use]
     pub fn load(&self) -> Vec<EndpointLoad> {
         lock(&self.records).expire(self.clock.now());
-        self.gates.values().map(|gate| gate.load()).collect()
+        let loads: Vec<EndpointLoad> = self.gates.values().map(|gate| gate.load()).collect();
+        for load in &loads {
+            self.metrics.set_load(load);
+        }
+        loads
     }
 
     /// Refuses all new requests from now on; what was admitted goes on.
@@ -142,6 +155,9 @@
             Some(gate) => self.run(gate, forward).await,
             None => ForwardOutcome::NotRun(Refusal::NoEndpoint),
         };
+        if let Some(gate) = &gate {
+            self.metrics.count(gate.service(), &outcome);
+        }
         let load = gate.map(|gate| gate.load());
         ForwardReply {
             id,
@@ -176,12 +192,15 @@
             Err(refusal) => return ForwardOutcome::NotRun(refusal),
         };
         let (tx, rx) = smol::channel::bounded(1);
-        let clock = self.clock;
+        let (clock, metrics) = (self.clock, self.metrics.clone());
         let until = clock.instant(deadline);
         smol::spawn(async move {
             let started = clock.now();
             let result = slot.client().send(req, until, max_body).await;
             let took = clock.now().since(started);
+            if result.is_ok() {
+                metrics.answered(slot.service(), took);
+            }
             slot.free(result.is_ok().then_some(took));
             let outcome = to_outcome(result, took);
             if let Some(record) = &mut record {
--- a/components/agent/src/proxy_slots.rs
+++ b/components/agent/src/proxy_slots.rs
@@ -36,6 +36,10 @@
         &self.client
     }
 
+    pub(crate) const fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
     pub(crate) fn set_max_queue(&self, max_queue: u32) {
         lock(&self.admission).set_max_queue(max_queue);
     }
@@ -118,6 +122,10 @@
         &self.gate.client
     }
 
+    pub(crate) fn service(&self) -> &ServiceName {
+        &self.gate.service
+    }
+
     /// Gives the slot back; `took` is the service time of a whole answer.
     pub(crate) fn free(mut self, took: Option<Duration>) {
         self.took = took;
--- a/components/entry/src/caller_accounts.rs
+++ b/components/entry/src/caller_accounts.rs
@@ -95,23 +95,23 @@
             limit: Family::default(),
         };
         registry.register(
-            "hemlockmoor_requests",
+            "requests",
             "Callers' requests by outcome and cause, and extra attempts for them",
             accounts.requests.clone(),
         );
         registry.register_with_unit(
-            "hemlockmoor_request_latency",
+            "request_latency",
             "Time from a request's arrival to its end",
             Unit::Seconds,
             accounts.latency.clone(),
         );
         registry.register(
-            "hemlockmoor_requests_in_flight",
+            "requests_in_flight",
             "Callers' requests under way",
             accounts.in_flight.clone(),
         );
         registry.register(
-            "hemlockmoor_requests_limit",
+            "requests_limit",
             "The adaptive limit of callers' requests under way",
             accounts.limit.clone(),
         );
--- a/components/entry/tests/callers.rs
+++ b/components/entry/tests/callers.rs
@@ -301,7 +301,7 @@
 #[test]
 fn a_dead_agent_leaves_no_booking_to_run_twice() {
     smol::block_on(async {
-        let first = Agent::start("vm-1", "plateau", 8).await;
+        let first = Agent::start_behind_relay("vm-1", "plateau", 8).await;
         let second = Agent::start("vm-2", "medina", 8).await;
         let entry = Entry::start(1).await;
         for agent in [&first, &second] {
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -93,7 +93,7 @@
     pub(crate) proxy: Arc<Proxy>,
     pub(crate) info: VmInfo,
     sequence: AtomicU64,
-    relay: Relay,
+    relay: Option<Relay>,
     stop: Sender<()>,
     server: smol::Task<()>,
 }
@@ -127,14 +127,13 @@
         let server = smol::spawn(proto::serve(listener, router, secrets(), async move {
             let _ = stopped.recv().await;
         }));
-        let relay = Relay::start(address).await;
         let info = VmInfo {
             vm: vm.parse().unwrap(),
             incarnation: Incarnation(1),
             zone,
             rack: "rack-1".parse().unwrap(),
             cell: "cell-1".parse().unwrap(),
-            address: relay.address,
+            address,
             capacity: Resources::NONE,
             endpoints: vec![EndpointInfo {
                 service: SERVICE.parse().unwrap(),
@@ -147,12 +146,21 @@
             proxy,
             info,
             sequence: AtomicU64::new(0),
-            relay,
+            relay: None,
             stop,
             server,
         }
     }
 
+    /// Starts with a relay in front, so that its connections can be cut.
+    pub(crate) async fn start_behind_relay(vm: &str, zone: &str, slots: u32) -> Self {
+        let mut agent = Self::start(vm, zone, slots).await;
+        let relay = Relay::start(agent.info.address).await;
+        agent.info.address = relay.address;
+        agent.relay = Some(relay);
+        agent
+    }
+
     pub(crate) fn announce(&self, entry: &Entry) {
         let heartbeat = Heartbeat {
             vm: self.info.vm.clone(),
