Drop connections that do not speak HTTP/2, and bound their number

Cause: the library waits forever for the beginning of a connection, so a silent stranger kept a descriptor for good; nothing bounded the connections. Change: the beginning has to arrive within 5 s before the library sees the connection, and at most 16384 are served at a time.

--- a/components/proto/src/server.rs
+++ b/components/proto/src/server.rs
@@ -8,7 +8,10 @@
 use hyper::{rt::Executor, server::conn::http2};
 use hyper_util::service::TowerToHyperService;
 use kernel::secret::Secrets;
-use smol::net::{TcpListener, TcpStream};
+use smol::{
+    lock::Semaphore,
+    net::{TcpListener, TcpStream},
+};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::{Request, Response, Status, body::Body, metadata::MetadataValue};
 
@@ -22,6 +25,15 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
 /// How long a probed connection has to answer.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a new connection has to say that it speaks HTTP/2.
+const PREFACE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often it is looked whether it has.
+const PREFACE_POLL: Duration = Duration::from_millis(5);
+/// What every HTTP/2 connection begins with (RFC 9113, section 3.4).
+const PREFACE: &[u8; 24] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+/// How many connections are served at a time; more than all agents and entries
+/// of a site hold, and fewer than a process may have open.
+const MAX_CONNECTIONS: usize = 16_384;
 /// How many calls one connection may have open.
 const MAX_STREAMS: u32 = 4096;
 /// How long to wait after the system refused to accept a connection.
@@ -187,15 +199,20 @@
 {
     let (stop_tx, stop_rx) = smol::channel::bounded::<Infallible>(1);
     let (done_tx, done_rx) = smol::channel::bounded::<Infallible>(1);
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let accepting = async {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
+                    let Some(place) = places.try_acquire_arc() else {
+                        tracing::warn!(%peer, "too many connections; this one is closed");
+                        continue;
+                    };
                     let connection = converse(stream, service.clone(), stop_rx.clone());
                     let done = done_tx.clone();
                     smol::spawn(async move {
                         connection.await;
-                        drop(done);
+                        drop((done, place));
                     })
                     .detach();
                 }
@@ -213,6 +230,25 @@
     let _ = done_rx.recv().await;
 }
 
+/// Waits until the peer has sent the beginning of an HTTP/2 connection.
+///
+/// The library waits for it forever, so a silent stranger would keep its place.
+async fn begins_well(stream: &TcpStream) -> bool {
+    let mut seen = [0; PREFACE.len()];
+    loop {
+        let Ok(count) = stream.peek(&mut seen).await else {
+            return false;
+        };
+        if count == 0 || !PREFACE.starts_with(&seen[..count]) {
+            return false;
+        }
+        if count == PREFACE.len() {
+            return true;
+        }
+        smol::Timer::after(PREFACE_POLL).await;
+    }
+}
+
 async fn converse<S>(stream: TcpStream, service: S, stop: smol::channel::Receiver<Infallible>)
 where
     S: hyper::service::Service<
@@ -226,6 +262,13 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "can't set TCP_NODELAY");
     }
+    let too_late = async {
+        smol::Timer::after(PREFACE_TIMEOUT).await;
+        false
+    };
+    if !begins_well(&stream).or(too_late).await {
+        return;
+    }
     let mut connection = std::pin::pin!(
         http2::Builder::new(SmolExecutor)
             .timer(SmolTimer::new())
--- a/components/proto/tests/calls.rs
+++ b/components/proto/tests/calls.rs
@@ -12,7 +12,10 @@
     serve,
 };
 use rstest::rstest;
-use smol::{io::AsyncWriteExt, net::TcpListener};
+use smol::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -96,12 +99,20 @@
     });
 }
 
-#[test]
-fn a_peer_that_speaks_nonsense_harms_nobody_else() {
+#[rstest]
+#[case::nonsense(&[0xff; 4096])]
+#[case::another_protocol(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")]
+#[case::silence(b"")]
+#[case::half_a_beginning(b"PRI * HTTP/2.0")]
+fn a_peer_that_does_not_speak_the_protocol_is_dropped(#[case] says: &[u8]) {
     smol::block_on(async {
         let (address, _stop, _server) = listen().await;
         let mut stranger = smol::net::TcpStream::connect(address).await.unwrap();
-        stranger.write_all(&[0xff; 4096]).await.unwrap();
+        stranger.write_all(says).await.unwrap();
+        let mut answer = Vec::new();
+        // The connection ends; whether in order or by a reset is of no matter.
+        let _ = stranger.read_to_end(&mut answer).await;
+        assert_eq!(answer, Vec::<u8>::new());
         let peer = Peer::new(address, secrets("the-first-secret-1"));
         let got = peer.call::<CancelCall>(cancel("a"), TIMEOUT).await;
         assert!(got.unwrap().known);
