Spread a job's tasks over cells, and move waiting tasks at once

An owner that read a part of its inbox could meet a cancellation before its job and drop it. Waits of urgent tasks were booked as ordinary.

Change: the transaction that accepts a job gives each cell a part by its room (`cell::spread`); a cancellation goes to all of them. Waiting tasks move after 1 s if another cell has room and nothing waits there. Cancellations sort behind jobs in the inbox. Tasks that moved in before the cell read its own part of the job are kept with it. Waits of urgent tasks carry the cause `urgent`.

--- a/components/cell/src/keys.rs
+++ b/components/cell/src/keys.rs
@@ -88,9 +88,12 @@
 }
 
 /// A cancellation that waits for the owner.
+///
+/// It sorts after all jobs, so an owner that reads a part of the inbox finds
+/// a job before its cancellation.
 #[must_use]
 pub fn inbox_cancel(cell: &CellName, job: &JobName) -> String {
-    format!("{}cancel/{job}", inbox_prefix(cell))
+    format!("{}stop/{job}", inbox_prefix(cell))
 }
 
 /// Tasks moved from another cell, named by the group that moved them.
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -13,13 +13,15 @@
 pub mod prefer;
 pub mod record;
 pub mod snapshot;
+pub mod spread;
 pub mod state;
 pub mod timing;
 
-pub use inbox::{InboxItem, MovedTask};
+pub use inbox::{CellShare, InboxItem, JobKey, MovedTask, Part};
 pub use owner::{Action, Answer, Event, Owner, Ownership};
 pub use prefer::preferred;
 pub use record::{Bound, End, Group, Record};
 pub use snapshot::{Recovered, SnapshotHead, recover};
+pub use spread::spread;
 pub use state::{Binding, Job, State, Task};
 pub use timing::Timing;
--- a/components/cell/src/owner/inbox.rs
+++ b/components/cell/src/owner/inbox.rs
@@ -2,8 +2,8 @@
 
 use kernel::{CellName, JobName, JobSpec, Time};
 
-use super::{Owner, schedule::Feed};
-use crate::{InboxItem, Record, keys, state::Job};
+use super::Owner;
+use crate::{InboxItem, Part, Record, keys, state::Job};
 
 impl Owner {
     /// Takes in what waits; jobs first, so that a cancellation finds its job.
@@ -16,7 +16,7 @@
                 continue;
             }
             match item {
-                InboxItem::Job { spec, at } => self.accept(key, spec, at),
+                InboxItem::Job { spec, part, at } => self.accept(key, spec, part, at),
                 InboxItem::Moved { spec, at, tasks } => {
                     let name = spec.name.clone();
                     let record = Record::Received {
@@ -36,9 +36,9 @@
         self.placement_due = true;
     }
 
-    fn accept(&mut self, key: String, spec: JobSpec, at: Time) {
+    fn accept(&mut self, key: String, spec: JobSpec, part: Part, at: Time) {
         let name = spec.name.clone();
-        let record = Record::Accepted { spec, at };
+        let record = Record::Accepted { spec, part, at };
         if self
             .record_with(record, vec![key.clone()], Vec::new())
             .is_none()
@@ -46,7 +46,7 @@
             self.delete_key(key);
             return;
         }
-        self.feeds.insert(name.clone(), Feed::default());
+        self.feeds.entry(name.clone()).or_default();
         self.refill(&name);
     }
 
--- a/components/cell/src/owner/lists.rs
+++ b/components/cell/src/owner/lists.rs
@@ -66,7 +66,8 @@
         }
     }
 
-    /// Drops jobs that ended long ago, with the keys that kept their names.
+    /// Drops jobs that ended long ago; the cell that took the first task also
+    /// frees the name.
     pub(super) fn sweep_jobs(&mut self, now: Time) {
         let old: Vec<_> = self
             .state
@@ -77,10 +78,10 @@
                 job.ended
                     .is_some_and(|at| (at + self.timing.keep_jobs).passed(now))
             })
-            .map(|(name, job)| (name.clone(), job.whole))
+            .map(|(name, job)| (name.clone(), job.own.contains(0)))
             .collect();
-        for (name, whole) in old {
-            let deletes = match whole {
+        for (name, has_first) in old {
+            let deletes = match has_first {
                 true => vec![keys::job(&name)],
                 false => Vec::new(),
             };
--- a/components/cell/src/owner/schedule.rs
+++ b/components/cell/src/owner/schedule.rs
@@ -61,9 +61,9 @@
         while feed.queued.len() < QUEUED_PER_JOB {
             let index = match feed.again.pop_first() {
                 Some(index) => index,
-                None if feed.next < job.spec.tasks && job.whole => {
-                    feed.next += 1;
-                    let index = feed.next - 1;
+                None if feed.next.max(job.own.from) < job.own.until => {
+                    let index = feed.next.max(job.own.from);
+                    feed.next = index + 1;
                     if !job.is_untouched(index) {
                         continue;
                     }
--- a/components/cell/src/owner/transfer.rs
+++ b/components/cell/src/owner/transfer.rs
@@ -5,7 +5,10 @@
 use proto::messages::CellRoom;
 
 use super::Owner;
-use crate::{InboxItem, MovedTask, Record, keys};
+use crate::{
+    InboxItem, MovedTask, Record, keys,
+    spread::{how_many, take_room},
+};
 
 /// The most tasks moved in one sweep.
 const MAX_MOVED: usize = 200;
@@ -50,7 +53,7 @@
         let Some((to, room)) = self.best_cell(spec.need) else {
             return 0;
         };
-        let most = most.min(how_many(spec.need, room.free));
+        let most = most.min(usize::try_from(how_many(spec.need, room.free)).unwrap_or(most));
         let tasks = self.oldest_waiting(now, name, most);
         if tasks.is_empty() {
             return 0;
@@ -79,7 +82,9 @@
             });
         }
         self.refill(name);
-        self.take_room(&to, spec.need, count);
+        if let Some(room) = self.rooms.get_mut(&to) {
+            take_room(room, spec.need, count as u64);
+        }
         count
     }
 
@@ -119,25 +124,4 @@
         }
         found
     }
-
-    /// Counts moved tasks against the room until its cell tells more.
-    fn take_room(&mut self, cell: &CellName, need: Resources, count: usize) {
-        let Some(room) = self.rooms.get_mut(cell) else {
-            return;
-        };
-        for _ in 0..count {
-            room.free = room.free.minus(need);
-        }
-    }
-}
-
-fn how_many(need: Resources, free: Resources) -> usize {
-    let fit = |need: u64, free: u64| free.checked_div(need).unwrap_or(u64::MAX);
-    let most = fit(need.cpu_milli, free.cpu_milli)
-        .min(fit(need.memory_mib, free.memory_mib))
-        .min(fit(
-            u64::from(need.accelerators),
-            u64::from(free.accelerators),
-        ));
-    usize::try_from(most).unwrap_or(usize::MAX)
 }
--- a/components/cell/src/record.rs
+++ b/components/cell/src/record.rs
@@ -9,7 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::MovedTask;
+use crate::{MovedTask, Part};
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,10 +46,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Record {
-    /// A job was taken from the inbox.
+    /// A job, or this cell's part of it, was taken from the inbox.
     Accepted {
         /// The job.
         spec: JobSpec,
+        /// The tasks.
+        part: Part,
         /// When it was accepted.
         at: Time,
     },
--- a/components/cell/src/state.rs
+++ b/components/cell/src/state.rs
@@ -14,7 +14,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::ledger::Ledger;
+use crate::{Part, ledger::Ledger};
 
 mod apply;
 
@@ -108,9 +108,9 @@
     /// Why its waiting tasks were given up.
     #[serde(default)]
     pub hopeless: Option<String>,
-    /// The cell took the whole job: every task that is neither in `tasks` nor
-    /// in `moved` was never bound.
-    pub whole: bool,
+    /// The tasks that this cell took at first: each that is neither in `tasks`
+    /// nor in `moved` was never bound.
+    pub own: Part,
     /// Tasks that something happened to.
     pub tasks: BTreeMap<u32, Task>,
     /// Tasks given to other cells.
@@ -124,6 +124,21 @@
 }
 
 impl Job {
+    /// A job of which no task lies here yet.
+    fn empty(spec: &JobSpec, accepted: Time) -> Self {
+        Self {
+            spec: Arc::new(spec.clone()),
+            accepted,
+            cancelled: None,
+            hopeless: None,
+            own: Part::default(),
+            tasks: BTreeMap::new(),
+            moved: BTreeMap::new(),
+            open: 0,
+            ended: None,
+        }
+    }
+
     /// One task, if it lies in this cell.
     #[must_use]
     pub fn task(&self, index: u32) -> Option<Task> {
@@ -142,12 +157,10 @@
     /// How many tasks here were never bound or given away.
     #[must_use]
     pub fn untouched_count(&self) -> u32 {
-        if !self.whole {
-            return 0;
-        }
-        let touched = self.tasks.len() + self.moved.len();
+        let own = self.own.from..self.own.until.max(self.own.from);
+        let touched = self.tasks.range(own.clone()).count() + self.moved.range(own).count();
         let touched = u32::try_from(touched).unwrap_or(u32::MAX);
-        self.spec.tasks.saturating_sub(touched)
+        self.own.len().saturating_sub(touched)
     }
 
     /// What a task is that nothing happened to but the end of its whole job.
@@ -165,18 +178,14 @@
 
     /// All tasks that lie in this cell.
     pub fn all_tasks(&self) -> impl Iterator<Item = (u32, Task)> + '_ {
-        let end = match self.whole {
-            true => self.spec.tasks,
-            false => self.tasks.keys().next_back().map_or(0, |last| last + 1),
-        };
-        (0..end).filter_map(|index| Some((index, self.task(index)?)))
+        let last = self.tasks.keys().next_back().map_or(0, |last| last + 1);
+        (0..last.max(self.own.until)).filter_map(|index| Some((index, self.task(index)?)))
     }
 
     /// Whether the task lies here and was never bound.
     #[must_use]
     pub fn is_untouched(&self, index: u32) -> bool {
-        self.whole
-            && index < self.spec.tasks
+        self.own.contains(index)
             && !self.tasks.contains_key(&index)
             && !self.moved.contains_key(&index)
     }
--- a/components/cell/src/state/apply.rs
+++ b/components/cell/src/state/apply.rs
@@ -1,14 +1,14 @@
 //! How records change the state.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use kernel::{
     Amount, Cause, CellName, Checkpoint, Event, EventKind, JobName, JobSpec, Party, Revision,
-    TaskRun, TaskState, Time, VmName,
+    TaskRun, TaskState, Time, Urgency, VmName,
 };
 
 use super::{Binding, Job, State, Task};
-use crate::{Bound, End, Group, MovedTask, Record};
+use crate::{Bound, End, Group, MovedTask, Part, Record};
 
 impl State {
     /// Makes the changes of a whole group.
@@ -24,7 +24,7 @@
     /// but a later version may read records of an earlier one.
     pub fn apply(&mut self, revision: Revision, record: &Record) -> bool {
         match record {
-            Record::Accepted { spec, at } => self.accept(revision, spec, *at),
+            Record::Accepted { spec, part, at } => self.accept(revision, spec, *part, *at),
             Record::Received {
                 spec,
                 accepted,
@@ -52,39 +52,30 @@
         }
     }
 
-    fn accept(&mut self, revision: Revision, spec: &JobSpec, at: Time) -> bool {
-        if self.jobs.contains_key(&spec.name) {
+    fn accept(&mut self, revision: Revision, spec: &JobSpec, part: Part, at: Time) -> bool {
+        // Tasks that another cell moved here may have come first.
+        let job = self
+            .jobs
+            .entry(spec.name.clone())
+            .or_insert_with(|| Job::empty(spec, at));
+        if !job.own.is_empty() {
             return false;
         }
-        let job = Job {
-            spec: Arc::new(spec.clone()),
-            accepted: at,
-            cancelled: None,
-            hopeless: None,
-            whole: true,
-            tasks: BTreeMap::new(),
-            moved: BTreeMap::new(),
-            open: spec.tasks,
-            ended: None,
-        };
-        self.jobs.insert(spec.name.clone(), job);
-        let amount = Amount::count(u64::from(spec.tasks));
+        job.own = part;
+        if job.is_live() {
+            job.open += job.untouched_count();
+            job.ended = None;
+        }
+        let amount = Amount::count(u64::from(part.len()));
         self.note(revision, at, EventKind::Accepted, spec, amount);
         true
     }
 
     fn receive(&mut self, spec: &JobSpec, accepted: Time, tasks: &[MovedTask], at: Time) -> bool {
-        let job = self.jobs.entry(spec.name.clone()).or_insert_with(|| Job {
-            spec: Arc::new(spec.clone()),
-            accepted,
-            cancelled: None,
-            hopeless: None,
-            whole: false,
-            tasks: BTreeMap::new(),
-            moved: BTreeMap::new(),
-            open: 0,
-            ended: None,
-        });
+        let job = self
+            .jobs
+            .entry(spec.name.clone())
+            .or_insert_with(|| Job::empty(spec, accepted));
         for moved in tasks {
             if job.task(moved.index).is_some() {
                 continue;
@@ -131,6 +122,9 @@
         let mut event = event_of(&spec, &bound.run, revision, bound.at, EventKind::Waited);
         event.vm = Some(bound.vm.clone());
         event.zone = Some(bound.zone.clone());
+        if spec.urgency == Urgency::Urgent {
+            event.cause = Cause::Urgent;
+        }
         event.amount = Amount {
             count: 1,
             millis: waited,
@@ -138,6 +132,7 @@
         };
         self.ledger.push(event.clone());
         event.kind = EventKind::Bound;
+        event.cause = Cause::Ordinary;
         event.amount = Amount::count(1);
         self.ledger.push(event);
         true
--- a/components/cell/src/timing.rs
+++ b/components/cell/src/timing.rs
@@ -45,7 +45,7 @@
             group_interval: Duration::from_millis(200),
             checkpoint: Duration::from_secs(30),
             quarantine: Duration::from_secs(600),
-            transfer: Duration::from_secs(15),
+            transfer: Duration::from_secs(1),
             keep_jobs: Duration::from_secs(3_600),
         }
     }
--- a/components/cell/tests/common/session.rs
+++ b/components/cell/tests/common/session.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Write, sync::Arc, time::Duration};
 
-use cell::{Action, Answer, Event, Group, InboxItem, Owner, Ownership, Recovered, Timing};
+use cell::{Action, Answer, Event, Group, InboxItem, Owner, Ownership, Part, Recovered, Timing};
 use kernel::{Epoch, Incarnation, JobSpec, ObjectSet, Revision, TaskRun, Time, VmInfo};
 use proto::messages::{Heartbeat, TaskPhase, TaskReport};
 
@@ -73,8 +73,9 @@
     pub(crate) fn submit(&mut self, spec: JobSpec) {
         let _ = writeln!(self.log, "{} submit {}", self.now, spec.name);
         let key = format!("inbox/job/{}", spec.name);
+        let part = Part::whole(&spec);
         let at = self.now;
-        self.give(Event::Inbox(vec![(key, InboxItem::Job { spec, at })]));
+        self.give(Event::Inbox(vec![(key, InboxItem::Job { spec, part, at })]));
     }
 
     pub(crate) fn cancel(&mut self, job: &str) {
--- a/components/cell/tests/common/world.rs
+++ b/components/cell/tests/common/world.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use agent::runs::{Action, Event};
-use cell::{Group, InboxItem, Record as Fact, SnapshotHead, Timing, inbox::JobKey, keys, recover};
+use cell::{CellShare, Group, JobKey, Part, Record as Fact, SnapshotHead, Timing, keys, recover};
 use fakes::{
     history::{History, Record},
     store::MemStore,
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol::future::block_on;
-use store::{Compare, KeyRange, KeyValue, Op, Store, Txn, keys as store_keys};
+use store::{KeyRange, KeyValue, Op, Store, Txn, keys as store_keys};
 
 use super::{
     cell_name,
@@ -588,38 +588,30 @@
 
     /// A submitter gives a job to a cell.
     pub(crate) fn submit(&mut self, cell: &CellName, spec: JobSpec) {
+        let part = Part::whole(&spec);
+        let cell = cell.clone();
+        self.submit_shares(vec![CellShare { cell, part }], spec);
+    }
+
+    /// A submitter gives parts of a job to cells.
+    pub(crate) fn submit_shares(&mut self, shares: Vec<CellShare>, spec: JobSpec) {
         if self.store_is_out() {
             return;
         }
-        let name = spec.name.clone();
-        let at = self.now;
         let key = JobKey {
-            cell: cell.clone(),
-            spec: spec.clone(),
-            at,
-        };
-        let tasks = spec.tasks;
-        let item = InboxItem::Job { spec, at };
-        let txn = Txn {
-            compares: vec![Compare::Absent(store_keys::job(&name))],
-            ops: vec![
-                Op::put(store_keys::job(&name), serde_json::to_vec(&key).unwrap()),
-                Op::put(
-                    keys::inbox_job(cell, &name),
-                    serde_json::to_vec(&item).unwrap(),
-                ),
-            ],
-            otherwise: Vec::new(),
+            shares,
+            spec,
+            at: self.now,
         };
-        assert!(block_on(self.store.txn(txn)).unwrap().succeeded);
-        for index in 0..tasks {
-            let job = name.clone();
+        assert!(block_on(self.store.txn(key.txn())).unwrap().succeeded);
+        for index in 0..key.spec.tasks {
+            let job = key.spec.name.clone();
             self.history.add(Record::Accepted {
-                at,
+                at: self.now,
                 task: TaskId { job, index },
             });
         }
-        self.jobs.push(name);
+        self.jobs.push(key.spec.name);
     }
 
     /// A submitter cancels a job.
@@ -632,18 +624,7 @@
             return;
         };
         let key: JobKey = serde_json::from_slice(&kv.value).unwrap();
-        let item = InboxItem::Cancel {
-            job: job.clone(),
-            at: self.now,
-        };
-        let put = Op::put(
-            keys::inbox_cancel(&key.cell, job),
-            serde_json::to_vec(&item).unwrap(),
-        );
-        let txn = Txn {
-            ops: vec![put],
-            ..Txn::default()
-        };
+        let txn = key.cancel_txn(self.now);
         block_on(self.store.txn(txn)).unwrap();
     }
 
--- a/components/cell/tests/explore.rs
+++ b/components/cell/tests/explore.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use cell::{CellShare, Part};
 use common::{
     job,
     world::{Unreliable, World, ZONES, cells},
@@ -97,6 +98,20 @@
     }
 }
 
+/// Gives a job to one cell or parts of it to both.
+fn submit(world: &mut World, spec: JobSpec) {
+    let [one, other] = cells();
+    let middle = world.rng.random_range(0..=spec.tasks);
+    let mut shares = Vec::new();
+    for (cell, from, until) in [(one, 0, middle), (other, middle, spec.tasks)] {
+        let part = Part { from, until };
+        if !part.is_empty() {
+            shares.push(CellShare { cell, part });
+        }
+    }
+    world.submit_shares(shares, spec);
+}
+
 /// One run; the invariants it broke.
 fn explore(seed: u64) -> Vec<String> {
     let mut world = World::new(seed, 3);
@@ -108,8 +123,7 @@
             let name = format!("job-{number}");
             number += 1;
             let spec = spec(&mut world, &name);
-            let cell = cells()[world.rng.random_range(0..2)].clone();
-            world.submit(&cell, spec);
+            submit(&mut world, spec);
         }
         if world.rng.random_bool(0.6) {
             disturb(&mut world);
--- a/components/cell/tests/owner.rs
+++ b/components/cell/tests/owner.rs
@@ -9,6 +9,7 @@
 use common::{job, objects, run, session::Session, vm_info};
 use kernel::{TaskState, Time, object::ZoneState};
 use proto::messages::{Order, TaskPhase};
+use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -201,6 +202,39 @@
     assert_eq!((task.state, task.attempt.0), (TaskState::Bound, 2));
 }
 
+#[rstest]
+#[case::by_room(10, &[("a", 4, 8, 0), ("b", 4, 2, 0)], &[("a", 8), ("b", 2)])]
+#[case::rounded(3, &[("a", 4, 4, 0), ("b", 4, 4, 0)], &[("a", 2), ("b", 1)])]
+#[case::beyond_the_room(10, &[("a", 4, 4, 0), ("b", 4, 0, 0)], &[("a", 7), ("b", 3)])]
+#[case::too_small_workers(4, &[("a", 0, 9, 0), ("b", 4, 1, 0)], &[("b", 4)])]
+#[case::others_wait_there(4, &[("a", 4, 4, 4), ("b", 4, 4, 0)], &[("b", 4)])]
+#[case::nowhere(4, &[("a", 0, 0, 9), ("b", 0, 0, 1)], &[("b", 4)])]
+#[case::no_cell(4, &[], &[])]
+fn a_job_is_spread_over_cells(
+    #[case] tasks: u32,
+    #[case] rooms: &[(&str, u64, u64, u64)],
+    #[case] expected: &[(&str, u32)],
+) {
+    let cores = |cores: u64| kernel::Resources::new(cores * 1_000, cores * 2_048, 0);
+    let rooms = rooms.iter().map(|(cell, largest, free, waiting)| {
+        let room = proto::messages::CellRoom {
+            free: cores(*free),
+            largest: cores(*largest),
+            waiting: *waiting,
+        };
+        (common::cell_name(cell), room)
+    });
+    let shares = cell::spread(&job("night", tasks, 1), &rooms.collect());
+    let mut next = 0;
+    let mut found = Vec::new();
+    for share in &shares {
+        assert_eq!(share.part.from, next, "no gap and no overlap");
+        next = share.part.until;
+        found.push((share.cell.as_str(), share.part.len()));
+    }
+    assert_eq!(found, expected);
+}
+
 #[test]
 fn the_journal_gives_the_same_state_again() {
     let mut session = Session::start(both_in());
--- a/components/entry/src/cells/jobs.rs
+++ b/components/entry/src/cells/jobs.rs
@@ -5,18 +5,14 @@
 
 use std::time::Duration;
 
-use cell::{
-    InboxItem,
-    inbox::JobKey,
-    keys::{inbox_cancel, inbox_job},
-};
+use cell::{CellShare, JobKey, Part, spread::take_room};
 use kernel::{CellName, JobName, JobSpec, ObjectSet, Resources, Verdict, task::MAX_TASKS_PER_JOB};
 use proto::{
     Peer,
-    messages::{Cancel, CancelReply, CellRoom, Submit, SubmitReply},
+    messages::{Cancel, CancelReply, Submit, SubmitReply},
     methods::{CancelCall, SubmitCall},
 };
-use store::{Compare, KeyRange, Op, StoreError, Txn, TxnReply, keys};
+use store::{KeyRange, StoreError, TxnReply, keys};
 
 use super::Cells;
 
@@ -37,8 +33,8 @@
     pub verdict: Verdict,
     /// Why it was refused or is in doubt.
     pub reason: String,
-    /// The cell that took it.
-    pub cell: Option<CellName>,
+    /// The cells that took it.
+    pub cells: Vec<CellName>,
 }
 
 impl Submitted {
@@ -46,39 +42,63 @@
         Self {
             verdict: Verdict::NotRun,
             reason: reason.into(),
-            cell: None,
+            cells: Vec::new(),
         }
     }
 }
 
 impl Cells {
-    /// Accepts a job for the cell with the most room, exactly once by its name.
+    /// Accepts a job, spread over cells by their room, exactly once by its name.
     pub async fn submit(&self, spec: JobSpec) -> Submitted {
         let view = (self.setup.config)();
         if let Err(reason) = check(&spec, &view.objects) {
             return Submitted::refused(reason);
         }
-        let Some(cell) = self.choose_cell(spec.need) else {
+        let shares = self.shares(&spec);
+        if shares.is_empty() {
             return Submitted::refused("no cell is known yet; try again once workers reported");
-        };
-        self.submit_to(Submit { cell, spec }).await
+        }
+        self.submit_shares(shares, spec).await
     }
 
-    /// Accepts a job for a cell, exactly once by its name.
+    /// Accepts a job for one cell, exactly once by its name.
     pub async fn submit_to(&self, submit: Submit) -> Submitted {
+        let part = Part::whole(&submit.spec);
+        let cell = submit.cell;
+        self.submit_shares(vec![CellShare { cell, part }], submit.spec)
+            .await
+    }
+
+    async fn submit_shares(&self, shares: Vec<CellShare>, spec: JobSpec) -> Submitted {
         let key = JobKey {
-            cell: submit.cell.clone(),
-            spec: submit.spec.clone(),
+            shares,
+            spec: spec.clone(),
             at: self.now(),
         };
         let outcome = self.create(&key).await;
-        let submitted = conclude(&submit.spec, outcome);
-        if let Some(cell) = &submitted.cell {
-            self.nudge_owner(cell, &submit.spec).await;
+        let submitted = conclude(&spec, outcome);
+        for cell in &submitted.cells {
+            self.nudge_owner(cell, &spec).await;
         }
         submitted
     }
 
+    /// Splits a job over the cells by their room, and counts it against that.
+    fn shares(&self, spec: &JobSpec) -> Vec<CellShare> {
+        let mut shared = self.shared();
+        let known: Vec<CellName> = shared.known.iter().cloned().collect();
+        for cell in known {
+            shared.rooms.entry(cell).or_default();
+        }
+        let shares = cell::spread(spec, &shared.rooms);
+        for share in &shares {
+            if let Some(room) = shared.rooms.get_mut(&share.cell) {
+                take_room(room, spec.need, u64::from(share.part.len()));
+            }
+        }
+        shares
+    }
+
     /// Creates the key of a job, or finds the one that exists.
     ///
     /// The transaction creates a key, so repeating it settles a lost answer.
@@ -86,7 +106,7 @@
         let mut may_have_run = false;
         let mut tries = 0;
         loop {
-            let mut error = match self.setup.store.txn(submit_txn(key)).await {
+            let mut error = match self.setup.store.txn(key.txn()).await {
                 Ok(reply) if reply.succeeded => return Ok(Some(key.clone())),
                 Ok(reply) => return Ok(existing(&reply)),
                 Err(error) => error,
@@ -126,16 +146,7 @@
                 known: false,
             });
         };
-        let item = InboxItem::Cancel {
-            job: job.clone(),
-            at: self.now(),
-        };
-        let value = serde_json::to_vec(&item).unwrap_or_default();
-        let txn = Txn {
-            compares: vec![Compare::Present(keys::job(job))],
-            ops: vec![Op::put(inbox_cancel(&key.cell, job), value)],
-            otherwise: Vec::new(),
-        };
+        let txn = key.cancel_txn(self.now());
         let mut tries = 0;
         let reply = loop {
             tries += 1;
@@ -152,7 +163,9 @@
                 known: false,
             });
         }
-        self.nudge_cancel(&key.cell, job).await;
+        for share in &key.shares {
+            self.nudge_cancel(&share.cell, job).await;
+        }
         Ok(CancelReply {
             verdict: Verdict::Done,
             known: true,
@@ -182,21 +195,6 @@
             .map_err(|error| StoreError::not_run(format!("{} can't be read: {error}", kv.key)))
     }
 
-    /// The cell with the most free room that can hold a task, or else the one
-    /// where the fewest wait.
-    fn choose_cell(&self, need: Resources) -> Option<CellName> {
-        let shared = self.shared();
-        let mut best: Option<(&CellName, Rank)> = None;
-        for cell in &shared.known {
-            let room = shared.rooms.get(cell).copied().unwrap_or_default();
-            let rank = rank(room, need);
-            if best.is_none_or(|(_, other)| rank > other) {
-                best = Some((cell, rank));
-            }
-        }
-        best.map(|(cell, _)| cell.clone())
-    }
-
     /// Makes the driver of a cell read its inbox; whether it is owned here.
     fn nudge(&self, cell: &CellName) -> bool {
         let slot = self.shared().slots.get(cell).cloned();
@@ -247,34 +245,6 @@
     }
 }
 
-type Rank = (bool, bool, u64, std::cmp::Reverse<u64>);
-
-fn rank(room: CellRoom, need: Resources) -> Rank {
-    let holds = need.fits(room.largest);
-    let now = holds && need.fits(room.free);
-    let free = if now { room.free.cpu_milli } else { 0 };
-    (now, holds, free, std::cmp::Reverse(room.waiting))
-}
-
-fn submit_txn(key: &JobKey) -> Txn {
-    let name = &key.spec.name;
-    let item = InboxItem::Job {
-        spec: key.spec.clone(),
-        at: key.at,
-    };
-    Txn {
-        compares: vec![Compare::Absent(keys::job(name))],
-        ops: vec![
-            Op::put(keys::job(name), serde_json::to_vec(key).unwrap_or_default()),
-            Op::put(
-                inbox_job(&key.cell, name),
-                serde_json::to_vec(&item).unwrap_or_default(),
-            ),
-        ],
-        otherwise: vec![KeyRange::one(keys::job(name))],
-    }
-}
-
 fn existing(reply: &TxnReply) -> Option<JobKey> {
     let kv = reply.otherwise.first()?.first()?;
     serde_json::from_slice(&kv.value).ok()
@@ -285,7 +255,7 @@
         Ok(Some(key)) if key.spec == *spec => Submitted {
             verdict: Verdict::Done,
             reason: String::new(),
-            cell: Some(key.cell),
+            cells: key.shares.into_iter().map(|share| share.cell).collect(),
         },
         Ok(_) => Submitted::refused(format!(
             "another job is called {}; choose another name",
@@ -294,7 +264,7 @@
         Err(error) => Submitted {
             verdict: error.verdict,
             reason: error.message,
-            cell: None,
+            cells: Vec::new(),
         },
     }
 }
