Count store calls by kind, and never delay the renewal of a lease

Cause: the budget made renewals wait behind bulk reads, so an entry that used it up would have lost its cells; and nothing showed what an entry uses. Change: every daemon's store is budgeted; renewals count but don't wait; metrics of calls by kind, delayed calls, waiting watches, revision in force and age of its proof.

--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -6,6 +6,7 @@
 //! configuration that operators may have replaced. See `docs/CONFIGURATION.md`.
 
 use std::{
+    fmt,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -41,6 +42,14 @@
     waiting: Mutex<Vec<async_channel::Sender<()>>>,
 }
 
+impl fmt::Debug for Follower {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Follower")
+            .field("revision", &self.in_force().revision)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Follower {
     /// A follower that has read nothing yet.
     #[must_use]
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -18,7 +18,7 @@
     channel::{Receiver, Sender},
     net::TcpListener,
 };
-use store::Store;
+use store::{Budgeted, Store};
 
 use crate::{
     Callers, Members, Parts,
@@ -26,7 +26,7 @@
     caller,
     cells::{Cells, ConfigView, Setup},
     config::Follower,
-    exchange,
+    exchange, metrics,
     operator::{self, Context, Jobs, ProcessRevision, Revisions},
     peers::{EntryRecord, Peers},
     system::{self, System},
@@ -205,10 +205,18 @@
     registry: &mut Registry,
 ) -> Shared {
     let timings = &settings.timings;
+    let per_second = settings.limits.store_calls_per_second;
+    let budgeted = Arc::new(Budgeted::new(store, clock, per_second));
+    let store: Arc<dyn Store> = Arc::clone(&budgeted) as Arc<dyn Store>;
     let peers = Peers::new(own.clone(), clock);
     let members = Arc::new(Members::new(clock));
     let proof = Duration::from_millis(timings.proof_millis);
     let config = Follower::with_interval(Arc::clone(&store), clock, proof);
+    registry.register_collector(Box::new(metrics::Platform::new(
+        budgeted,
+        Arc::clone(&config),
+        clock,
+    )));
     let accounts = Accounts::new(own.name.clone(), own.incarnation, clock);
     let (view, alive) = (Arc::clone(&config), Arc::clone(&peers));
     let cells = Cells::new(Setup {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod daemon;
 mod exchange;
 pub mod members;
+pub mod metrics;
 pub mod operator;
 pub mod peers;
 mod system;
--- /dev/null
+++ b/components/entry/src/metrics.rs
@@ -0,0 +1,92 @@
+//! Metrics of the store's calls and of the configuration in force.
+
+use std::{fmt, sync::Arc};
+
+use kernel::Clock;
+use prometheus_client::{
+    collector::Collector,
+    encoding::{DescriptorEncoder, EncodeMetric},
+    metrics::{MetricType, counter::ConstCounter, gauge::ConstGauge},
+};
+use store::{Budgeted, budget::Call};
+
+use crate::config::Follower;
+
+/// What is read from the store and the configuration whenever it is asked for.
+#[derive(Debug)]
+pub struct Platform {
+    store: Arc<Budgeted>,
+    config: Arc<Follower>,
+    clock: Clock,
+}
+
+impl Platform {
+    /// The metrics of these two.
+    #[must_use]
+    pub const fn new(store: Arc<Budgeted>, config: Arc<Follower>, clock: Clock) -> Self {
+        Self {
+            store,
+            config,
+            clock,
+        }
+    }
+
+    fn encode_store(&self, encoder: &mut DescriptorEncoder<'_>) -> fmt::Result {
+        let mut calls = encoder.encode_descriptor(
+            "store_calls",
+            "Calls to the platform's key-value service",
+            None,
+            MetricType::Counter,
+        )?;
+        for call in Call::ALL {
+            let counter = ConstCounter::new(self.store.calls(call));
+            counter.encode(calls.encode_family(&[("call", call.as_str())])?)?;
+        }
+        let waited = encoder.encode_descriptor(
+            "store_calls_delayed",
+            "Calls that waited because the budget was used up",
+            None,
+            MetricType::Counter,
+        )?;
+        ConstCounter::new(self.store.waited()).encode(waited)?;
+        let watches = encoder.encode_descriptor(
+            "store_watches",
+            "Watches that wait at the service",
+            None,
+            MetricType::Gauge,
+        )?;
+        let watching = i64::try_from(self.store.watching()).unwrap_or(i64::MAX);
+        ConstGauge::new(watching).encode(watches)
+    }
+
+    fn encode_config(&self, encoder: &mut DescriptorEncoder<'_>) -> fmt::Result {
+        let in_force = self.config.in_force();
+        let revision = encoder.encode_descriptor(
+            "config_revision",
+            "Revision of the configuration in force",
+            None,
+            MetricType::Gauge,
+        )?;
+        let number = i64::try_from(in_force.revision.0).unwrap_or(i64::MAX);
+        ConstGauge::new(number).encode(revision)?;
+        // A proof that was never made has no age.
+        let Some(proved_at) = in_force.proved_at else {
+            return Ok(());
+        };
+        let age = encoder.encode_descriptor(
+            "config_proof_age_seconds",
+            "Time since the revision in force was proved to be the newest",
+            None,
+            MetricType::Gauge,
+        )?;
+        let seconds = self.clock.now().since(proved_at).as_secs_f64();
+        ConstGauge::new(seconds).encode(age)
+    }
+}
+
+impl Collector for Platform {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        self.encode_store(&mut encoder)?;
+        self.encode_config(&mut encoder)
+    }
+}
--- a/components/store/src/budget.rs
+++ b/components/store/src/budget.rs
@@ -4,18 +4,21 @@
 //! wrong must not use up what the others need.
 
 use std::{
+    fmt,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
+use async_channel::WeakReceiver;
 use async_trait::async_trait;
 use kernel::{Clock, Time};
 
 use crate::{
     KeyRange, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply, Watch,
+    WatchItem,
 };
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
@@ -49,13 +52,58 @@
     }
 }
 
-/// What a budget has counted.
-#[derive(Clone, Debug, Default)]
-pub struct BudgetCounts {
-    /// Calls made, opened watches among them.
-    pub calls: Arc<AtomicU64>,
-    /// Calls that had to wait for their turn.
-    pub waited: Arc<AtomicU64>,
+/// The kinds of calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// A read of a range.
+    Range,
+    /// A transaction.
+    Txn,
+    /// A lease asked for.
+    Grant,
+    /// A renewal of a lease.
+    KeepAlive,
+    /// A lease given back.
+    Revoke,
+    /// A watch opened.
+    Watch,
+}
+
+impl Call {
+    /// All kinds.
+    pub const ALL: [Self; 6] = [
+        Self::Range,
+        Self::Txn,
+        Self::Grant,
+        Self::KeepAlive,
+        Self::Revoke,
+        Self::Watch,
+    ];
+
+    /// Its name in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Range => "range",
+            Self::Txn => "txn",
+            Self::Grant => "grant",
+            Self::KeepAlive => "keep-alive",
+            Self::Revoke => "revoke",
+            Self::Watch => "watch",
+        }
+    }
+
+    /// A lease that is renewed late is lost, and what it kept with it; the few
+    /// renewals are paid for by the calls after them.
+    const fn may_wait(self) -> bool {
+        !matches!(self, Self::KeepAlive)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    calls: [AtomicU64; Call::ALL.len()],
+    waited: AtomicU64,
 }
 
 /// A store whose calls wait until the budget allows them.
@@ -63,7 +111,16 @@
     store: Arc<dyn Store>,
     clock: Clock,
     budget: Mutex<Budget>,
-    counts: BudgetCounts,
+    counters: Counters,
+    watches: Mutex<Vec<WeakReceiver<Result<WatchItem, StoreError>>>>,
+}
+
+impl fmt::Debug for Budgeted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Budgeted")
+            .field("counters", &self.counters)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Budgeted {
@@ -74,61 +131,85 @@
             store,
             clock,
             budget: Mutex::new(Budget::new(per_second)),
-            counts: BudgetCounts::default(),
+            counters: Counters::default(),
+            watches: Mutex::default(),
         }
     }
 
-    /// The counters, shared with this store.
+    /// How many calls of a kind were made.
+    #[must_use]
+    pub fn calls(&self, call: Call) -> u64 {
+        self.counters.calls[call as usize].load(Ordering::Relaxed)
+    }
+
+    /// How many calls had to wait for their turn.
     #[must_use]
-    pub fn counts(&self) -> BudgetCounts {
-        self.counts.clone()
+    pub fn waited(&self) -> u64 {
+        self.counters.waited.load(Ordering::Relaxed)
     }
 
-    async fn turn(&self) {
-        self.counts.calls.fetch_add(1, Ordering::Relaxed);
+    /// How many watches wait now.
+    #[must_use]
+    pub fn watching(&self) -> usize {
+        let mut watches = lock(&self.watches);
+        watches.retain(waits);
+        watches.len()
+    }
+
+    async fn turn(&self, call: Call) {
+        self.counters.calls[call as usize].fetch_add(1, Ordering::Relaxed);
         let now = self.clock.now();
-        let turn = self
-            .budget
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take(now);
-        if turn.passed(now) {
+        let turn = lock(&self.budget).take(now);
+        if turn.passed(now) || !call.may_wait() {
             return;
         }
-        self.counts.waited.fetch_add(1, Ordering::Relaxed);
+        self.counters.waited.fetch_add(1, Ordering::Relaxed);
         smol::Timer::at(self.clock.instant(turn)).await;
     }
 }
 
+fn waits(watch: &WeakReceiver<Result<WatchItem, StoreError>>) -> bool {
+    watch.upgrade().is_some_and(|watch| !watch.is_closed())
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 #[async_trait]
 impl Store for Budgeted {
     async fn range(&self, range: KeyRange, limit: i64) -> Result<RangeReply, StoreError> {
-        self.turn().await;
+        self.turn(Call::Range).await;
         self.store.range(range, limit).await
     }
 
     async fn txn(&self, txn: Txn) -> Result<TxnReply, StoreError> {
-        self.turn().await;
+        self.turn(Call::Txn).await;
         self.store.txn(txn).await
     }
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
-        self.turn().await;
+        self.turn(Call::Grant).await;
         self.store.grant(ttl).await
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> Result<bool, StoreError> {
-        self.turn().await;
+        self.turn(Call::KeepAlive).await;
         self.store.keep_alive(lease).await
     }
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.turn().await;
+        self.turn(Call::Revoke).await;
         self.store.revoke(lease).await
     }
 
     async fn watch(&self, range: KeyRange, from: StoreRevision) -> Result<Watch, StoreError> {
-        self.turn().await;
-        self.store.watch(range, from).await
+        self.turn(Call::Watch).await;
+        let watch = self.store.watch(range, from).await?;
+        let mut watches = lock(&self.watches);
+        watches.retain(waits);
+        watches.push(watch.downgrade());
+        drop(watches);
+        Ok(watch)
     }
 }
--- a/components/store/tests/store.rs
+++ b/components/store/tests/store.rs
@@ -1,11 +1,7 @@
 //! The adapter and the stand-in give the same answers, with faults and without.
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fakes::store::{MemStore, serve};
 use futures_lite::FutureExt;
@@ -14,7 +10,8 @@
 use smol::net::TcpListener;
 use store::{
     Budgeted, Change, Compare, EtcdStore, Follow, KeyRange, LeaseId, News, Op, Store, Txn,
-    WatchItem, budget::Budget,
+    WatchItem,
+    budget::{Budget, Call},
 };
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -309,15 +306,48 @@
 }
 
 #[test]
-fn a_budgeted_store_counts_and_delays_calls() {
+fn a_budgeted_store_counts_calls_and_waiting_watches() {
     smol::block_on(patiently(async {
         let mem = MemStore::manual();
         let store = Budgeted::new(Arc::new(mem.clone()), Clock::start(), 50);
-        let counts = store.counts();
         for _ in 0..55 {
             store.range(KeyRange::prefix("a/"), 0).await.unwrap();
         }
-        assert_eq!(counts.calls.load(Ordering::Relaxed), 55);
-        assert_eq!(mem.counts().calls(), 55);
+        let first = store.watch(KeyRange::prefix("a/"), 1).await.unwrap();
+        let second = store.watch(KeyRange::prefix("a/"), 1).await.unwrap();
+        assert_eq!(
+            (store.calls(Call::Range), store.calls(Call::Watch)),
+            (55, 2)
+        );
+        assert!(store.waited() > 0);
+        assert_eq!(mem.counts().calls(), 57);
+        assert_eq!(store.watching(), 2);
+        drop(first);
+        assert_eq!(store.watching(), 1);
+        mem.cut_watches();
+        assert!(second.recv().await.unwrap().is_err());
+        assert_eq!(store.watching(), 0);
+    }));
+}
+
+#[test]
+fn a_lease_is_renewed_at_once_when_the_budget_is_used_up() {
+    smol::block_on(patiently(async {
+        let mem = MemStore::manual();
+        let store = Arc::new(Budgeted::new(Arc::new(mem.clone()), Clock::start(), 1));
+        let lease = store.grant(Duration::from_secs(5)).await.unwrap();
+        // The budget is used up for minutes to come.
+        let mut waiting = Vec::new();
+        for _ in 0..200 {
+            let store = Arc::clone(&store);
+            waiting.push(smol::spawn(async move {
+                store.range(KeyRange::prefix("a/"), 0).await
+            }));
+        }
+        while store.calls(Call::Range) < 200 {
+            smol::future::yield_now().await;
+        }
+        assert!(store.keep_alive(lease).await.unwrap());
+        assert!(mem.counts().range < 200);
     }));
 }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -5,8 +5,7 @@
 use clap::ArgMatches;
 use conf::settings::{EntrySettings, load_entry};
 use entry::daemon::{self, EntrySecrets};
-use kernel::Clock;
-use store::{Store, budget::Budgeted, etcd::EtcdStore};
+use store::EtcdStore;
 
 use super::{daemon_settings, until_signal};
 use crate::{client::read_secrets, failure::CommandError};
@@ -22,9 +21,7 @@
 }
 
 async fn serve(settings: EntrySettings, secrets: EntrySecrets) -> Result<(), CommandError> {
-    let per_second = settings.limits.store_calls_per_second;
-    let etcd: Arc<dyn Store> = Arc::new(EtcdStore::new(&settings.store));
-    let store = Arc::new(Budgeted::new(etcd, Clock::start(), per_second));
+    let store = Arc::new(EtcdStore::new(&settings.store));
     let name = settings.name.clone();
     let entry = daemon::start(settings, store, secrets)
         .await
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -221,6 +221,18 @@
         };
         publish_number(&store, 1).await;
         ready(200).await;
+        let url = format!("http://{}/metrics", entry.operators);
+        let mut conn = http.get(url.as_str()).await.unwrap();
+        let metrics = conn.response_body().read_string().await.unwrap();
+        for name in [
+            "hemlockmoor_store_calls_total{call=\"range\"}",
+            "hemlockmoor_store_calls_delayed_total",
+            "hemlockmoor_store_watches",
+            "hemlockmoor_config_revision",
+            "hemlockmoor_config_proof_age_seconds",
+        ] {
+            assert!(metrics.contains(name), "{name} is not in\n{metrics}");
+        }
         for (id, state, expected) in [("out", ZoneState::Out, 503), ("in", ZoneState::In, 200)] {
             let zone = "zone-1".parse().unwrap();
             edit(&store, &apply(id), |set| set_zone_state(set, &zone, state))
