Keep what is learnt apart from turns and bindings

Cause: the cell's owner binds and journals by itself, so a facade over queue and fleet had no user but the measurement, and the rule for broken workers stood twice, here and with the owner, who must make it durable.

Change: Learner takes in usage and latency, passes estimates on to the fleet, says what to throttle and what to reserve. The facade moves to the measurement.

--- a/components/place/examples/sim/mod.rs
+++ b/components/place/examples/sim/mod.rs
@@ -5,6 +5,7 @@
 //! late. How much a task slows a service is a fixed truth unknown to the policy.
 
 pub(crate) mod night;
+pub(crate) mod policy;
 pub(crate) mod scenarios;
 pub(crate) mod truth;
 
@@ -14,9 +15,11 @@
     Attempt, JobName, Resources, TaskClass, TaskId, TaskRun, TeamName, Time, Urgency, VmName,
 };
 use place::{
-    Policy, Want, Worker,
-    policy::{LatencyReport, Measure, PolicyAction, Step, UsageReport},
+    Want, Worker,
+    interference::Throttle,
+    learner::{LatencyReport, UsageReport},
 };
+use policy::{Policy, Step};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use truth::{NOISE, noise, slowdown};
@@ -155,7 +158,7 @@
             services: services.iter().map(|service| name(service)).collect(),
             open: true,
         };
-        self.policy.on_worker(self.now, worker.clone());
+        self.policy.on_worker(worker.clone());
         self.vms.push(Vm {
             worker,
             measured_at: self.now,
@@ -191,7 +194,6 @@
         self.now = self.now + self.tick;
         self.deliver();
         self.run_tasks();
-        self.policy.on_tick(self.now);
         self.decide();
     }
 
@@ -201,49 +203,52 @@
                 return;
             }
             let (vm, report) = entry.remove();
-            let actions = match report {
-                Report::Usage(usage) => self.policy.on_heartbeat(self.now, &vm, &[usage], &[]),
-                Report::Latency(late) => self.policy.on_heartbeat(self.now, &vm, &[], &[late]),
+            let throttles = match report {
+                Report::Usage(usage) => self.policy.on_usage(self.now, &vm, usage),
+                Report::Latency(latency) => self.policy.on_latency(self.now, &vm, latency),
             };
-            for action in actions {
-                self.carry_out(&action);
+            for throttle in throttles {
+                match throttle {
+                    Throttle::Start { run, .. } => self.throttle(&run, true),
+                    Throttle::End { run, .. } => self.throttle(&run, false),
+                    Throttle::Evict { run, .. } => self.evict(&run),
+                }
             }
         }
     }
 
-    fn carry_out(&mut self, action: &PolicyAction) {
-        let Some(task) = self.tasks.get_mut(&action.run.task) else {
+    fn throttle(&mut self, run: &TaskRun, on: bool) {
+        let Some(task) = self.tasks.get_mut(&run.task) else {
             return;
         };
-        let State::Bound {
-            throttled,
-            stops_at,
-            ..
-        } = &mut task.state
-        else {
+        if let State::Bound { throttled, .. } = &mut task.state {
+            *throttled = on;
+            self.outcome.throttles += u32::from(on);
+        }
+    }
+
+    fn evict(&mut self, run: &TaskRun) {
+        let Some(task) = self.tasks.get_mut(&run.task) else {
             return;
         };
-        match action.measure {
-            Measure::Throttle => {
-                *throttled = true;
-                self.outcome.throttles += 1;
-            }
-            Measure::Unthrottle => *throttled = false,
-            Measure::Evict => {
-                if stops_at.is_none() {
-                    *stops_at = Some(self.now + ORDER_DELAY + CHECKPOINT_TIME);
-                    self.outcome.evictions += 1;
-                }
-            }
+        if let State::Bound { stops_at, .. } = &mut task.state
+            && stops_at.is_none()
+        {
+            *stops_at = Some(self.now + ORDER_DELAY + CHECKPOINT_TIME);
+            self.outcome.evictions += 1;
         }
     }
 
     fn decide(&mut self) {
         while let Some(step) = self.policy.next_step(self.now, &mut self.choices) {
             match step {
-                Step::Bind { want, vm, .. } => self.bind(&want, vm),
-                Step::Evict(action) => self.carry_out(&action),
-                Step::Refuse { want, .. } => {
+                Step::Bind(want, vm) => self.bind(&want, vm),
+                Step::Evict(victims) => {
+                    for run in victims {
+                        self.evict(&run);
+                    }
+                }
+                Step::Refuse(want) => {
                     self.tasks.remove(&want.run.task);
                 }
             }
@@ -331,11 +336,11 @@
             self.answer(slow.exp() * overload);
             if measure {
                 let p99 = BASE_MICROS * (slow + 2.33 * NOISE).exp() * overload;
-                let p99_micros = (p99 * noise(&mut self.rng, 0.1)) as u64;
+                let micros = (p99 * noise(&mut self.rng, 0.1)) as u64;
                 let report = LatencyReport {
                     service: service.clone(),
                     at: self.now,
-                    p99_micros,
+                    micros,
                 };
                 self.send(&worker.vm, Report::Latency(report));
             }
--- a/components/place/examples/sim/scenarios.rs
+++ b/components/place/examples/sim/scenarios.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use kernel::Resources;
-use place::{Fleet, Policy, plugin::Score, policy::Settings};
+use place::{Fleet, learner::Settings, plugin::Score};
 
-use super::{Outcome, Spec, World};
+use super::{Outcome, Spec, World, policy::Policy};
 
 pub(crate) const SEED: u64 = 42;
 const VM: Resources = Resources::new(16_000, 64 * 1024, 0);
@@ -34,24 +34,24 @@
     let off = Settings {
         interference: false,
         throttling: false,
-        learning: false,
+        sizes: false,
         ..Settings::default()
     };
     let on = Settings::default();
     match kind {
-        Kind::Random => Policy::with_fleet(off, Fleet::with_scores(Vec::new())),
-        Kind::FirstFit => Policy::with_fleet(off, Fleet::with_scores(vec![&FIRST_FIT])),
-        Kind::NoInterference => Policy::with_fleet(off, no_harm()),
-        Kind::PlacementOnly => Policy::new(Settings {
-            throttling: false,
-            ..on
-        }),
-        Kind::ThrottlingOnly => Policy::with_fleet(on, no_harm()),
-        Kind::NoLearning => Policy::new(Settings {
-            learning: false,
-            ..on
-        }),
-        Kind::Product => Policy::new(on),
+        Kind::Random => Policy::new(off, Fleet::with_scores(Vec::new())),
+        Kind::FirstFit => Policy::new(off, Fleet::with_scores(vec![&FIRST_FIT])),
+        Kind::NoInterference => Policy::new(off, no_harm()),
+        Kind::PlacementOnly => Policy::new(
+            Settings {
+                throttling: false,
+                ..on
+            },
+            Fleet::new(),
+        ),
+        Kind::ThrottlingOnly => Policy::new(on, no_harm()),
+        Kind::NoLearning => Policy::new(Settings { sizes: false, ..on }, Fleet::new()),
+        Kind::Product => Policy::new(on, Fleet::new()),
     }
 }
 
--- a/components/place/tests/learning.rs
+++ b/components/place/tests/learning.rs
@@ -1,4 +1,4 @@
-//! What is learnt of interference, sizes, failures and quotas.
+//! What is learnt of interference, sizes and quotas.
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 #![allow(dead_code, reason = "other test files use the rest of the makers")]
 
@@ -13,7 +13,6 @@
     harm::PRIOR_SLOWDOWN,
     interference::{Calm, Estimator, Matched, Suspect, Throttler},
     learn::Sizes,
-    quarantine::{AfterFailure, Quarantine},
     quota::{Split, TeamSum},
 };
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -179,63 +178,6 @@
     assert_eq!(expected.as_secs_f64().round(), 100.0);
 }
 
-#[test]
-fn a_worker_that_fails_everything_is_quarantined_and_its_tasks_are_not_blamed() {
-    let mut quarantine = Quarantine::new();
-    quarantine.on_fleet_size(20);
-    for (second, family) in ["statements", "scans", "invoices"].iter().enumerate() {
-        assert!(quarantine.allows(at(0), &vm(0)));
-        let after = quarantine.on_failure(at(second as u64), &run(family, 0), &vm(0));
-        assert_eq!(after, AfterFailure::Retry { avoid: vec![vm(0)] });
-    }
-    assert_eq!(quarantine.quarantined(at(3)).count(), 1);
-    assert!(!quarantine.allows(at(300), &vm(0)));
-    assert!(quarantine.allows(at(700), &vm(0)));
-    // Two sound workers and the broken one are no three that blame the task.
-    quarantine.on_failure(at(10), &run("scans", 0), &vm(1));
-    let after = quarantine.on_failure(at(11), &run("scans", 0), &vm(2));
-    assert!(matches!(after, AfterFailure::Retry { .. }));
-}
-
-#[test]
-fn a_task_that_fails_on_three_sound_workers_is_stopped_and_they_stay_open() {
-    let mut quarantine = Quarantine::new();
-    quarantine.on_fleet_size(20);
-    let poison = run("poison", 0);
-    for number in 0..3 {
-        quarantine.on_success(at(0), &run("statements", number), &vm(number));
-        let after = quarantine.on_failure(at(1), &poison, &vm(number));
-        assert_eq!(number == 2, matches!(after, AfterFailure::Stop { .. }));
-    }
-    for number in 0..3 {
-        assert!(quarantine.allows(at(2), &vm(number)));
-    }
-}
-
-#[test]
-fn tasks_that_end_well_elsewhere_prove_a_worker_broken() {
-    let mut quarantine = Quarantine::new();
-    quarantine.on_fleet_size(20);
-    for index in 0..2 {
-        quarantine.on_failure(at(0), &run("statements", index), &vm(0));
-        quarantine.on_success(at(60), &run("statements", index), &vm(1));
-    }
-    assert!(!quarantine.allows(at(61), &vm(0)));
-    assert!(quarantine.allows(at(61), &vm(1)));
-}
-
-#[test]
-fn when_everything_fails_everywhere_most_workers_stay_in_use() {
-    let mut quarantine = Quarantine::new();
-    quarantine.on_fleet_size(20);
-    for number in 0..20 {
-        for family in ["statements", "scans", "invoices", "dumps"] {
-            quarantine.on_failure(at(0), &run(family, number), &vm(number));
-        }
-    }
-    assert_eq!(quarantine.quarantined(at(1)).count(), 5);
-}
-
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(12),
