Owner: learn from heartbeats, and throttle and evict for services

Cause: the owner placed by declared sizes and knew nothing of interference; the parts that learn had no user but the measurement. An eviction for a starving team was accounted as urgent, equal tasks of such a team were passed over after the first, and room kept for a cancelled task stayed kept until it ran out.

--- a/components/cell/src/owner.rs
+++ b/components/cell/src/owner.rs
@@ -12,7 +12,7 @@
 };
 
 use kernel::{CellName, Epoch, JobName, ObjectSet, Revision, TaskRun, Time, VmName};
-use place::{Fleet, Queue};
+use place::{Fleet, Learner, Queue};
 use proto::messages::{CellRoom, Heartbeat, Order, Renewal};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -24,6 +24,7 @@
 mod health;
 mod inbox;
 mod journal;
+mod learn;
 mod lists;
 mod recover;
 mod runs;
@@ -137,6 +138,7 @@
     ended: bool,
 
     fleet: Fleet,
+    learner: Learner,
     queue: Queue,
     feeds: BTreeMap<JobName, Feed>,
     workers: BTreeMap<VmName, Worker>,
@@ -167,6 +169,7 @@
             stopping: false,
             ended: false,
             fleet: Fleet::new(),
+            learner: Learner::default(),
             queue: Queue::new(),
             feeds: BTreeMap::new(),
             workers: BTreeMap::new(),
--- a/components/cell/src/owner/beat.rs
+++ b/components/cell/src/owner/beat.rs
@@ -21,6 +21,7 @@
             if !beat.tasks_unknown {
                 self.take_reports(now, beat, &mut answer);
                 self.order_unlisted(now, beat, &mut answer);
+                self.learn_from(now, beat);
             }
             self.review(now, &beat.vm);
         }
@@ -116,7 +117,7 @@
                 answer.orders.push(Order::Stop(run.clone()));
                 renews = false;
             }
-            _ => {}
+            _ => answer.orders.extend(self.pace(report)),
         }
         if !renews {
             return;
--- a/components/cell/src/owner/recover.rs
+++ b/components/cell/src/owner/recover.rs
@@ -17,6 +17,7 @@
                 checkpoint: None,
                 checkpoint_by: (task.state == kernel::TaskState::Evicting)
                     .then(|| task.since + self.timing.checkpoint),
+                throttled: None,
                 reserved: false,
             };
             homes.push((run, live));
--- a/components/cell/src/owner/runs.rs
+++ b/components/cell/src/owner/runs.rs
@@ -3,7 +3,11 @@
 use kernel::{Cause, Checkpoint, Resources, TaskRun, TaskState, Time, VmName};
 use place::Holding;
 
-use super::{Owner, journal::Ordinal};
+use super::{
+    Owner,
+    journal::Ordinal,
+    learn::{Gains, Throttled},
+};
 use crate::{Bound, End, Record, Task};
 
 /// What is known of a bound attempt beside the state.
@@ -21,6 +25,8 @@
     pub(super) checkpoint: Option<Checkpoint>,
     /// When the time for its checkpoint ends, once it is to be evicted.
     pub(super) checkpoint_by: Option<Time>,
+    /// It gets less processor time for the sake of a service.
+    pub(super) throttled: Option<Throttled>,
     /// Its room is reserved in the fleet.
     pub(super) reserved: bool,
 }
@@ -47,6 +53,7 @@
             bound_in,
             checkpoint: None,
             checkpoint_by: None,
+            throttled: None,
             reserved: true,
         };
         self.live.insert(run.clone(), live);
@@ -57,17 +64,13 @@
     /// Starts the eviction of a bound attempt.
     ///
     /// An attempt that its agent was never told of ends at once.
-    pub(super) fn evict(
-        &mut self,
-        now: Time,
-        run: &TaskRun,
-        cause: Cause,
-        gains: Option<&TaskRun>,
-    ) {
+    pub(super) fn evict(&mut self, now: Time, run: &TaskRun, cause: Cause, gains: Gains) {
+        let (gains, service) = gains.into_parts();
         let record = Record::Evicting {
             run: run.clone(),
             cause,
-            gains: gains.cloned(),
+            gains,
+            service,
             at: now,
         };
         if self.record(record).is_none() {
@@ -91,6 +94,8 @@
         end: End,
         checkpoint: Option<Checkpoint>,
     ) {
+        self.unthrottle(now, run);
+        let started = self.state.binding(run).map(|(_, binding)| binding.at);
         let known = self.live.get(run).and_then(|live| live.checkpoint.clone());
         let record = Record::Ended {
             run: run.clone(),
@@ -102,6 +107,7 @@
             return;
         };
         self.journal.await_end(run.clone(), ordinal);
+        self.learn_end(now, run, end, started.unwrap_or(now));
         self.fleet.release(run);
         self.placement_due = true;
         if let Some(live) = self.live.remove(run) {
@@ -159,7 +165,7 @@
     /// Starts the eviction of everything that runs on `vm`.
     pub(super) fn evict_all(&mut self, now: Time, vm: &VmName, cause: Cause) {
         for run in self.runs_on(vm) {
-            self.evict(now, &run, cause, None);
+            self.evict(now, &run, cause, Gains::Nobody);
         }
     }
 
--- a/components/cell/src/owner/schedule.rs
+++ b/components/cell/src/owner/schedule.rs
@@ -5,7 +5,7 @@
 use kernel::{Cause, JobName, TaskId, TaskRun, TaskState, Time};
 use place::{Decision, Want, Why};
 
-use super::Owner;
+use super::{Owner, learn::Gains};
 use crate::{Bound, Record};
 
 /// How many tasks of one job wait in the queue at a time; the others follow as
@@ -101,16 +101,19 @@
             return;
         };
         for index in feed.queued {
-            self.queue.remove(&TaskId {
+            let id = TaskId {
                 job: name.clone(),
                 index,
-            });
+            };
+            self.queue.remove(&id);
+            self.fleet.drop_claim(&id);
         }
     }
 
     /// Takes one task out of the queue for good.
     pub(super) fn unfeed_one(&mut self, id: &TaskId) {
         self.queue.remove(id);
+        self.fleet.drop_claim(id);
         if let Some(feed) = self.feeds.get_mut(&id.job) {
             feed.queued.remove(&id.index);
             feed.again.remove(&id.index);
@@ -145,7 +148,7 @@
             team: spec.team.clone(),
             class: spec.class,
             urgency: spec.urgency,
-            need: spec.need,
+            need: self.learner.reservation(name, spec.need, &self.fleet),
             service: spec.service.clone(),
             avoid: task.failed_on,
             finish_by: spec.finish_by,
@@ -195,8 +198,13 @@
         match self.fleet.place(now, want, &mut self.rng) {
             Decision::Bind(vm) => self.bind_to(now, want, vm),
             Decision::Evict { victims, .. } => {
+                let cause = if want.payers.is_empty() {
+                    Cause::Urgent
+                } else {
+                    Cause::Quota
+                };
                 for run in victims {
-                    self.evict(now, &run, Cause::Urgent, Some(&want.run));
+                    self.evict(now, &run, cause, Gains::Task(want.run.clone()));
                 }
                 false
             }
@@ -261,6 +269,8 @@
 /// Whether two tasks have the same chance to be placed.
 fn is_alike(one: &Want, other: &Want) -> bool {
     one.need == other.need
+        && one.payers.is_empty()
+        && other.payers.is_empty()
         && one.class == other.class
         && one.urgency == other.urgency
         && one.service == other.service
--- a/components/cell/src/owner/worker.rs
+++ b/components/cell/src/owner/worker.rs
@@ -1,8 +1,8 @@
 //! What the owner knows of the workers of its cell.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use kernel::{Cause, Incarnation, ObjectSet, Revision, Time, VmInfo, VmName};
+use kernel::{Cause, Incarnation, ObjectSet, Revision, ServiceName, Time, VmInfo, VmName};
 
 use super::Owner;
 
@@ -16,6 +16,8 @@
     /// Its agent has obeyed an answer of this term, so it obeys no earlier one.
     pub(super) obeys: bool,
     pub(super) leaving: bool,
+    /// The last latency told of each endpoint, in microseconds.
+    pub(super) latencies: BTreeMap<ServiceName, u64>,
     /// Whether the fleet believes it open.
     open: bool,
 }
@@ -29,6 +31,7 @@
             heard: now,
             obeys: false,
             leaving: false,
+            latencies: BTreeMap::new(),
             open: false,
         }
     }
@@ -123,6 +126,7 @@
     /// Takes in a worker that is new here, or new facts of a known one.
     pub(super) fn learn_worker(&mut self, now: Time, info: VmInfo) {
         let vm = info.vm.clone();
+        self.learner.on_worker(&vm, info.capacity);
         match self.workers.get_mut(&vm) {
             Some(worker) => {
                 worker.incarnation = info.incarnation;
@@ -173,6 +177,7 @@
             if forget && !self.homes.contains_key(&vm) {
                 self.workers.remove(&vm);
                 self.fleet.remove(&vm);
+                self.unlearn(&vm);
             }
         }
         self.end_unheard(now);
@@ -195,7 +200,7 @@
     }
 }
 
-fn services(info: &VmInfo) -> Vec<kernel::ServiceName> {
+fn services(info: &VmInfo) -> Vec<ServiceName> {
     info.endpoints
         .iter()
         .map(|endpoint| endpoint.service.clone())
--- a/components/cell/src/record.rs
+++ b/components/cell/src/record.rs
@@ -5,7 +5,7 @@
 
 use kernel::{
     AvailabilityZoneName, Cause, CellName, Checkpoint, Epoch, Incarnation, JobName, JobSpec,
-    Resources, Revision, TaskRun, Time, VmName,
+    Resources, Revision, ServiceName, TaskRun, Time, VmName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -76,9 +76,23 @@
         cause: Cause,
         /// Who gains from it, if a task does.
         gains: Option<TaskRun>,
+        /// The service that gains from it, if one does.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        service: Option<ServiceName>,
         /// When.
         at: Time,
     },
+    /// A bound attempt had less processor time for a while.
+    Throttled {
+        /// The attempt.
+        run: TaskRun,
+        /// The service that gained from it.
+        service: ServiceName,
+        /// Since when.
+        since: Time,
+        /// Until when.
+        at: Time,
+    },
     /// An attempt ended.
     Ended {
         /// The attempt.
--- a/components/cell/src/state/apply.rs
+++ b/components/cell/src/state/apply.rs
@@ -4,7 +4,7 @@
 
 use kernel::{
     Amount, Cause, CellName, Checkpoint, Event, EventKind, JobName, JobSpec, Party, Revision,
-    TaskRun, TaskState, Time, Urgency, VmName,
+    ServiceName, TaskRun, TaskState, Time, Urgency, VmName,
 };
 
 use super::{Binding, Job, State, Task};
@@ -36,8 +36,24 @@
                 run,
                 cause,
                 gains,
+                service,
                 at,
-            } => self.evict(revision, run, *cause, gains.as_ref(), *at),
+            } => {
+                let beneficiary = Party {
+                    service: service.clone(),
+                    ..gains
+                        .as_ref()
+                        .map(|run| self.party_of(run))
+                        .unwrap_or_default()
+                };
+                self.evict(revision, run, *cause, beneficiary, *at)
+            }
+            Record::Throttled {
+                run,
+                service,
+                since,
+                at,
+            } => self.throttled(revision, run, service, *since, *at),
             Record::Ended {
                 run,
                 end,
@@ -143,10 +159,9 @@
         revision: Revision,
         run: &TaskRun,
         cause: Cause,
-        gains: Option<&TaskRun>,
+        beneficiary: Party,
         at: Time,
     ) -> bool {
-        let beneficiary = gains.map(|run| self.party_of(run)).unwrap_or_default();
         let Some((spec, task)) = self.current(run) else {
             return false;
         };
@@ -163,6 +178,28 @@
         true
     }
 
+    fn throttled(
+        &mut self,
+        revision: Revision,
+        run: &TaskRun,
+        service: &ServiceName,
+        since: Time,
+        at: Time,
+    ) -> bool {
+        let Some((spec, task)) = self.current(run) else {
+            return false;
+        };
+        let mut event = event_of(&spec, run, revision, at, EventKind::Throttled);
+        locate(&mut event, task.bound.as_ref());
+        let reserved = task.bound.as_ref().map(|binding| binding.reserved);
+        event.amount = Amount::of(reserved.unwrap_or_default(), millis(at, since));
+        event.cause = Cause::Interference;
+        event.payer = std::mem::take(&mut event.beneficiary);
+        event.beneficiary.service = Some(service.clone());
+        self.ledger.push(event);
+        true
+    }
+
     fn end(
         &mut self,
         revision: Revision,
--- a/components/place/examples/sim/policy.rs
+++ b/components/place/examples/sim/policy.rs
@@ -51,7 +51,9 @@
 
     /// Takes in a task that waits, with its declared need.
     pub(crate) fn submit(&mut self, mut want: Want, since: Time) {
-        want.need = self.learner.reservation(&want.run.task.job, want.need);
+        want.need = self
+            .learner
+            .reservation(&want.run.task.job, want.need, &self.fleet);
         self.waiting.insert(want.run.task.clone(), since);
         self.queue.push(want, since);
     }
--- a/components/place/src/learner.rs
+++ b/components/place/src/learner.rs
@@ -134,13 +134,19 @@
             .collect()
     }
 
-    /// What to reserve for a task of `job` that declared its need.
+    /// What to reserve for a task of `job` that declared its need: what was
+    /// learnt, unless no worker of the fleet could hold that.
     #[must_use]
-    pub fn reservation(&self, job: &JobName, declared: Resources) -> Resources {
+    pub fn reservation(&self, job: &JobName, declared: Resources, fleet: &Fleet) -> Resources {
         if !self.settings.sizes {
             return declared;
         }
-        self.sizes.reservation(job, declared, self.largest)
+        let learnt = self.sizes.reservation(job, declared, self.largest);
+        if fleet.can_ever_fit(learnt) {
+            learnt
+        } else {
+            declared
+        }
     }
 
     /// Takes in that an attempt ended well after it had run for so long.
