Count the first latency report as undisturbed

Cause: an endpoint that was never seen without batch tasks beside it got its undisturbed latency from the prior, a quarter below what it showed, so calm was never below the bound for letting go and a throttled task stayed throttled.

Change: the first report counts as undisturbed; weights rise only by what reports show later.

Conclusion: a prior may steer placement, but accuses nobody.

--- a/components/place/src/interference/model.rs
+++ b/components/place/src/interference/model.rs
@@ -83,7 +83,9 @@
             weight.age(at, WEIGHT_VARIANCE);
         }
         let expected_slowdown = self.expected(parts);
-        let first = Belief::new(seen - expected_slowdown, BASE_VARIANCE, at);
+        // The first report counts as undisturbed: a prior must not accuse tasks
+        // beside an endpoint that was never seen without any.
+        let first = Belief::new(seen, BASE_VARIANCE, at);
         let mut base = self.base.unwrap_or(first);
         base.age(at, BASE_VARIANCE);
         let total_variance = REPORT_VARIANCE + base.variance + self.variance(parts);
