Sessions of learning with the owner; put a quarter of the workers aside at most

Cause: the wiring of the learner had no test, and a cause common to all workers could put all of them aside.

Change: sessions in which a service slows beside batch tasks, in which urgent and latency-critical tasks do the same, and in which a family uses more than it declared; at most a quarter of the workers, but one at least, is put aside.

Conclusion: as measured by the tests only; on real daemons not measured.

--- a/components/cell/src/owner/health.rs
+++ b/components/cell/src/owner/health.rs
@@ -10,6 +10,10 @@
 /// How many failures that no task can be blamed for put a worker aside.
 const QUARANTINE_FAILURES: u32 = 3;
 
+/// At most one worker in this many is put aside at a time, since the cause lies
+/// elsewhere if more of them fail everything.
+const QUARANTINE_ONE_IN: usize = 4;
+
 /// What tasks did lately, by worker and by job.
 #[derive(Debug, Default)]
 pub(super) struct Health {
@@ -79,7 +83,7 @@
     /// Notes how an attempt ended and puts its worker aside if that is broken.
     pub(super) fn judge_health(&mut self, now: Time, run: &TaskRun, vm: &VmName, end: End) {
         self.health.note(&run.task.job, vm, end);
-        if end != End::Failed || !self.health.is_broken(vm) {
+        if end != End::Failed || !self.health.is_broken(vm) || self.enough_put_aside(now) {
             return;
         }
         self.health.failures.remove(vm);
@@ -91,4 +95,10 @@
         self.evict_all(now, vm, Cause::Quarantine);
         self.review(now, vm);
     }
+
+    fn enough_put_aside(&self, now: Time) -> bool {
+        let until = self.state.quarantined.values();
+        let aside = until.filter(|until| !until.passed(now)).count();
+        aside >= (self.workers.len() / QUARANTINE_ONE_IN).max(1)
+    }
 }
--- a/components/cell/tests/common/session.rs
+++ b/components/cell/tests/common/session.rs
@@ -3,7 +3,9 @@
 use std::{fmt::Write, sync::Arc, time::Duration};
 
 use cell::{Action, Answer, Event, Group, InboxItem, Owner, Ownership, Part, Recovered, Timing};
-use kernel::{Epoch, Incarnation, JobSpec, ObjectSet, Revision, TaskRun, Time, VmInfo};
+use kernel::{
+    EndpointLoad, Epoch, Incarnation, JobSpec, ObjectSet, Revision, TaskRun, Time, VmInfo,
+};
 use proto::messages::{Heartbeat, TaskPhase, TaskReport};
 
 use super::cell_name;
@@ -17,6 +19,8 @@
     /// Groups become durable at once; otherwise by [`Session::commit`].
     pub(crate) durable_at_once: bool,
     pub(crate) in_flight: Option<Group>,
+    /// What every heartbeat says of the endpoints.
+    pub(crate) load: Vec<EndpointLoad>,
     sequence: u64,
     revision: u64,
     objects: Arc<ObjectSet>,
@@ -32,6 +36,7 @@
             log: String::new(),
             durable_at_once: true,
             in_flight: None,
+            load: Vec::new(),
             sequence: 0,
             revision: 0,
             objects: objects.clone(),
@@ -144,7 +149,7 @@
             epoch: Epoch(epoch),
             revision: Revision::default(),
             leaving: false,
-            load: Vec::new(),
+            load: self.load.clone(),
             tasks_unknown: false,
             tasks,
         };
--- a/components/cell/tests/owner.rs
+++ b/components/cell/tests/owner.rs
@@ -6,9 +6,12 @@
 
 use std::time::Duration;
 
-use common::{job, objects, run, session::Session, vm_info};
-use kernel::{TaskState, Time, object::ZoneState};
-use proto::messages::{Order, TaskPhase};
+use common::{job, objects, run, session::Session, urgent, vm_info};
+use kernel::{
+    Cause, EndpointInfo, EndpointLoad, EventKind, Resources, TaskRun, TaskState, Time, VmInfo,
+    object::ZoneState,
+};
+use proto::messages::{Order, TaskPhase, TaskReport, Usage};
 use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -271,3 +274,156 @@
     assert_eq!(folded.state, replayed.state);
     assert_eq!(folded.next_seq, replayed.next_seq);
 }
+
+fn beside_endpoint(vm: &str) -> VmInfo {
+    let mut info = vm_info(vm, "plateau", "plateau", 4);
+    info.endpoints.push(EndpointInfo {
+        service: "lookups".parse().unwrap(),
+        slots: 8,
+        connections: 64,
+    });
+    info
+}
+
+fn latency(micros: u64) -> Vec<EndpointLoad> {
+    vec![EndpointLoad {
+        service: "lookups".parse().unwrap(),
+        in_flight: 1,
+        queued: 0,
+        latency_micros: micros,
+    }]
+}
+
+fn using(run: &TaskRun, phase: TaskPhase, cores: u64) -> TaskReport {
+    TaskReport {
+        run: run.clone(),
+        phase,
+        checkpoint: None,
+        usage: Some(Usage {
+            used: Resources::new(cores * 1000, 512, 0),
+            age_millis: 0,
+        }),
+    }
+}
+
+/// A service beside two tasks is quick, then three times as slow, then quick
+/// again; gives all orders about the tasks' speed.
+fn disturbed_session(spec: kernel::JobSpec) -> (Session, Vec<String>) {
+    let mut session = Session::start(both_in());
+    let vm = beside_endpoint("vm-1");
+    session.beat(&vm, 0, &[]);
+    session.beat(&vm, 1, &[]);
+    let name = spec.name.to_string();
+    session.submit(spec);
+    session.pass(SECOND);
+    session.beat(&vm, 1, &[]);
+    let runs = [run(&name, 0, 1), run(&name, 1, 1)];
+    let mut phases = [TaskPhase::Running; 2];
+    let mut paces = Vec::new();
+    for second in 0..150u64 {
+        let base = if (20..26).contains(&second) {
+            30_000
+        } else {
+            10_000
+        };
+        session.load = latency(base + second % 2);
+        let reports = runs.iter().zip(phases);
+        let reports = reports.map(|(run, phase)| using(run, phase, 2)).collect();
+        let answer = session.beat_with(&vm, 1, reports);
+        for order in answer.orders {
+            let (number, phase, line) = match &order {
+                Order::Throttle(run) => (run.task.index, TaskPhase::Throttled, "throttle"),
+                Order::Unthrottle(run) => (run.task.index, TaskPhase::Running, "unthrottle"),
+                other => panic!("{other:?}"),
+            };
+            phases[number as usize] = phase;
+            paces.push(format!("{second} {line} {number}"));
+        }
+        session.pass(SECOND);
+    }
+    (session, paces)
+}
+
+#[test]
+fn a_batch_task_is_throttled_for_a_service_and_let_go_when_it_is_calm() {
+    let (session, paces) = disturbed_session(job("scans", 2, 2));
+    let lines: Vec<&str> = paces
+        .iter()
+        .map(|line| line.split_once(' ').unwrap().1)
+        .collect();
+    assert!(lines.contains(&"throttle 0"), "{paces:?}");
+    let first: Vec<&&str> = lines.iter().filter(|line| line.ends_with('0')).collect();
+    assert_eq!(first, [&"throttle 0", &"unthrottle 0"], "{paces:?}");
+    let event = session
+        .owner
+        .state()
+        .ledger
+        .recent()
+        .find(|event| event.kind == EventKind::Throttled)
+        .unwrap();
+    assert_eq!(event.cause, Cause::Interference);
+    assert_eq!(event.beneficiary.service, Some("lookups".parse().unwrap()));
+    assert_eq!(event.payer.team, Some("royalties".parse().unwrap()));
+    assert!(event.amount.millis >= 60_000, "{:?}", event.amount);
+}
+
+#[test]
+fn urgent_and_latency_critical_tasks_are_never_throttled() {
+    let (_, paces) = disturbed_session(urgent(job("scans", 2, 2)));
+    assert_eq!(paces, Vec::<String>::new());
+    let serving = kernel::JobSpec {
+        class: kernel::TaskClass::LatencyCritical,
+        ..job("scans", 2, 2)
+    };
+    let (_, paces) = disturbed_session(serving);
+    assert_eq!(paces, Vec::<String>::new());
+}
+
+#[test]
+fn what_a_job_used_is_reserved_for_the_next_of_its_family() {
+    let mut session = Session::start(both_in());
+    let vm = vm_info("vm-1", "plateau", "plateau", 4);
+    session.beat(&vm, 0, &[]);
+    session.beat(&vm, 1, &[]);
+    session.submit(job("night-1", 1, 1));
+    session.pass(SECOND);
+    session.beat(&vm, 1, &[]);
+    let first = run("night-1", 0, 1);
+    for phase in [TaskPhase::Running, TaskPhase::Running, TaskPhase::Succeeded] {
+        session.beat_with(&vm, 1, vec![using(&first, phase, 3)]);
+        session.pass(SECOND);
+    }
+    session.submit(job("night-2", 1, 1));
+    session.pass(SECOND);
+    let state = session.owner.state();
+    let task = state.task(&run("night-2", 0, 1).task).unwrap();
+    assert_eq!(task.bound.unwrap().reserved.cpu_milli, 3000);
+}
+
+#[test]
+fn at_most_a_quarter_of_the_workers_is_put_aside() {
+    let mut session = Session::start(both_in());
+    let vms: Vec<VmInfo> = (0..8)
+        .map(|number| vm_info(&format!("vm-{number}"), "plateau", "plateau", 4))
+        .collect();
+    for epoch in [0, 1] {
+        for vm in &vms {
+            session.beat(vm, epoch, &[]);
+        }
+    }
+    for number in 0..60 {
+        session.submit(job(&format!("job{number}x"), 1, 1));
+    }
+    for _ in 0..40 {
+        session.pass(SECOND);
+        for vm in &vms {
+            let answer = session.beat(vm, 1, &[]);
+            for order in answer.orders {
+                if let Order::Start(start) = order {
+                    session.beat(vm, 1, &[(start.run, TaskPhase::Failed)]);
+                }
+            }
+        }
+    }
+    assert_eq!(session.owner.state().quarantined.len(), 2);
+}
