--- a/components/entry/examples/capacity_messages.rs
+++ b/components/entry/examples/capacity_messages.rs
@@ -34,7 +34,7 @@
     for vms in [10, 100, 1000] {
         row(&format!("exchange, {vms} VMs"), &exchange(vms));
     }
-    for teams in [10, 100, 780] {
+    for teams in [1, 10, 100, 780] {
         let update = ConfigUpdate {
             revision: Revision(1),
             objects: objects(teams),
