One place for header fields, listening and channel failures

Cause: the two daemons each had a copy of opening a port, entry and agent each a list of hop-by-hop fields, peer and store each a search for a channel's failure. Change: proto::fields, observe::listen and proto::channel::channel_error.

--- a/components/agent/src/daemon.rs
+++ b/components/agent/src/daemon.rs
@@ -4,10 +4,10 @@
 
 use conf::settings::AgentSettings;
 use kernel::{Clock, EndpointInfo, Incarnation, VmInfo, secret::Secrets};
-use observe::Health;
+use observe::{Health, ListenError, listen};
 use prometheus_client::registry::Registry;
 use proto::{Router, RpcError, methods::ForwardCall};
-use smol::{Task, channel::Sender, net::TcpListener};
+use smol::{Task, channel::Sender};
 
 use crate::{
     LocalEndpoint, Proxy, config::AgentConfig, heartbeat::Heartbeats, targets::Targets,
@@ -23,16 +23,9 @@
 /// Why an agent could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
-    /// A port is taken or not allowed.
-    #[error("can't listen on {address} ({field}): {source}; choose a free port")]
-    Listen {
-        /// The setting.
-        field: &'static str,
-        /// Its value.
-        address: SocketAddr,
-        /// What the system said.
-        source: std::io::Error,
-    },
+    /// A port can't be opened.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     /// The settings name no entry.
     #[error("entries: no entry is named; name at least one")]
     NoEntry,
@@ -62,10 +55,8 @@
 /// Returns a [`StartError`] if a port can't be opened.
 pub async fn start(settings: AgentSettings, secrets: Secrets) -> Result<Agent, StartError> {
     let clock = Clock::start();
-    let system_listener = listen("system", settings.system).await?;
-    let health_listener = listen("health", settings.health).await?;
-    let system = local("system", &system_listener)?;
-    let health = local("health", &health_listener)?;
+    let (system_listener, system) = listen("system", settings.system).await?;
+    let (health_listener, health) = listen("health", settings.health).await?;
     let info = describe(&settings, system, clock);
     let worker = settings
         .worker
@@ -198,23 +189,6 @@
     )
 }
 
-async fn listen(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| StartError::Listen {
-        field,
-        address,
-        source,
-    })
-}
-
-fn local(field: &'static str, listener: &TcpListener) -> Result<SocketAddr, StartError> {
-    listener.local_addr().map_err(|source| StartError::Listen {
-        field,
-        address: SocketAddr::from(([0, 0, 0, 0], 0)),
-        source,
-    })
-}
-
 fn describe(settings: &AgentSettings, address: SocketAddr, clock: Clock) -> VmInfo {
     let mut endpoints = Vec::new();
     for endpoint in &settings.endpoints {
--- a/components/agent/src/endpoint.rs
+++ b/components/agent/src/endpoint.rs
@@ -18,14 +18,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use kernel::Verdict;
+use proto::fields::REQUEST_ID_HEADER;
 use smol::{
     lock::{Semaphore, SemaphoreGuardArc},
     net::TcpStream,
 };
 use smol_hyper::rt::FuturesIo;
 
-/// The header that carries the request's id to the endpoint and back.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The most header fields taken from an endpoint.
 const MAX_HEADERS: usize = 128;
 /// The most memory for the head of an answer, in bytes.
--- a/components/agent/src/proxy_http.rs
+++ b/components/agent/src/proxy_http.rs
@@ -10,29 +10,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use http_body_util::Full;
-use proto::messages::{Answer, Forward, Header};
+use proto::{
+    fields::{REQUEST_ID_HEADER, is_hop_by_hop},
+    messages::{Answer, Forward, Header},
+};
 use route::record::Fingerprint;
 
-use crate::endpoint::{EndpointRequest, REQUEST_ID_HEADER};
-
-/// Header fields that concern one connection only and are never passed on.
-const HOP_BY_HOP: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// Whether the field `name`, in lower case, concerns one connection only.
-#[must_use]
-pub fn is_hop_by_hop(name: &str) -> bool {
-    HOP_BY_HOP.contains(&name)
-}
+use crate::endpoint::EndpointRequest;
 
 /// Writes `forward` as a request to the endpoint at `address`.
 ///
--- a/components/entry/src/caller_http.rs
+++ b/components/entry/src/caller_http.rs
@@ -9,28 +9,17 @@
 use kernel::{
     Cause, RequestId, ServiceName, Time, Verdict, object::Service, verdict::VERDICT_HEADER,
 };
-use proto::messages::{Answer, Header};
+use proto::{
+    fields::{REQUEST_ID_HEADER, is_hop_by_hop},
+    messages::{Answer, Header},
+};
 use trillium::{Conn, KnownHeaderName};
 
-/// The header in which a caller gives its request's id and gets it back.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The header in which a caller says how long it waits, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "x-hemlockmoor-timeout-millis";
 
-/// Header fields that concern one connection only and are never passed on.
-const HOP_BY_HOP: [&str; 11] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
+/// Header fields that the entry writes itself.
+const OWN_FIELDS: [&str; 2] = ["content-length", "expect"];
 
 /// A caller's request, checked.
 #[derive(Clone, Debug)]
@@ -196,7 +185,10 @@
 }
 
 fn is_dropped(name: &str) -> bool {
-    HOP_BY_HOP.contains(&name) || name == REQUEST_ID_HEADER || name.starts_with("x-hemlockmoor-")
+    is_hop_by_hop(name)
+        || OWN_FIELDS.contains(&name)
+        || name == REQUEST_ID_HEADER
+        || name.starts_with("x-hemlockmoor-")
 }
 
 /// Writes the whole answer of an endpoint.
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -9,7 +9,7 @@
 
 use conf::settings::{EntrySettings, EntryTimings};
 use kernel::{AvailabilityZoneName, Clock, Incarnation, secret::Secrets};
-use observe::Health;
+use observe::{Health, ListenError, listen};
 use prometheus_client::registry::Registry;
 use proto::messages::EventQuery;
 use report::Period;
@@ -38,16 +38,9 @@
 /// Why an entry could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
-    /// A port is taken or not allowed.
-    #[error("can't listen on {address} ({field}): {source}; choose a free port")]
-    Listen {
-        /// The setting.
-        field: &'static str,
-        /// Its value.
-        address: SocketAddr,
-        /// What the system said.
-        source: std::io::Error,
-    },
+    /// A port can't be opened.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
 }
 
 /// The secrets of an entry.
@@ -433,17 +426,3 @@
 async fn told(stop: Receiver<()>) {
     let _ = stop.recv().await;
 }
-
-async fn listen(
-    field: &'static str,
-    address: SocketAddr,
-) -> Result<(TcpListener, SocketAddr), StartError> {
-    let failed = |source| StartError::Listen {
-        field,
-        address,
-        source,
-    };
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
-    let local = listener.local_addr().map_err(failed)?;
-    Ok((listener, local))
-}
--- a/components/fakes/src/endpoint.rs
+++ b/components/fakes/src/endpoint.rs
@@ -20,11 +20,10 @@
     server::conn::http1,
     service::service_fn,
 };
+use proto::fields::REQUEST_ID_HEADER;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
 
-const REQUEST_ID_HEADER: &str = "x-request-id";
-
 /// How the endpoint treats the requests that come from now on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
--- a/components/observe/src/lib.rs
+++ b/components/observe/src/lib.rs
@@ -4,6 +4,8 @@
 //! `/healthz` and `/readyz`. See `docs/OPERATIONS.md`.
 
 pub mod health;
+pub mod listen;
 pub mod logs;
 
 pub use health::{Health, routes};
+pub use listen::{ListenError, listen};
--- a/components/proto/src/channel.rs
+++ b/components/proto/src/channel.rs
@@ -173,3 +173,16 @@
         Box::pin(self.clone().send(req))
     }
 }
+
+/// The failure of a channel that made a call end with `status`, if one did.
+#[must_use]
+pub fn channel_error(status: &tonic::Status) -> Option<&ChannelError> {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if let Some(found) = error.downcast_ref::<ChannelError>() {
+            return Some(found);
+        }
+        source = error.source();
+    }
+    None
+}
--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod channel;
 pub mod codec;
+pub mod fields;
 pub mod messages;
 pub mod peer;
 pub mod rpc;
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -7,7 +7,7 @@
 use kernel::{Verdict, secret::Secrets};
 use tonic::{Code, Request, Status, metadata::MetadataValue};
 
-use crate::{Method, channel::Channel, channel::ChannelError, codec::MsgPack};
+use crate::{Method, channel::Channel, channel::channel_error, codec::MsgPack};
 
 /// The largest message taken from a peer, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
@@ -133,14 +133,3 @@
         None => format!("{:?}: {}", status.code(), status.message()),
     }
 }
-
-fn channel_error(status: &Status) -> Option<&ChannelError> {
-    let mut source = std::error::Error::source(status);
-    while let Some(error) = source {
-        if let Some(found) = error.downcast_ref::<ChannelError>() {
-            return Some(found);
-        }
-        source = error.source();
-    }
-    None
-}
--- a/components/store/src/etcd/mod.rs
+++ b/components/store/src/etcd/mod.rs
@@ -17,7 +17,8 @@
 use futures_lite::{FutureExt, stream};
 use kernel::{Clock, Time, Verdict};
 use proto::{
-    Channel, ChannelError,
+    Channel,
+    channel::channel_error,
     etcd::{self, kv_client::KvClient, lease_client::LeaseClient},
 };
 use tonic::{Code, Status};
@@ -208,17 +209,6 @@
     }
 }
 
-fn channel_error(status: &Status) -> Option<&ChannelError> {
-    let mut source = std::error::Error::source(status);
-    while let Some(error) = source {
-        if let Some(found) = error.downcast_ref::<ChannelError>() {
-            return Some(found);
-        }
-        source = error.source();
-    }
-    None
-}
-
 fn kv(channel: Channel) -> KvClient<Channel> {
     KvClient::new(channel)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
