Hold a team's quota over all cells

Cause: each cell let a team hold its whole quota, so a team with work in every cell held as many quotas as there are cells.

Change: entries tell one another what each team holds and wants in their cells; an owner cuts the quotas down to its part by these sums, in whole tasks. Its own sums count as told last but one. Tried and dropped: its own newest sums, with which two cells that get a job at once both take all that is left.

Conclusion: exact up to what the sums of one exchange miss. The size of the sums in an exchange at the target is not measured.

--- a/components/cell/src/owner.rs
+++ b/components/cell/src/owner.rs
@@ -11,7 +11,7 @@
     sync::Arc,
 };
 
-use kernel::{CellName, Epoch, JobName, ObjectSet, Revision, TaskRun, Time, VmName};
+use kernel::{CellName, Epoch, JobName, ObjectSet, Revision, TaskRun, TeamSums, Time, VmName};
 use place::{Fleet, Learner, Queue};
 use proto::messages::{CellRoom, Heartbeat, Order, Renewal};
 use rand::SeedableRng;
@@ -26,6 +26,7 @@
 mod journal;
 mod learn;
 mod lists;
+mod quota;
 mod recover;
 mod runs;
 mod schedule;
@@ -34,6 +35,7 @@
 
 use health::Health;
 use journal::Journal;
+use quota::Allowances;
 use runs::Live;
 use schedule::Feed;
 use worker::Worker;
@@ -72,6 +74,8 @@
     },
     /// The room in all cells, this one included.
     Rooms(BTreeMap<CellName, CellRoom>),
+    /// What teams hold and want in all cells, this one included.
+    TeamSums(BTreeMap<CellName, Arc<TeamSums>>),
     /// The group in flight is durable; the call that showed it was sent then.
     Committed(Time),
     /// The group in flight is not durable and never will be: the term is over.
@@ -146,6 +150,7 @@
     live: BTreeMap<TaskRun, Live>,
     health: Health,
     rooms: BTreeMap<CellName, CellRoom>,
+    allowances: Allowances,
     placement_due: bool,
     next_sweep: Time,
 }
@@ -177,6 +182,7 @@
             live: BTreeMap::new(),
             health: Health::default(),
             rooms: BTreeMap::new(),
+            allowances: Allowances::default(),
             placement_due: true,
             next_sweep: Time::ZERO,
         };
@@ -223,6 +229,7 @@
                 proved_at,
             } => self.take_config(now, objects, revision, proved_at),
             Event::Rooms(rooms) => self.rooms = rooms,
+            Event::TeamSums(sums) => self.take_team_sums(sums),
             Event::Committed(sent) => self.take_committed(sent),
             Event::Refused => actions.push(self.step_down()),
             Event::Proved(sent) => self.ownership_proved = self.ownership_proved.max(sent),
@@ -263,6 +270,7 @@
             self.transfer_waiting(now);
             self.placement_due = true;
         }
+        self.allow();
         self.schedule(now);
     }
 }
--- a/components/cell/src/owner/schedule.rs
+++ b/components/cell/src/owner/schedule.rs
@@ -165,7 +165,7 @@
         let mut waiting: Vec<Want> = Vec::new();
         let mut tries = 0;
         while tries < MAX_TRIES && self.journal.pending_len() < MAX_PENDING_RECORDS {
-            let Some(want) = self.queue.next(now, &self.objects, &self.fleet) else {
+            let Some(want) = self.queue.next(now, &self.allowances.teams, &self.fleet) else {
                 break;
             };
             tries += 1;
--- a/components/cell/src/owner/worker.rs
+++ b/components/cell/src/owner/worker.rs
@@ -59,6 +59,7 @@
         }
         self.revision = revision;
         self.objects = objects;
+        self.forget_allowances();
         self.placement_due = true;
         for vm in self.worker_names() {
             self.review(now, &vm);
--- a/components/cell/tests/owner.rs
+++ b/components/cell/tests/owner.rs
@@ -427,3 +427,37 @@
     }
     assert_eq!(session.owner.state().quarantined.len(), 2);
 }
+
+/// Two cells with tasks of one team and what they were told of each other.
+#[test]
+fn a_quota_holds_over_cells_that_tell_one_another_what_they_hold() {
+    let mut set = both_in().as_ref().clone();
+    let team = set.teams.get_mut(&"royalties".parse().unwrap()).unwrap();
+    team.quota = Resources::new(4000, 65_536, 0);
+    let set = std::sync::Arc::new(set);
+    let vm = vm_info("vm-1", "plateau", "plateau", 8);
+    let mut sessions = [Session::start(set.clone()), Session::start(set)];
+    let mut told: [std::sync::Arc<kernel::TeamSums>; 2] = Default::default();
+    let held = |session: &Session| session.owner.state().bound().count();
+    for second in 0..12 {
+        for (number, session) in sessions.iter_mut().enumerate() {
+            // Each session believes that it is the cell "plateau".
+            let sums = std::collections::BTreeMap::from([
+                (common::cell_name("plateau"), told[number].clone()),
+                (common::cell_name("yoff"), told[1 - number].clone()),
+            ]);
+            session.give(cell::Event::TeamSums(sums));
+            session.beat(&vm, u64::from(second > 0), &[]);
+            if second == 2 {
+                session.submit(job("night", 8, 1));
+            }
+            session.pass(SECOND);
+        }
+        for (number, session) in sessions.iter().enumerate() {
+            told[number] = std::sync::Arc::new(session.owner.team_sums());
+        }
+        let all: usize = sessions.iter().map(held).sum();
+        assert!(all <= 4, "{all} tasks at {second} s");
+    }
+    assert_eq!(sessions.iter().map(held).sum::<usize>(), 4);
+}
--- a/components/entry/examples/capacity_messages.rs
+++ b/components/entry/examples/capacity_messages.rs
@@ -170,6 +170,7 @@
         revision: Revision(3100),
         vms: summaries,
         cells: Vec::new(),
+        teams: Default::default(),
         complete: false,
     }
 }
--- a/components/entry/src/cells.rs
+++ b/components/entry/src/cells.rs
@@ -11,8 +11,8 @@
 
 use cell::Timing;
 use kernel::{
-    CellName, Clock, EntryName, Epoch, Incarnation, ObjectSet, Revision, TaskRun, Time, VmName,
-    secret::Secrets,
+    CellName, Clock, EntryName, Epoch, Incarnation, ObjectSet, Revision, TaskRun, TeamSums, Time,
+    VmName, secret::Secrets,
 };
 use proto::messages::{
     CellOwner, CellRoom, EventQuery, EventReply, Heartbeat, JobQuery, JobReply, Order, Renewal,
@@ -87,6 +87,9 @@
     cell_of: BTreeMap<VmName, CellName>,
     seen: BTreeMap<CellName, Seen>,
     rooms: BTreeMap<CellName, CellRoom>,
+    teams: BTreeMap<CellName, Arc<TeamSums>>,
+    /// When the sums of each owned cell were taken.
+    summed_at: BTreeMap<CellName, Time>,
     stopping: bool,
 }
 
@@ -154,6 +157,25 @@
         }
     }
 
+    /// Takes in what teams hold and want in another entry's cells.
+    pub fn heard_teams(&self, teams: BTreeMap<CellName, Arc<TeamSums>>) {
+        let mut shared = self.shared();
+        for (cell, sums) in teams {
+            if !shared.slots.contains_key(&cell) {
+                shared.teams.insert(cell, sums);
+            }
+        }
+    }
+
+    /// What teams hold and want in the cells that this entry owns.
+    #[must_use]
+    pub fn team_sums(&self) -> BTreeMap<CellName, Arc<TeamSums>> {
+        let shared = self.shared();
+        let mut teams = shared.teams.clone();
+        teams.retain(|cell, _| shared.slots.contains_key(cell));
+        teams
+    }
+
     /// The cells that this entry owns, with their room, for the other entries.
     #[must_use]
     pub fn owned(&self) -> Vec<CellOwner> {
--- a/components/entry/src/cells/drive.rs
+++ b/components/entry/src/cells/drive.rs
@@ -19,6 +19,9 @@
 /// How often the inbox is read without being told that it holds something.
 const INBOX_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How often what teams hold and want in a cell is summed up.
+const SUM_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The most items of the inbox taken at a time.
 const MAX_INBOX_ITEMS: i64 = 64;
 
@@ -71,11 +74,26 @@
         );
         let rooms = self.shared().rooms.clone();
         slot.handle(now, Event::Rooms(rooms));
+        self.sum_teams(slot, now);
+        let sums = self.shared().teams.clone();
+        slot.handle(now, Event::TeamSums(sums));
         slot.handle(now, Event::Tick);
         let room = slot.room();
         self.shared().rooms.insert(slot.cell.clone(), room);
     }
 
+    /// Sums up what teams hold and want in the cell, now and then.
+    fn sum_teams(&self, slot: &Slot, now: Time) {
+        let summed_at = self.shared().summed_at.get(&slot.cell).copied();
+        if summed_at.is_some_and(|at| now.since(at) < SUM_INTERVAL) {
+            return;
+        }
+        let sums = Arc::new(slot.team_sums());
+        let mut shared = self.shared();
+        shared.summed_at.insert(slot.cell.clone(), now);
+        shared.teams.insert(slot.cell.clone(), sums);
+    }
+
     /// Does one thing; whether the term goes on.
     async fn act(&self, slot: &Slot, action: Action, head: &mut Option<Vec<u8>>) -> bool {
         match action {
--- a/components/entry/src/cells/slot.rs
+++ b/components/entry/src/cells/slot.rs
@@ -4,7 +4,7 @@
 
 use async_channel::{Receiver, Sender};
 use cell::{Action, Answer, Event, Owner};
-use kernel::{CellName, Epoch, Time};
+use kernel::{CellName, Epoch, TeamSums, Time};
 use proto::messages::{CellRoom, EventQuery, EventReply, Heartbeat, JobPart, JobQuery};
 use store::LeaseId;
 
@@ -89,6 +89,10 @@
         self.owner().room()
     }
 
+    pub(super) fn team_sums(&self) -> TeamSums {
+        self.owner().team_sums()
+    }
+
     pub(super) fn jobs(&self, query: &JobQuery) -> Vec<JobPart> {
         self.owner().jobs(query)
     }
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -77,6 +77,7 @@
         Ok(reply) => {
             note_revision(system, &reply.exchange);
             system.cells.heard(reply.exchange.cells);
+            system.cells.heard_teams(reply.exchange.teams);
             (name, outgoing.upto)
         }
         Err(error) => {
--- a/components/entry/src/system.rs
+++ b/components/entry/src/system.rs
@@ -129,6 +129,7 @@
             self.members.on_exchange(&exchange.entry, exchange.vms);
         }
         self.cells.heard(exchange.cells);
+        self.cells.heard_teams(exchange.teams);
     }
 
     fn exchange(&self, exchange: Exchange) -> ExchangeReply {
@@ -169,6 +170,7 @@
             revision: self.config.in_force().revision,
             vms: Vec::new(),
             cells: self.cells.owned(),
+            teams: self.cells.team_sums(),
             complete: false,
         }
     }
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod plugin;
 pub mod resources;
 pub mod secret;
+pub mod sums;
 pub mod task;
 pub mod time;
 pub mod verdict;
@@ -25,6 +26,7 @@
 };
 pub use object::{ObjectSet, Revision};
 pub use resources::Resources;
+pub use sums::{TeamSum, TeamSums};
 pub use task::{
     Attempt, Checkpoint, Epoch, JobSpec, TaskClass, TaskId, TaskRun, TaskState, Urgency,
 };
--- a/components/place/src/queue.rs
+++ b/components/place/src/queue.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use kernel::{ObjectSet, Resources, TaskClass, TaskId, TeamName, Time};
+use kernel::{ObjectSet, Resources, TaskClass, TaskId, TeamName, TeamSums, Time};
 
 use crate::{
     decision::Want,
@@ -113,6 +113,21 @@
         self.entries.is_empty()
     }
 
+    /// What the waiting batch tasks of each team need; nothing is held by them.
+    #[must_use]
+    pub fn wanted(&self) -> TeamSums {
+        let mut wanted = TeamSums::new();
+        for entry in self.entries.values() {
+            if entry.want.class != TaskClass::Batch {
+                continue;
+            }
+            let sum = wanted.entry(entry.want.team.clone()).or_default();
+            sum.wanted = sum.wanted.plus(entry.want.need);
+            sum.largest = sum.largest.max(entry.want.need);
+        }
+        wanted
+    }
+
     /// Takes out the task whose turn it is; push it again if it can't be bound.
     ///
     /// Tasks for which room was made come first, then urgent and latency-critical
--- a/components/place/src/quota.rs
+++ b/components/place/src/quota.rs
@@ -4,18 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use kernel::{CellName, Resources, TeamName};
-use serde::{Deserialize, Serialize};
-
-/// What a team holds and wants in one cell.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct TeamSum {
-    /// What its batch tasks hold.
-    pub held: Resources,
-    /// What its waiting tasks need.
-    pub wanted: Resources,
-}
+use kernel::{CellName, Resources, TeamName, TeamSum, TeamSums};
 
 /// The sums that the owners of cells tell one another.
 ///
@@ -25,7 +14,7 @@
 /// since the last exchange is the most by which it can be exceeded.
 #[derive(Clone, Debug, Default)]
 pub struct Split {
-    cells: BTreeMap<CellName, BTreeMap<TeamName, TeamSum>>,
+    cells: BTreeMap<CellName, TeamSums>,
 }
 
 impl Split {
@@ -35,48 +24,105 @@
         Self::default()
     }
 
-    /// Takes in the sums of one cell; they replace its earlier ones.
-    pub fn on_sums(&mut self, cell: &CellName, sums: BTreeMap<TeamName, TeamSum>) {
+    /// Takes in the sums of one cell; they replace its earlier ones. A cell
+    /// whose owner is silent stays as it was, since its tasks hold on.
+    pub fn on_sums(&mut self, cell: &CellName, sums: TeamSums) {
         self.cells.insert(cell.clone(), sums);
     }
 
-    /// Forgets a cell that no longer exists. A cell whose owner is silent stays,
-    /// since its tasks go on holding what they hold.
-    pub fn remove(&mut self, cell: &CellName) {
-        self.cells.remove(cell);
-    }
-
     /// What a team may hold in `cell` at most.
     #[must_use]
     pub fn allowance(&self, cell: &CellName, team: &TeamName, quota: Resources) -> Resources {
-        let mut held = Resources::default();
-        let mut wanted = Resources::default();
-        for sums in self.cells.values() {
-            let sum = sums.get(team).copied().unwrap_or_default();
-            held = held.plus(sum.held);
-            wanted = wanted.plus(sum.wanted);
-        }
-        let own = self.sum(cell, team);
+        let sums: Vec<(&CellName, TeamSum)> = self
+            .cells
+            .iter()
+            .map(|(cell, sums)| (cell, sums.get(team).copied().unwrap_or_default()))
+            .collect();
+        let held = total(sums.iter().map(|(_, sum)| sum.held));
         let left = quota.minus(held);
-        let cells = self.cells.len().max(1) as u64;
-        let part = |left: u64, own: u64, all: u64| match all {
-            0 => left / cells,
-            all => (u128::from(left) * u128::from(own) / u128::from(all)) as u64,
+        let Some(own) = sums.iter().position(|(name, _)| *name == cell) else {
+            return Resources::NONE;
         };
-        let more = Resources::new(
-            part(left.cpu_milli, own.wanted.cpu_milli, wanted.cpu_milli),
-            part(left.memory_mib, own.wanted.memory_mib, wanted.memory_mib),
-            part(
-                u64::from(left.accelerators),
-                u64::from(own.wanted.accelerators),
-                u64::from(wanted.accelerators),
-            ) as u32,
-        );
-        own.held.plus(more)
+        let wanting: Vec<usize> = (0..sums.len())
+            .filter(|number| sums[*number].1.wanted != Resources::NONE)
+            .collect();
+        let more = match wanting.iter().position(|number| *number == own) {
+            Some(place) => {
+                let wants: Vec<TeamSum> = wanting.iter().map(|number| sums[*number].1).collect();
+                parts(left, &wants)[place]
+            }
+            None if wanting.is_empty() => part(left, 1, sums.len() as u64),
+            None => Resources::NONE,
+        };
+        sums[own].1.held.plus(more)
+    }
+}
+
+/// Splits `left` among cells that want some: first whole tasks of the largest
+/// size in proportion to what each wants, then one more task each in turn, then
+/// what is too little for any of those to the first.
+fn parts(left: Resources, wants: &[TeamSum]) -> Vec<Resources> {
+    let wanted = total(wants.iter().map(|sum| sum.wanted));
+    let mut parts: Vec<Resources> = wants
+        .iter()
+        .map(|sum| whole_tasks(proportional(left, sum.wanted, wanted), sum.largest))
+        .collect();
+    let mut rest = left.minus(total(parts.iter().copied()));
+    for (part, sum) in parts.iter_mut().zip(wants) {
+        let wants_more = !sum.wanted.fits(*part);
+        if wants_more && sum.largest.fits(rest) {
+            *part = part.plus(sum.largest);
+            rest = rest.minus(sum.largest);
+        }
     }
+    if let Some(first) = parts.first_mut() {
+        *first = first.plus(rest);
+    }
+    parts
+}
 
-    fn sum(&self, cell: &CellName, team: &TeamName) -> TeamSum {
-        let sums = self.cells.get(cell).and_then(|sums| sums.get(team));
-        sums.copied().unwrap_or_default()
+/// As many tasks of the given size as fit into `room`.
+fn whole_tasks(room: Resources, size: Resources) -> Resources {
+    let times = |room: u64, size: u64| room.checked_div(size).unwrap_or(u64::MAX);
+    let count = times(room.cpu_milli, size.cpu_milli)
+        .min(times(room.memory_mib, size.memory_mib))
+        .min(times(room.accelerators.into(), size.accelerators.into()));
+    if count == u64::MAX {
+        return Resources::NONE;
     }
+    let many = |size: u64| size.saturating_mul(count);
+    Resources::new(
+        many(size.cpu_milli),
+        many(size.memory_mib),
+        u32::try_from(many(size.accelerators.into())).unwrap_or(u32::MAX),
+    )
+}
+
+fn proportional(left: Resources, own: Resources, all: Resources) -> Resources {
+    Resources::new(
+        share(left.cpu_milli, own.cpu_milli, all.cpu_milli),
+        share(left.memory_mib, own.memory_mib, all.memory_mib),
+        share(
+            left.accelerators.into(),
+            own.accelerators.into(),
+            all.accelerators.into(),
+        ) as u32,
+    )
+}
+
+fn part(left: Resources, own: u64, all: u64) -> Resources {
+    Resources::new(
+        share(left.cpu_milli, own, all),
+        share(left.memory_mib, own, all),
+        share(left.accelerators.into(), own, all) as u32,
+    )
+}
+
+fn share(left: u64, own: u64, all: u64) -> u64 {
+    let product = u128::from(left) * u128::from(own);
+    product.checked_div(u128::from(all)).unwrap_or_default() as u64
+}
+
+fn total(parts: impl Iterator<Item = Resources>) -> Resources {
+    parts.fold(Resources::NONE, Resources::plus)
 }
--- a/components/place/tests/learning.rs
+++ b/components/place/tests/learning.rs
@@ -7,13 +7,13 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use common::{run, vm};
-use kernel::{JobName, Resources, ServiceName, TeamName, Time};
+use kernel::{JobName, Resources, ServiceName, TeamName, TeamSum, Time};
 use place::{
     family::family,
     harm::PRIOR_SLOWDOWN,
     interference::{Calm, Estimator, Matched, Suspect, Throttler},
     learn::Sizes,
-    quota::{Split, TeamSum},
+    quota::Split,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -178,6 +178,27 @@
     assert_eq!(expected.as_secs_f64().round(), 100.0);
 }
 
+#[test]
+fn a_quota_smaller_than_a_task_a_cell_is_used_whole() {
+    let team = TeamName::new("royalties").unwrap();
+    let need = Resources::new(2000, 1024, 0);
+    let quota = Resources::new(8000, 4096, 0);
+    let mut split = Split::new();
+    let cells: Vec<kernel::CellName> = (0..28)
+        .map(|number| format!("cell-{number:02}").parse().unwrap())
+        .collect();
+    for cell in &cells {
+        let sum = TeamSum {
+            wanted: need.plus(need),
+            largest: need,
+            ..TeamSum::default()
+        };
+        split.on_sums(cell, BTreeMap::from([(team.clone(), sum)]));
+    }
+    let allowed = cells.iter().map(|cell| split.allowance(cell, &team, quota));
+    assert_eq!(allowed.filter(|allowed| need.fits(*allowed)).count(), 4);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(12),
@@ -197,6 +218,7 @@
             let sum = TeamSum {
                 held: Resources::new(*cpu, *cpu, *accelerators),
                 wanted: Resources::new(*wanted, *wanted, *more),
+                largest: Resources::new(*wanted / 3, *wanted / 2, *more),
             };
             held = held.plus(sum.held);
             let cell = format!("cell-{number}").parse().unwrap();
--- a/components/proto/src/messages.rs
+++ b/components/proto/src/messages.rs
@@ -4,12 +4,12 @@
 //! on arrival, since the clocks of two machines may differ. Fields added later
 //! must have a default, so that processes of two versions understand each other.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use kernel::{
     AccountPart, AvailabilityZoneName, CellName, Checkpoint, EndpointLoad, EntryName, Epoch, Event,
     Incarnation, JobName, JobSpec, ObjectSet, RequestId, Resources, Revision, ServiceName, Sum,
-    TaskRun, TaskState, Time, Verdict, VmInfo, VmName,
+    TaskRun, TaskState, TeamSums, Time, Verdict, VmInfo, VmName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -214,6 +214,9 @@
     /// Cells that the entry owns.
     #[serde(default)]
     pub cells: Vec<CellOwner>,
+    /// What teams hold and want in those cells.
+    #[serde(default)]
+    pub teams: BTreeMap<CellName, Arc<TeamSums>>,
     /// Whether `vms` is everything the entry hears, not only changes.
     #[serde(default)]
     pub complete: bool,
