Move on from leaving agents without budget; start with a few retries

Cause: at some six requests a second a planned stop of an agent answered 503 not-run while healthy endpoints remained: a refusal as leaving cost a retry, and the budget was empty at low traffic. Ruled out: a larger budget, which a full outage would spend. Change: what a leaving or taken-out agent turns away moves on for nothing, four times at most; the budget starts with three tokens.

--- a/components/route/src/budget.rs
+++ b/components/route/src/budget.rs
@@ -2,6 +2,8 @@
 
 /// What one extra attempt costs, in hundredths of a token.
 const ATTEMPT_COST: u32 = 100;
+/// What a budget starts with, in hundredths of a token.
+const INITIAL: u32 = 3 * ATTEMPT_COST;
 /// The most that a budget saves up, in hundredths of a token.
 const MAX_SAVED: u32 = 10 * ATTEMPT_COST;
 
@@ -9,8 +11,8 @@
 ///
 /// Each good answer earns a part of a token and each extra attempt costs one.
 /// So the budget shrinks as failures spread, and a full outage leaves only the
-/// few tokens that were saved. It starts empty: a saved-up start would be extra
-/// load exactly when all entries restart.
+/// few tokens that were saved. It starts with enough for a failure or two, since
+/// a service with few requests would else earn the first token too late.
 #[derive(Clone, Debug)]
 pub struct Budget {
     percent: u32,
@@ -18,10 +20,13 @@
 }
 
 impl Budget {
-    /// An empty budget that earns `percent` hundredths of a token per answer.
+    /// A budget with the first few tokens that earns `percent` hundredths of a token per answer.
     #[must_use]
     pub const fn new(percent: u32) -> Self {
-        Self { percent, saved: 0 }
+        Self {
+            percent,
+            saved: INITIAL,
+        }
     }
 
     /// Changes the share and keeps what was saved.
--- a/components/route/src/pending.rs
+++ b/components/route/src/pending.rs
@@ -29,6 +29,8 @@
     pub(crate) may_have_run: bool,
     /// The agent will not run it any more.
     pub(crate) is_fenced: bool,
+    /// The agent turned it away because it is leaving or out.
+    pub(crate) is_turned_away: bool,
 }
 
 /// A request under way with its attempts.
@@ -96,15 +98,24 @@
             .any(|probe| probe.is_fenced && probe.vm == *vm && probe.incarnation == incarnation)
     }
 
-    /// Attempts that could have run it, which leaves probes out.
+    /// Attempts that count against the most for one request, which leaves out
+    /// probes and those that were turned away.
     pub(crate) fn runs(&self) -> usize {
         let runs = self
             .tries
             .iter()
-            .filter(|attempt| attempt.purpose != Purpose::Probe);
+            .filter(|attempt| attempt.purpose != Purpose::Probe && !attempt.is_turned_away);
         runs.count()
     }
 
+    /// How often agents that are leaving or out turned it away.
+    pub(crate) fn times_turned_away(&self) -> usize {
+        self.tries
+            .iter()
+            .filter(|attempt| attempt.is_turned_away)
+            .count()
+    }
+
     pub(crate) fn tried(&self) -> Vec<VmName> {
         self.tries
             .iter()
--- a/components/route/src/router.rs
+++ b/components/route/src/router.rs
@@ -25,6 +25,8 @@
 
 /// The most attempts that may run one request.
 const MAX_RUNS: usize = 3;
+/// How often one request moves on from leaving agents without budget.
+const MAX_FREE_MOVES: usize = 4;
 /// A request is hedged once it is slower than this share of the others.
 const HEDGE_QUANTILE: f64 = 0.95;
 /// A request is hedged at the latest at this many times the middle latency.
@@ -252,6 +254,7 @@
             is_open: true,
             may_have_run: false,
             is_fenced: false,
+            is_turned_away: false,
         });
         actions.push(Action::Send {
             key,
@@ -281,6 +284,7 @@
         };
         ended.may_have_run = outcome == Outcome::Unknown;
         ended.is_fenced = outcome == Outcome::NotHere;
+        ended.is_turned_away = outcome == Outcome::Leaving;
         let ended = ended.clone();
         self.note_end(now, &ended, outcome);
         let is_probe = ended.purpose == Purpose::Probe;
@@ -296,9 +300,8 @@
             Outcome::Restarted => self.finish_unknown(now, key, Cause::NoEndpoint, actions),
             _ if is_probe => self.finish_unknown(now, key, Cause::NoEndpoint, actions),
             Outcome::Overloaded { .. } => self.again(now, key, Cause::Overload, actions),
-            Outcome::Leaving | Outcome::Unreachable => {
-                self.again(now, key, Cause::NoEndpoint, actions);
-            }
+            Outcome::Leaving => self.move_on(now, key, actions),
+            Outcome::Unreachable => self.again(now, key, Cause::NoEndpoint, actions),
             Outcome::Unknown if idempotent => {
                 self.again(now, key, Cause::EndpointFailed, actions);
             }
@@ -349,6 +352,21 @@
         self.start_recorded(now, key, Purpose::First, actions);
     }
 
+    /// Sends what a leaving agent turned away elsewhere. This costs no budget: the
+    /// agent gets no more requests, so each one that leaves costs few attempts.
+    fn move_on(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
+        let Some(pending) = self.pending.get(&key) else {
+            return;
+        };
+        if pending.has_open() {
+            return;
+        }
+        if pending.times_turned_away() > MAX_FREE_MOVES {
+            return self.again(now, key, Cause::NoEndpoint, actions);
+        }
+        self.start(now, key, Purpose::Retry, Cause::NoEndpoint, actions);
+    }
+
     /// Tries again what did not run or may run twice, if budget and time allow.
     fn again(&mut self, now: Time, key: RequestKey, cause: Cause, actions: &mut Vec<Action>) {
         let Some(pending) = self.pending.get(&key) else {
