Remove what nobody calls from the placement

Cause: the facade that became the learner left functions without a caller behind.

Change: they go, and with Sizes::at_least its assertion in the test of sizes: what runs keeps its reservation as bound, which no code lowers, so there is nothing to hold up.

--- a/components/place/src/fleet.rs
+++ b/components/place/src/fleet.rs
@@ -189,12 +189,6 @@
         self.harms.set(service, job, slowdown);
     }
 
-    /// Replaces all estimates of harm.
-    pub fn set_harms(&mut self, harms: Harms) {
-        self.harms = harms;
-        self.refresh_harm();
-    }
-
     /// Applies new estimates to what already runs; costs one pass over all
     /// reservations, so call it every few seconds at most.
     pub fn refresh_harm(&mut self) {
@@ -249,23 +243,12 @@
         self.slot(vm).map(|slot| &slot.worker)
     }
 
-    /// The reservations on a worker.
-    pub fn held_on(&self, vm: &VmName) -> impl Iterator<Item = (&TaskRun, &Holding)> {
-        self.slot(vm).into_iter().flat_map(|slot| &slot.held)
-    }
-
     /// What an attempt holds, if it does.
     #[must_use]
     pub fn holding(&self, run: &TaskRun) -> Option<&Holding> {
         self.slot(self.homes.get(run)?)?.held.get(run)
     }
 
-    /// Where an attempt holds its reservation.
-    #[must_use]
-    pub fn home_of(&self, run: &TaskRun) -> Option<&VmName> {
-        self.homes.get(run)
-    }
-
     /// Whether a worker that takes new work has room for `need` now.
     #[must_use]
     pub fn has_room(&self, need: Resources) -> bool {
--- a/components/place/src/harm.rs
+++ b/components/place/src/harm.rs
@@ -15,20 +15,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Harms {
     slowdowns: BTreeMap<ServiceName, BTreeMap<JobName, f64>>,
-    /// Switches the term off, as a baseline for measurements.
-    ignored: bool,
 }
 
 impl Harms {
-    /// Estimates that count every task as harmless, the measuring baseline.
-    #[must_use]
-    pub fn ignored() -> Self {
-        Self {
-            slowdowns: BTreeMap::new(),
-            ignored: true,
-        }
-    }
-
     /// Takes in a new estimate for the family of `job`.
     pub fn set(&mut self, service: &ServiceName, job: &JobName, slowdown: f64) {
         let of_service = self.slowdowns.entry(service.clone()).or_default();
@@ -38,9 +27,6 @@
     /// The estimate for the family of `job`, or the prior.
     #[must_use]
     pub fn get(&self, service: &ServiceName, job: &JobName) -> f64 {
-        if self.ignored {
-            return 0.0;
-        }
         let Some(of_service) = self.slowdowns.get(service) else {
             return PRIOR_SLOWDOWN;
         };
--- a/components/place/src/interference/mod.rs
+++ b/components/place/src/interference/mod.rs
@@ -11,7 +11,7 @@
 use kernel::{JobName, Resources, ServiceName, TaskRun, Time, VmName};
 use serde::{Deserialize, Serialize};
 
-use crate::{family::family, harm::Harms};
+use crate::family::family;
 use history::{History, Latency};
 use model::ServiceModel;
 
@@ -210,10 +210,3 @@
         }
     }
 }
-
-/// Passes estimates on to the placement.
-pub fn apply(estimates: &[Estimate], harms: &mut Harms) {
-    for estimate in estimates {
-        harms.set(&estimate.service, &estimate.job, estimate.slowdown);
-    }
-}
--- a/components/place/src/interference/throttle.rs
+++ b/components/place/src/interference/throttle.rs
@@ -132,13 +132,6 @@
     pub fn remove(&mut self, vm: &VmName) {
         self.guards.remove(vm);
     }
-
-    /// Whether an attempt is throttled on a VM.
-    #[must_use]
-    pub fn is_throttled(&self, vm: &VmName, run: &TaskRun) -> bool {
-        let guard = self.guards.get(vm);
-        guard.is_some_and(|guard| guard.holds(run))
-    }
 }
 
 impl Guard {
--- a/components/place/src/learn.rs
+++ b/components/place/src/learn.rs
@@ -149,15 +149,6 @@
         })
     }
 
-    /// What a running attempt has to hold: never less than it holds already or
-    /// was seen to use.
-    #[must_use]
-    pub fn at_least(&self, run: &TaskRun, reserved: Resources) -> Resources {
-        let record = self.families.get(&family(&run.task.job));
-        let used = record.and_then(|record| record.running.get(run));
-        used.map_or(reserved, |used| reserved.max(used.peak))
-    }
-
     /// How long a task of `job` is expected to run: the mean of the logarithm
     /// over the runs seen, the declared time counting as one of them, and as
     /// many standard deviations more as `caution` says.
--- a/components/place/tests/learning.rs
+++ b/components/place/tests/learning.rs
@@ -167,13 +167,6 @@
         sizes.reservation(&job("statements-2"), declared, small),
         small
     );
-    let running = run("statements-3", 0);
-    sizes.on_usage(at(3), &running, Resources::new(5000, 100, 0));
-    let held = Resources::new(2000, 8000, 0);
-    assert_eq!(
-        sizes.at_least(&running, held),
-        Resources::new(5000, 8000, 0)
-    );
     let expected = sizes.run_time(&job("statements-9"), Duration::from_secs(10), 0.0);
     assert_eq!(expected.as_secs_f64().round(), 100.0);
 }
