List tasks that wait in an inbox

A task that was given to another cell, or to one at submit, was in no list until its new owner had taken it in.

Change: the list of an owned cell also reads its inbox, before the state, and shows what the state does not hold yet; one read of the store for each cell listed. A move between the reads of two cells in one list can still hide a task for that list, and inboxes of cells without an owner are not read.

--- a/components/cell/src/owner/lists.rs
+++ b/components/cell/src/owner/lists.rs
@@ -1,31 +1,69 @@
 //! What operators are shown of a cell, and dropping what has ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use kernel::{Resources, TaskId, TaskRun, TaskState, Time};
+use kernel::{JobName, Resources, TaskId, TaskRun, TaskState, Time};
 use proto::messages::{CellRoom, JobPart, JobQuery, StateCount, TaskLine};
 use store::keys;
 
 use super::Owner;
-use crate::{Job, Record, Task};
+use crate::{InboxItem, Job, Record, State, Task};
 
 /// The most tasks listed of one job.
 const MAX_LISTED_TASKS: usize = 10_000;
 
 impl Owner {
-    /// The parts of jobs that lie in the cell.
+    /// The parts of jobs that lie in the cell, with what still waits in its
+    /// inbox, so that tasks on their way from another cell are in the list.
+    ///
+    /// The inbox has to be read before this is called: what it lacks by then
+    /// is in the state.
     #[must_use]
-    pub fn jobs(&self, query: &JobQuery) -> Vec<JobPart> {
+    pub fn jobs(&self, query: &JobQuery, inbox: &[InboxItem]) -> Vec<JobPart> {
+        let arriving = self.with_inbox(inbox);
+        let names: BTreeSet<&JobName> =
+            self.state.jobs.keys().chain(arriving.jobs.keys()).collect();
         let mut parts = Vec::new();
-        for (name, job) in &self.state.jobs {
+        for name in names {
             if query.job.as_ref().is_some_and(|wanted| wanted != name) {
                 continue;
             }
-            parts.push(self.part(job, query.tasks));
+            let job = arriving.jobs.get(name).or(self.state.jobs.get(name));
+            parts.extend(job.map(|job| self.part(job, query.tasks)));
         }
         parts
     }
 
+    /// The jobs that items of the inbox are about, as if these were taken in.
+    fn with_inbox(&self, inbox: &[InboxItem]) -> State {
+        let mut state = State::default();
+        for item in inbox {
+            let (name, record) = match item.clone() {
+                InboxItem::Job { spec, part, at } => {
+                    (spec.name.clone(), Record::Accepted { spec, part, at })
+                }
+                InboxItem::Moved { spec, at, tasks } => {
+                    let name = spec.name.clone();
+                    let accepted = at;
+                    let record = Record::Received {
+                        spec,
+                        accepted,
+                        tasks,
+                        at,
+                    };
+                    (name, record)
+                }
+                InboxItem::Cancel { .. } => continue,
+            };
+            if let (Some(job), false) = (self.state.jobs.get(&name), state.jobs.contains_key(&name))
+            {
+                state.jobs.insert(name, job.clone());
+            }
+            state.apply(self.revision, &record);
+        }
+        state
+    }
+
     /// The room on workers that take new work.
     #[must_use]
     pub fn room(&self) -> CellRoom {
--- a/components/cell/tests/owner.rs
+++ b/components/cell/tests/owner.rs
@@ -6,12 +6,13 @@
 
 use std::time::Duration;
 
+use cell::{Event, InboxItem, MovedTask, Part};
 use common::{job, objects, run, session::Session, urgent, vm_info};
 use kernel::{
     Cause, EndpointInfo, EndpointLoad, EventKind, Resources, TaskRun, TaskState, Time, VmInfo,
     object::ZoneState,
 };
-use proto::messages::{Order, TaskPhase, TaskReport, Usage};
+use proto::messages::{JobQuery, Order, TaskPhase, TaskReport, Usage};
 use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -461,3 +462,41 @@
     }
     assert_eq!(sessions.iter().map(held).sum::<usize>(), 4);
 }
+
+/// How many tasks of one job a list shows, by state.
+fn listed(session: &Session, inbox: &[InboxItem]) -> Vec<(TaskState, u32)> {
+    let parts = session.owner.jobs(&JobQuery::default(), inbox);
+    let counts = parts.iter().flat_map(|part| &part.counts);
+    counts.map(|count| (count.state, count.count)).collect()
+}
+
+#[test]
+fn a_list_shows_what_still_waits_in_the_inbox_once() {
+    let mut session = Session::start(both_in());
+    let spec = job("night", 10, 2);
+    let part = Part { from: 0, until: 6 };
+    let at = session.now;
+    let own = InboxItem::Job {
+        spec: spec.clone(),
+        part,
+        at,
+    };
+    let moved = InboxItem::Moved {
+        spec,
+        at,
+        tasks: vec![MovedTask {
+            index: 8,
+            attempt: kernel::Attempt(2),
+            checkpoint: None,
+            failed_on: Vec::new(),
+        }],
+    };
+    let inbox = [own.clone(), moved.clone()];
+    assert_eq!(listed(&session, &inbox[1..]), [(TaskState::Waiting, 1)]);
+    assert_eq!(listed(&session, &inbox), [(TaskState::Waiting, 7)]);
+    session.give(Event::Inbox(vec![("own".to_owned(), own)]));
+    assert_eq!(listed(&session, &inbox), [(TaskState::Waiting, 7)]);
+    session.give(Event::Inbox(vec![("moved".to_owned(), moved)]));
+    assert_eq!(listed(&session, &inbox), [(TaskState::Waiting, 7)]);
+    assert_eq!(listed(&session, &[]), [(TaskState::Waiting, 7)]);
+}
--- a/components/entry/src/cells.rs
+++ b/components/entry/src/cells.rs
@@ -241,12 +241,13 @@
         seen.owner.as_ref().map(|key| key.owner.clone())
     }
 
-    /// The jobs in the cells of this entry.
-    #[must_use]
-    pub fn jobs(&self, query: &JobQuery) -> JobReply {
+    /// The jobs in the cells of this entry, with those that wait in their
+    /// inboxes; one read of the store for each cell.
+    pub async fn jobs(&self, query: &JobQuery) -> JobReply {
         let mut reply = JobReply::default();
         for slot in self.slots() {
-            reply.jobs.extend(slot.jobs(query));
+            let inbox = self.waiting_items(&slot.cell).await;
+            reply.jobs.extend(slot.jobs(query, &inbox));
         }
         reply
     }
--- a/components/entry/src/cells/drive.rs
+++ b/components/entry/src/cells/drive.rs
@@ -4,8 +4,8 @@
 
 use cell::{Action, Event, Group, InboxItem, keys};
 use futures_lite::FutureExt;
-use kernel::Time;
-use store::StoreError;
+use kernel::{CellName, Time};
+use store::{KeyValue, StoreError};
 
 use super::{
     Cells,
@@ -145,18 +145,34 @@
     async fn read_inbox(&self, slot: &Slot) -> Result<bool, StoreError> {
         let range = keys::inbox(&slot.cell);
         let reply = self.setup.store.range(range, MAX_INBOX_ITEMS).await?;
-        let mut items = Vec::new();
-        for kv in reply.kvs {
-            match serde_json::from_slice::<InboxItem>(&kv.value) {
-                Ok(item) => items.push((kv.key, item)),
-                Err(error) => tracing::error!(key = kv.key, %error, "unreadable inbox item"),
-            }
-        }
+        let items = parse(reply.kvs);
         if !items.is_empty() {
             slot.handle(self.now(), Event::Inbox(items));
         }
         Ok(reply.more)
     }
+
+    /// What waits in an inbox, for lists; nothing while the store is silent.
+    pub(super) async fn waiting_items(&self, cell: &CellName) -> Vec<InboxItem> {
+        match self.setup.store.range(keys::inbox(cell), 0).await {
+            Ok(reply) => parse(reply.kvs).into_iter().map(|(_, item)| item).collect(),
+            Err(error) => {
+                tracing::warn!(%cell, %error, "tasks in the inbox are not listed");
+                Vec::new()
+            }
+        }
+    }
+}
+
+fn parse(kvs: Vec<KeyValue>) -> Vec<(String, InboxItem)> {
+    let mut items = Vec::new();
+    for kv in kvs {
+        match serde_json::from_slice::<InboxItem>(&kv.value) {
+            Ok(item) => items.push((kv.key, item)),
+            Err(error) => tracing::error!(key = kv.key, %error, "unreadable inbox item"),
+        }
+    }
+    items
 }
 
 async fn next_wake(slot: &Slot) -> Option<Wake> {
--- a/components/entry/src/cells/slot.rs
+++ b/components/entry/src/cells/slot.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
-use cell::{Action, Answer, Event, Owner};
+use cell::{Action, Answer, Event, InboxItem, Owner};
 use kernel::{CellName, Epoch, TeamSums, Time};
 use proto::messages::{CellRoom, EventQuery, EventReply, Heartbeat, JobPart, JobQuery};
 use store::LeaseId;
@@ -93,8 +93,8 @@
         self.owner().team_sums()
     }
 
-    pub(super) fn jobs(&self, query: &JobQuery) -> Vec<JobPart> {
-        self.owner().jobs(query)
+    pub(super) fn jobs(&self, query: &JobQuery, inbox: &[InboxItem]) -> Vec<JobPart> {
+        self.owner().jobs(query, inbox)
     }
 
     pub(super) fn events(&self, query: &EventQuery, reply: &mut EventReply) {
--- a/components/entry/src/operator/jobs.rs
+++ b/components/entry/src/operator/jobs.rs
@@ -97,7 +97,7 @@
         job: query(conn, "job")?,
         tasks: query(conn, "tasks")?.unwrap_or(false),
     };
-    let mut reply = scope.jobs.cells.jobs(&asked);
+    let mut reply = scope.jobs.cells.jobs(&asked).await;
     let mut calls = Vec::new();
     for entry in scope.jobs.peers.live() {
         if entry.name == scope.jobs.peers.own().name {
--- a/components/entry/src/system.rs
+++ b/components/entry/src/system.rs
@@ -61,8 +61,8 @@
             async move { Ok(cells.cancel_call(&cancel)) }
         })
         .on::<JobsCall, _, _>(move |query| {
-            let jobs: JobReply = listing.cells.jobs(&query);
-            async move { Ok::<_, RpcError>(jobs) }
+            let cells = Arc::clone(&listing.cells);
+            async move { Ok::<JobReply, RpcError>(cells.jobs(&query).await) }
         })
         .on::<EventsCall, _, _>(move |query| {
             let events: EventReply = accounting.accounts.answer(accounting.cells.events(&query));
--- a/components/entry/tests/cells.rs
+++ b/components/entry/tests/cells.rs
@@ -172,7 +172,7 @@
     };
     let mut sum = 0;
     for entry in entries {
-        for part in entry.cells.jobs(&query).jobs {
+        for part in smol::block_on(entry.cells.jobs(&query)).jobs {
             for count in part.counts {
                 if count.state == TaskState::Finished {
                     sum += count.count;
