Reports of a running system: no false gap, and absences of seconds

Sums of the current minute end after the report but hold nothing from then, and a minute's sum counted only if the absence held its start. Ruled out: lost sums; allocations had all of them. Change: accounts say when they were gathered; an absence shows the whole minutes that it touches, before and after none of them, and the page says so.

--- a/components/entry/src/accounts/gather.rs
+++ b/components/entry/src/accounts/gather.rs
@@ -236,6 +236,7 @@
             sums: self.sums,
             events: self.events,
             missing: self.missing,
+            gathered_at: now,
         };
         for part in self.parts.into_values() {
             accounts.sums.extend(part.sums);
--- a/components/entry/tests/accounts.rs
+++ b/components/entry/tests/accounts.rs
@@ -346,6 +346,7 @@
                     sums: Vec::new(),
                     events: vec![event],
                     missing: vec!["entry-9 is silent".to_owned()],
+                    gathered_at: clock.now(),
                 }
             })
         }),
--- a/components/report/src/input.rs
+++ b/components/report/src/input.rs
@@ -41,6 +41,8 @@
     pub events: Vec<Event>,
     /// What could not be read, in words.
     pub missing: Vec<String>,
+    /// When they were gathered; nothing in them is from later.
+    pub gathered_at: Time,
 }
 
 /// Which part of the accounts a report shows.
@@ -101,6 +103,21 @@
 }
 
 impl Line {
+    /// Whether any of it may lie in `period`; a sum is taken by its whole span.
+    #[must_use]
+    pub fn meets(&self, period: Period) -> bool {
+        if self.from == self.until {
+            return period.contains(self.from);
+        }
+        period.meets(self.from, self.until)
+    }
+
+    /// Whether all of it lies in `period`.
+    #[must_use]
+    pub fn is_within(&self, period: Period) -> bool {
+        period.from <= self.from && self.until <= period.until && self.meets(period)
+    }
+
     /// Whose line it is: the payer where something was taken, else the one who
     /// gained.
     #[must_use]
@@ -180,7 +197,9 @@
         let mut over = 0;
         for sum in &self.accounts.sums {
             let line = Line::from(sum);
-            let inside = span.from <= line.from && line.until <= span.until;
+            // A sum of the current minute holds nothing from after the gathering.
+            let last = line.until.min(self.accounts.gathered_at);
+            let inside = span.from <= line.from && last <= span.until;
             if span.meets(line.from, line.until) && !inside {
                 over += 1;
             }
--- a/components/report/src/kinds/zones.rs
+++ b/components/report/src/kinds/zones.rs
@@ -138,14 +138,14 @@
     )
 }
 
-/// The tail latency by service within a period.
-fn tails(lines: &[Line], period: Period) -> BTreeMap<ServiceName, Quantiles> {
+/// The tail latency by service of the lines that `accepts` takes.
+fn tails(lines: &[Line], accepts: impl Fn(&Line) -> bool) -> BTreeMap<ServiceName, Quantiles> {
     let mut tails: BTreeMap<ServiceName, Quantiles> = BTreeMap::new();
     for line in lines.iter().filter(|line| answered(line)) {
         let Some(service) = &line.subject().service else {
             continue;
         };
-        if period.contains(line.from) {
+        if accepts(line) {
             let quantiles = tails.entry(service.clone()).or_default();
             quantiles.add(line.key.duration, line.amount.count);
         }
@@ -165,7 +165,11 @@
             from: during.until,
             until: during.until + AROUND,
         };
-        let parts = [before, during, after].map(|period| tails(lines, period));
+        let parts = [
+            tails(lines, |line| line.is_within(before)),
+            tails(lines, |line| line.meets(during)),
+            tails(lines, |line| line.is_within(after)),
+        ];
         let mut services: Vec<&ServiceName> = parts.iter().flat_map(BTreeMap::keys).collect();
         services.sort();
         services.dedup();
@@ -181,7 +185,7 @@
     }
     Section {
         heading: "Tail latency before, during and after".to_owned(),
-        note: "99th percentile of answered requests, rounded up by at most 19%; before and after are ten minutes each.".to_owned(),
+        note: "99th percentile of answered requests, rounded up by at most 19%; before and after are ten minutes each. Requests are kept by the minute, so during holds the whole minutes that the absence touches, before and after none of them.".to_owned(),
         columns: columns(&[
             ("availability zone", ""),
             ("service", ""),
@@ -236,7 +240,7 @@
     for absence in absences {
         let period = absence.period(end);
         let mut counts: BTreeMap<EventKind, u64> = BTreeMap::new();
-        for line in lines.iter().filter(|line| period.contains(line.from)) {
+        for line in lines.iter().filter(|line| line.meets(period)) {
             *counts.entry(line.key.kind).or_default() += line.amount.count;
         }
         let count = |kind| Cell::Count(counts.get(&kind).copied().unwrap_or(0));
@@ -254,6 +258,7 @@
     }
     Section {
         heading: "Work done meanwhile, in all availability zones".to_owned(),
+        note: "Sums are counted whole if the absence touches them.".to_owned(),
         columns: columns(&[
             ("absence of", ""),
             ("out", "UTC"),
--- a/components/report/tests/common/mod.rs
+++ b/components/report/tests/common/mod.rs
@@ -189,6 +189,7 @@
         sums: Vec::new(),
         events,
         missing: vec!["entry-2 did not answer within 2 s".to_owned()],
+        gathered_at: at(24 * 60),
     }
 }
 
--- a/components/report/tests/reports.rs
+++ b/components/report/tests/reports.rs
@@ -167,3 +167,53 @@
     let error = format::parse_time("yesterday").unwrap_err();
     assert!(error.contains("2026-12-03T23:53:00Z"));
 }
+
+#[test]
+fn a_sum_of_the_current_minute_is_no_gap_but_one_over_a_past_edge_is() {
+    let mut ledger = Ledger::new(Bounds::default());
+    for event in night().events {
+        ledger.add(event);
+    }
+    ledger.fold(at(24 * 60));
+    let mut accounts = Accounts {
+        sums: ledger.sums().collect(),
+        events: Vec::new(),
+        missing: Vec::new(),
+        gathered_at: at(30),
+        ..night()
+    };
+    let now = report("allocations", &accounts, &Filter::default());
+    assert!(now.missing.is_empty(), "{:?}", now.missing);
+    accounts.gathered_at = at(45);
+    let later = report("allocations", &accounts, &Filter::default());
+    assert_eq!(later.missing.len(), 1);
+}
+
+#[test]
+fn requests_kept_by_the_minute_show_in_an_absence_of_seconds() {
+    let mut ledger = Ledger::new(Bounds::default());
+    let mut accounts = night();
+    for event in &mut accounts.events {
+        if matches!(event.kind, EventKind::ZoneOut | EventKind::ZoneIn) {
+            // Out at 20:10 past the hour, back ten seconds later.
+            let late = if event.kind == EventKind::ZoneOut {
+                10
+            } else {
+                20
+            };
+            event.at = kernel::Time(at(20).0 + late * 1_000_000);
+        } else {
+            ledger.add(event.clone());
+        }
+    }
+    ledger.fold(at(24 * 60));
+    accounts
+        .events
+        .retain(|event| matches!(event.kind, EventKind::ZoneOut | EventKind::ZoneIn));
+    accounts.sums = ledger.sums().collect();
+    let zones = report("zones", &accounts, &Filter::default());
+    let row = &zones.sections[1].rows[0];
+    // Nine whole minutes of 1,000 and the 20 late ones lie in the ten minutes before.
+    assert_eq!(row[2], Cell::Count(9_020), "before");
+    assert_eq!(row[4], Cell::Count(1000), "during");
+}
