--- a/components/conf/src/locate.rs
+++ b/components/conf/src/locate.rs
@@ -4,7 +4,7 @@
 
 use toml::{
     Spanned,
-    de::{DeTable, DeValue},
+    de::{DeString, DeTable, DeValue},
 };
 
 /// The line of a byte offset, counted from 1.
@@ -15,25 +15,38 @@
     before.iter().filter(|&&b| b == b'\n').count() + 1
 }
 
-/// The line of the field at `path`, whose parts are keys and list indices; the
-/// line of the nearest enclosing field if it is left out, 0 if there is none.
-#[must_use]
-pub fn line_of_path<'p>(text: &str, path: impl IntoIterator<Item = &'p str>) -> usize {
-    let Ok(table) = DeTable::parse(text) else {
-        return 0;
-    };
-    let root = DeValue::Table(table.into_inner());
-    let mut offset = None;
-    let mut value = &root;
-    for part in path {
-        let found = children(value).into_iter().find(|child| child.key == part);
-        let Some(child) = found else {
-            break;
-        };
-        offset = Some(child.start);
-        value = child.value.get_ref();
+/// A text that was read once, to find many fields in it.
+#[derive(Debug)]
+pub struct Located<'t> {
+    text: &'t str,
+    root: Option<DeValue<'t>>,
+}
+
+impl<'t> Located<'t> {
+    /// Reads `text`; nothing is found in one that is not TOML.
+    #[must_use]
+    pub fn new(text: &'t str) -> Self {
+        let table = DeTable::parse(text).ok();
+        let root = table.map(|table| DeValue::Table(table.into_inner()));
+        Self { text, root }
+    }
+
+    /// The line of the field at `path`, whose parts are keys and list indices;
+    /// the line of the nearest enclosing field if it is left out, 0 if there is
+    /// none.
+    #[must_use]
+    pub fn line<'p>(&self, path: impl IntoIterator<Item = &'p str>) -> usize {
+        let mut offset = None;
+        let mut value = self.root.as_ref();
+        for part in path {
+            let Some(child) = value.and_then(|value| child(value, part)) else {
+                break;
+            };
+            offset = Some(child.start);
+            value = Some(child.value.get_ref());
+        }
+        offset.map_or(0, |offset| line_of(self.text, offset))
     }
-    offset.map_or(0, |offset| line_of(text, offset))
 }
 
 /// The path of the innermost field that holds `span`, empty if there is none.
@@ -55,31 +68,59 @@
     value: &'v Spanned<DeValue<'i>>,
 }
 
+impl<'v, 'i> Child<'v, 'i> {
+    fn under(key: &Spanned<DeString<'i>>, value: &'v Spanned<DeValue<'i>>) -> Self {
+        Self {
+            key: key.get_ref().to_string(),
+            start: key.span().start,
+            key_span: key.span(),
+            value,
+        }
+    }
+
+    fn at(number: usize, value: &'v Spanned<DeValue<'i>>) -> Self {
+        Self {
+            key: number.to_string(),
+            start: value.span().start,
+            key_span: value.span(),
+            value,
+        }
+    }
+}
+
 fn children<'v, 'i>(value: &'v DeValue<'i>) -> Vec<Child<'v, 'i>> {
     match value {
-        DeValue::Table(table) => table
-            .iter()
-            .map(|(key, value)| Child {
-                key: key.get_ref().to_string(),
-                start: key.span().start,
-                key_span: key.span(),
-                value,
-            })
-            .collect(),
-        DeValue::Array(items) => items
-            .iter()
-            .enumerate()
-            .map(|(number, value)| Child {
-                key: number.to_string(),
-                start: value.span().start,
-                key_span: value.span(),
-                value,
-            })
-            .collect(),
+        DeValue::Table(table) => {
+            let fields = table.iter();
+            fields
+                .map(|(key, value)| Child::under(key, value))
+                .collect()
+        }
+        DeValue::Array(items) => {
+            let items = items.iter().enumerate();
+            items
+                .map(|(number, item)| Child::at(number, item))
+                .collect()
+        }
         _ => Vec::new(),
     }
 }
 
+/// The child under `part`, found without looking at the others.
+fn child<'v, 'i>(value: &'v DeValue<'i>, part: &str) -> Option<Child<'v, 'i>> {
+    match value {
+        DeValue::Table(table) => {
+            let (key, value) = table.get_key_value(part)?;
+            Some(Child::under(key, value))
+        }
+        DeValue::Array(items) => {
+            let number: usize = part.parse().ok()?;
+            items.get(number).map(|item| Child::at(number, item))
+        }
+        _ => None,
+    }
+}
+
 fn innermost(value: &DeValue<'_>, span: &Range<usize>) -> Option<Vec<String>> {
     let holds = |outer: &Range<usize>| outer.start <= span.start && span.end <= outer.end;
     for child in children(value) {
--- a/components/conf/src/objects/source.rs
+++ b/components/conf/src/objects/source.rs
@@ -18,11 +18,15 @@
 
 use super::{Finding, Findings, ObjectId, ObjectKind, kind::ParseFailure};
 use crate::{
-    locate::{line_of, line_of_path},
+    locate::{Located, line_of},
     problem::{Problem, Problems},
-    syntax::problem_of,
+    syntax::{problem_of, unlocated},
 };
 
+/// How many wrong fields are looked up in their text; each look-up reads the
+/// whole text, and a set may hold thousands of objects.
+const MAX_LOCATED_FIELDS: usize = 100;
+
 /// One file of a set.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -149,12 +153,13 @@
         object: Spanned<DeValue<'_>>,
     ) {
         let id = ObjectId::new(kind.name, name.get_ref());
-        let line = line_of(&source.text, name.span().start);
+        // Counting lines for each object would read a large file thousands of times.
+        let line = || line_of(&source.text, name.span().start);
         if let Some(earlier) = self.origins.get(&id) {
             let message = format!("it is also defined in {}", earlier.file);
             self.problem(
                 source,
-                line,
+                line(),
                 &id.to_string(),
                 message,
                 "keep only one of them",
@@ -166,16 +171,19 @@
             Err(ParseFailure::Name(message)) => {
                 self.problem(
                     source,
-                    line,
+                    line(),
                     &id.to_string(),
                     message,
                     "choose another name",
                 );
             }
             Err(ParseFailure::Fields(error)) => {
-                let mut problem = problem_of(&source.file, &source.text, &error);
+                let mut problem = match self.problems.len() < MAX_LOCATED_FIELDS {
+                    true => problem_of(&source.file, &source.text, &error),
+                    false => unlocated(&source.file, &error),
+                };
                 if problem.line == 0 {
-                    problem.line = line;
+                    problem.line = line();
                 }
                 if problem.field.is_empty() {
                     problem.field = id.to_string();
@@ -205,20 +213,27 @@
 
     /// The set, if neither reading nor checking found anything wrong.
     pub(super) fn finish(self, findings: Findings) -> Result<ObjectSet, Problems> {
-        let located = findings.into_iter().map(|finding| self.locate(finding));
-        let mut problems: Vec<Problem> = located.collect();
+        let mut files = BTreeMap::new();
+        let mut problems = Vec::new();
+        for finding in findings {
+            problems.push(self.locate(finding, &mut files));
+        }
         problems.extend(self.problems);
         Problems(problems).into_result()?;
         Ok(self.set)
     }
 
-    fn locate(&self, finding: Finding) -> Problem {
+    /// Each file is read again at most once, whatever is found in it.
+    fn locate(&self, finding: Finding, files: &mut BTreeMap<&'s str, Located<'s>>) -> Problem {
         let Some(source) = self.origins.get(&finding.object) else {
             return finding.into_problem();
         };
         let object = [finding.object.kind.as_str(), finding.object.name.as_str()];
         let path = object.into_iter().chain(finding.field.split('.'));
-        let line = line_of_path(&source.text, path);
+        let fields = files
+            .entry(&source.file)
+            .or_insert_with(|| Located::new(&source.text));
+        let line = fields.line(path);
         Problem {
             file: source.file.clone(),
             line,
--- a/components/conf/src/settings/mod.rs
+++ b/components/conf/src/settings/mod.rs
@@ -16,7 +16,7 @@
 pub use entry::{EntryLimits, EntrySettings, EntryTimings};
 
 use crate::{
-    locate::line_of_path,
+    locate::Located,
     problem::{Problem, Problems},
     syntax::from_toml,
 };
@@ -60,9 +60,10 @@
 pub fn parse<S: Checked>(file: &str, text: &str) -> Result<S, SettingsError> {
     let settings: S = from_toml(file, text)?;
     settings.check().map_err(|problems| {
+        let fields = Located::new(text);
         let located = problems.0.into_iter().map(|problem| Problem {
             file: file.to_owned(),
-            line: line_of_path(text, problem.field.split('.')),
+            line: fields.line(problem.field.split('.')),
             ..problem
         });
         Problems(located.collect())
--- a/components/conf/src/syntax.rs
+++ b/components/conf/src/syntax.rs
@@ -33,6 +33,16 @@
     }
 }
 
+/// The problem without its line and field, which are costly to find.
+pub(crate) fn unlocated(file: &str, error: &toml::de::Error) -> Problem {
+    Problem {
+        file: file.to_owned(),
+        message: error.message().trim().replace('\n', ", "),
+        remedy: remedy_for(error.message()).to_owned(),
+        ..Problem::default()
+    }
+}
+
 /// What stands on a line that can't be read as TOML.
 fn quoted_line(text: &str, line: usize) -> String {
     let found = line
--- a/components/conf/tests/objects.rs
+++ b/components/conf/tests/objects.rs
@@ -216,3 +216,23 @@
     let none = read_dir(empty.path()).unwrap_err();
     assert!(none.to_string().contains("it holds no .toml file"));
 }
+
+#[test]
+fn each_of_many_wrong_objects_is_reported_with_its_line() {
+    let mut text = String::new();
+    for number in 0..300 {
+        text.push_str(&format!("[zone.zone-{number}]\nregoin = \"dakar\"\n"));
+    }
+    let problems = parse(&[source("zones.toml", text)]).unwrap_err();
+    let mut named = std::collections::BTreeSet::new();
+    for problem in &problems.0 {
+        let number: usize = problem.field["zone.zone-".len()..]
+            .trim_end_matches(".regoin")
+            .parse()
+            .unwrap();
+        let header = number * 2 + 1;
+        assert!((header..header + 2).contains(&problem.line), "{problem}");
+        named.insert(number);
+    }
+    assert_eq!(named.len(), 300);
+}
