An agent leaves only when all entries know

Cause: a leaving agent closed its port after its own entry had heard of it, and the second entry, which hears by exchange, met refused connections: requests answered 503 with healthy endpoints left. Change: the agent goes on refusing for 1.5 s before it ends.

--- a/components/agent/src/daemon.rs
+++ b/components/agent/src/daemon.rs
@@ -16,6 +16,9 @@
 
 /// How often a graceful stop looks whether everything has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
+/// How long a leaving agent goes on refusing requests after its entry heard of
+/// the leaving, so that the others hear of it before the port closes.
+const LINGER: Duration = Duration::from_millis(1500);
 /// How many heartbeats announce the leaving before the process may end; more
 /// than one, since the answer to the first may belong to an earlier heartbeat.
 const HEARTBEATS_BEFORE_STOP: u64 = 2;
@@ -150,6 +153,7 @@
         while self.heartbeats.answered() < told || !self.tasks.idle() {
             smol::Timer::after(STOP_POLL).await;
         }
+        smol::Timer::after(LINGER).await;
         self.proxy.idle().await;
     }
 }
