--- a/components/cell/tests/owner.rs
+++ b/components/cell/tests/owner.rs
@@ -170,6 +170,44 @@
     assert_eq!(session.owner.state().bound().count(), 1, "lost");
 }
 
+#[test]
+fn an_owner_cut_off_from_the_store_renews_leases_up_to_its_grace_only() {
+    let mut session = Session::start(both_in());
+    let vm = vm_info("vm-1", "plateau", "plateau", 4);
+    session.beat(&vm, 0, &[]);
+    session.beat(&vm, 1, &[]);
+    session.submit(job("night", 1, 2));
+    session.pass(SECOND);
+    session.beat(&vm, 1, &[]);
+    let running = [(run("night", 0, 1), TaskPhase::Running)];
+    let proved = session.now;
+    let grace = cell::Timing::default().owner_grace;
+    while session.now + SECOND < proved + grace {
+        session.pass_unproved(SECOND);
+        let answer = session.beat(&vm, 1, &running);
+        assert_eq!(answer.renewed.len(), 1, "{}", session.now);
+    }
+    session.pass_unproved(SECOND);
+    let answer = session.beat(&vm, 1, &running);
+    assert_eq!(answer.renewed, Vec::new());
+}
+
+#[test]
+fn a_new_owner_orders_nothing_from_an_agent_that_does_not_obey_it_yet() {
+    let mut session = Session::start(both_in());
+    let vm = vm_info("vm-1", "plateau", "plateau", 4);
+    session.beat(&vm, 0, &[]);
+    session.beat(&vm, 1, &[]);
+    session.submit(job("night", 1, 2));
+    session.pass(SECOND);
+    assert_eq!(session.owner.state().bound().count(), 1);
+    session.take_over(2, session.now + 100 * SECOND);
+    let answer = session.beat(&vm, 1, &[]);
+    assert_eq!(starts(&answer.orders), Vec::<String>::new());
+    let answer = session.beat(&vm, 2, &[]);
+    assert_eq!(starts(&answer.orders), ["night/0@1"]);
+}
+
 #[test]
 fn an_owner_that_meets_a_higher_epoch_steps_down() {
     let mut session = Session::start(both_in());
