Reports: one without an end ends when it was gathered

Cause: reports up to now still called the sums of the current minute a gap: the accounts are gathered some milliseconds after the end that the question was given. Change: a period without an end ends at the gathering.

--- a/components/entry/src/operator/reports.rs
+++ b/components/entry/src/operator/reports.rs
@@ -56,6 +56,8 @@
 /// What was asked for.
 struct Asked {
     period: Period,
+    /// No end was asked for.
+    ends_now: bool,
     filter: Filter,
     shown: Shown,
 }
@@ -79,11 +81,20 @@
         Ok(asked) => asked,
         Err((status, failure)) => return failed(conn, status, &failure),
     };
-    let mut accounts = (cx.accounts)(asked.period).await;
+    let mut accounts = gather(cx, &asked).await;
     asked.filter.keep(&mut accounts);
     done(conn, &accounts)
 }
 
+/// Gathers what was asked for; a period without an end ends at the gathering.
+async fn gather(cx: &Context, asked: &Asked) -> Accounts {
+    let mut accounts = (cx.accounts)(asked.period).await;
+    if asked.ends_now {
+        accounts.span.until = accounts.span.until.max(accounts.gathered_at);
+    }
+    accounts
+}
+
 async fn report(cx: &Context, conn: Conn) -> Conn {
     match make(cx, &conn).await {
         Ok((report, shown)) => show(conn, &report, shown),
@@ -100,7 +111,7 @@
     };
     let asked = asked(conn, cx.clock.now(), default)?;
     report::check_kind(&kind).map_err(|error| refuse(Status::NotFound, error.to_string()))?;
-    let accounts = (cx.accounts)(asked.period).await;
+    let accounts = gather(cx, &asked).await;
     let in_force = cx.config.in_force();
     let input = Input {
         accounts: &accounts,
@@ -146,13 +157,15 @@
         Some(value) => format::parse_time(value).map(Some),
         None => Ok(None),
     };
-    let until = time("until")?.unwrap_or(now);
+    let end = time("until")?;
+    let until = end.unwrap_or(now);
     let from = time("from")?.unwrap_or(until - default);
     if from >= until {
         return Err("from is not before until".to_owned());
     }
     Ok(Asked {
         period: Period { from, until },
+        ends_now: end.is_none(),
         filter: Filter {
             team: field(&fields, "team")?,
             service: field(&fields, "service")?,
--- a/components/entry/tests/accounts.rs
+++ b/components/entry/tests/accounts.rs
@@ -11,7 +11,8 @@
 };
 use fakes::store::MemStore;
 use kernel::{
-    Amount, Cause, Clock, Event, EventKind, Incarnation, ObjectSet, Party, Revision, Time,
+    Amount, Cause, Clock, Event, EventKind, Incarnation, ObjectSet, Party, Revision, Span, Sum,
+    SumKey, Time,
     object::{AvailabilityZone, ZoneState},
     secret::Secrets,
 };
@@ -328,6 +329,20 @@
 
 /// An entry's operators' port over accounts with seven lookups of one team.
 async fn serve_operators() -> (SocketAddr, smol::Task<()>) {
+    serve_accounts(|period| Gathered {
+        span: period,
+        sums: Vec::new(),
+        events: vec![request(period.until - Duration::from_secs(1), "lookup", 7)],
+        missing: vec!["entry-9 is silent".to_owned()],
+        gathered_at: period.until,
+    })
+    .await
+}
+
+/// An entry's operators' port over what `gathered` gives.
+async fn serve_accounts(
+    gathered: impl Fn(Period) -> Gathered + Send + Sync + 'static,
+) -> (SocketAddr, smol::Task<()>) {
     let clock = Clock::start();
     let store: Arc<dyn Store> = Arc::new(MemStore::new());
     let cx = Context {
@@ -339,16 +354,8 @@
         revisions: Box::new(Default::default),
         zone_of: Box::new(|_| None),
         accounts: Box::new(move |period| {
-            let event = request(period.until - Duration::from_secs(1), "lookup", 7);
-            Box::pin(async move {
-                Gathered {
-                    span: period,
-                    sums: Vec::new(),
-                    events: vec![event],
-                    missing: vec!["entry-9 is silent".to_owned()],
-                    gathered_at: clock.now(),
-                }
-            })
+            let accounts = gathered(period);
+            Box::pin(async move { accounts })
         }),
         jobs: None,
     };
@@ -393,6 +400,29 @@
     });
 }
 
+#[rstest]
+#[case::up_to_now("/v1/report/allocations?format=text", true)]
+#[case::up_to_a_time("/v1/report/allocations?format=text&until=1700000000", false)]
+fn a_sum_of_the_current_minute_is_no_gap(#[case] path: &str, #[case] complete: bool) {
+    smol::block_on(async {
+        let (address, _serving) = serve_accounts(|period| Gathered {
+            span: period,
+            sums: vec![Sum {
+                start: period.until - Duration::from_secs(30),
+                span: Span::Minute,
+                key: SumKey::from(&request(period.until, "lookup", 7)),
+                amount: Amount::count(7),
+            }],
+            events: Vec::new(),
+            missing: Vec::new(),
+            gathered_at: period.until + Duration::from_millis(5),
+        })
+        .await;
+        let (_, _, body) = get(address, path, OPERATORS_SECRET).await;
+        assert_eq!(!body.contains("NOT COMPLETE"), complete, "{body}");
+    });
+}
+
 #[test]
 fn operators_get_the_events_that_a_report_is_made_from() {
     smol::block_on(async {
