An entry without a configuration is not ready, and a stop stays a stop

Cause: an entry called itself ready before it had read any configuration, so the balancer sent it requests for services that it did not know; and a configuration that came into force during a graceful stop made it ready again. Found by reading. Change: an entry becomes ready with its first configuration; Health::close is for good. The operators' side of the daemon is in a file of its own.

--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -11,12 +11,9 @@
 use kernel::{AvailabilityZoneName, Clock, Incarnation, secret::Secrets};
 use observe::{Health, ListenError, listen};
 use prometheus_client::registry::Registry;
-use proto::messages::EventQuery;
-use report::Period;
 use smol::{
     Task,
     channel::{Receiver, Sender},
-    net::TcpListener,
 };
 use store::{Budgeted, Store};
 
@@ -27,11 +24,12 @@
     cells::{Cells, ConfigView, Setup},
     config::Follower,
     exchange, metrics,
-    operator::{self, Context, Jobs, ProcessRevision, Revisions},
     peers::{EntryRecord, Peers},
     system::{self, System},
 };
 
+mod operators;
+
 /// How often deadlines of members and requests are looked at.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -114,7 +112,6 @@
     let parts = assemble(&settings, own, store, &secrets, clock, &mut registry);
     let ready = Health::default();
     let running = spawn_loops(&settings, &parts);
-    ready.set_ready(true);
     let in_force = put_in_force(parts.clone(), ready.clone(), settings.zone.clone());
     let putting_in_force = smol::spawn(in_force);
 
@@ -134,9 +131,9 @@
         told(system_stop),
     ));
     let mut running = running;
-    running.push(serve_operators(
+    running.push(operators::serve(
         operators_port,
-        context(&settings, &parts, secrets.operators),
+        operators::context(&settings, &parts, secrets.operators),
         ready.clone(),
         registry,
     ));
@@ -164,7 +161,7 @@
     pub async fn stop(self) {
         self.putting_in_force.cancel().await;
         let orderly = async {
-            self.ready.set_ready(false);
+            self.ready.close();
             let _ = self.stop_callers.send(()).await;
             self.serving_callers.await;
             self.parts.callers.flush();
@@ -331,98 +328,6 @@
     }
 }
 
-fn context(settings: &EntrySettings, parts: &Shared, secrets: Secrets) -> Context {
-    let (revisions, zones) = (Arc::clone(&parts.system), Arc::clone(&parts.system));
-    let accounting = parts.clone();
-    Context {
-        secrets,
-        body_bytes: settings.limits.operator_body_bytes,
-        clock: parts.clock,
-        store: Arc::clone(&parts.store),
-        config: Arc::clone(&parts.system.config),
-        revisions: Box::new(move || revisions_of(&revisions)),
-        zone_of: Box::new(move |vm| {
-            zones.members.with(|members| {
-                let member = members.get(vm)?;
-                Some(member.news.info.zone.clone())
-            })
-        }),
-        accounts: Box::new(move |period| {
-            let parts = accounting.clone();
-            Box::pin(async move { accounts_of(&parts, period).await })
-        }),
-        jobs: Some(Arc::new(Jobs {
-            cells: Arc::clone(&parts.system.cells),
-            peers: Arc::clone(&parts.system.peers),
-            secrets: parts.system.secrets.clone(),
-        })),
-    }
-}
-
-/// The accounts of all entries and cells, as far as they can be read.
-async fn accounts_of(parts: &Shared, period: Period) -> report::Accounts {
-    let system = &parts.system;
-    let query = EventQuery {
-        from: period.from,
-        until: period.until,
-    };
-    let others = system.peers.others().into_iter();
-    let peers = accounts::Peers {
-        entries: others.map(|entry| (entry.name, entry.system)).collect(),
-    };
-    let gathering = accounts::Gathering {
-        store: &*parts.store,
-        own: system.accounts.answer(system.cells.events(&query)),
-        peers: &peers,
-        secrets: &system.secrets,
-        period,
-        now: parts.clock.now(),
-    };
-    accounts::gather(gathering).await
-}
-
-fn revisions_of(system: &System) -> Revisions {
-    let here = system.config.in_force().revision;
-    let mut entries = Vec::new();
-    for entry in system.peers.live() {
-        let heard = system.lock_heard().get(&entry.name).copied();
-        let revision = match entry.name == system.peers.own().name {
-            true => here,
-            false => heard.map(|news| news.revision).unwrap_or_default(),
-        };
-        entries.push(ProcessRevision {
-            name: entry.name.to_string(),
-            revision,
-        });
-    }
-    let vms = system.members.with(|members| {
-        members
-            .iter()
-            .map(|member| ProcessRevision {
-                name: member.news.info.vm.to_string(),
-                revision: member.news.revision,
-            })
-            .collect()
-    });
-    Revisions { here, entries, vms }
-}
-
-fn serve_operators(
-    listener: TcpListener,
-    cx: Context,
-    ready: Health,
-    registry: Registry,
-) -> Task<()> {
-    let pages = observe::routes(ready, Arc::new(registry));
-    smol::spawn(
-        trillium_smol::config()
-            .without_signals()
-            .with_nodelay()
-            .with_prebound_server(listener)
-            .run_async((pages, operator::handler(cx))),
-    )
-}
-
 async fn told(stop: Receiver<()>) {
     let _ = stop.recv().await;
 }
--- a/components/observe/src/health.rs
+++ b/components/observe/src/health.rs
@@ -14,21 +14,32 @@
 
 /// Whether a daemon wants to be sent work by a balancer.
 ///
-/// It starts as not ready; a graceful stop makes it not ready first, so that
-/// the balancer turns away before the ports close.
+/// It starts as not ready. A graceful stop closes it first, so that the balancer
+/// turns away before the ports close; nothing makes it ready again after that.
 #[derive(Clone, Debug, Default)]
-pub struct Health(Arc<AtomicBool>);
+pub struct Health(Arc<Flags>);
+
+#[derive(Debug, Default)]
+struct Flags {
+    ready: AtomicBool,
+    closed: AtomicBool,
+}
 
 impl Health {
     /// Says whether the daemon is ready.
     pub fn set_ready(&self, ready: bool) {
-        self.0.store(ready, Ordering::Relaxed);
+        self.0.ready.store(ready, Ordering::Relaxed);
+    }
+
+    /// Makes the daemon not ready for good.
+    pub fn close(&self) {
+        self.0.closed.store(true, Ordering::Relaxed);
     }
 
     /// Whether the daemon is ready.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.ready.load(Ordering::Relaxed) && !self.0.closed.load(Ordering::Relaxed)
     }
 }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -194,7 +194,7 @@
 }
 
 #[test]
-fn an_entry_in_a_zone_that_is_out_asks_the_balancer_to_turn_away() {
+fn an_entry_is_ready_while_its_configuration_is_in_force_and_its_zone_is_in() {
     run(async {
         let store = MemStore::manual();
         let secret = Secrets::parse("a secret of some length").unwrap();
@@ -219,6 +219,7 @@
                 smol::Timer::after(Duration::from_millis(5)).await;
             }
         };
+        ready(503).await;
         publish_number(&store, 1).await;
         ready(200).await;
         let url = format!("http://{}/metrics", entry.operators);
