Give an entry that has no configuration one from the others

Cause: an entry that started while the store was away refused every request, though the other entries had the configuration; Follower::offer existed and nobody called it. Change: an exchange carries the whole set to an entry that says it is at revision 0.

--- a/components/entry/examples/capacity_messages.rs
+++ b/components/entry/examples/capacity_messages.rs
@@ -171,6 +171,7 @@
         vms: summaries,
         cells: Vec::new(),
         teams: Default::default(),
+        config: None,
         complete: false,
     }
 }
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -6,23 +6,32 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
-use kernel::{EntryName, Incarnation};
+use kernel::{EntryName, Incarnation, Revision};
 use proto::{Peer, messages::Exchange, methods::ExchangeCall};
 
 use crate::{
     peers::EntryRecord,
-    system::{EntryNews, System},
+    system::{EntryNews, System, whole_config},
 };
 
 /// How long another entry may take to answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One other entry and what it was told.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Line {
     incarnation: Incarnation,
     peer: Peer,
     told: u64,
+    /// It said that it has no configuration.
+    needs_config: bool,
+}
+
+/// What a call to another entry brought.
+struct Told {
+    name: EntryName,
+    upto: u64,
+    needs_config: bool,
 }
 
 /// Exchanges with all other entries every `interval`, forever.
@@ -33,12 +42,14 @@
         lines.retain(|name, _| others.iter().any(|other| other.name == *name));
         let mut round = Vec::new();
         for other in others {
+            let name = other.name.clone();
             let line = line_to(&mut lines, &system, other);
-            round.push(tell(&system, line));
+            round.push(tell(&system, name, line));
         }
-        for (name, told) in join_all(round).await {
-            if let Some(line) = lines.get_mut(&name) {
-                line.told = told;
+        for told in join_all(round).await {
+            if let Some(line) = lines.get_mut(&told.name) {
+                line.told = told.upto;
+                line.needs_config = told.needs_config;
             }
         }
         smol::Timer::after(interval).await;
@@ -46,45 +57,49 @@
 }
 
 /// The line to `other`, from the start again if its process is a new one.
-fn line_to(
-    lines: &mut BTreeMap<EntryName, Line>,
-    system: &System,
-    other: EntryRecord,
-) -> (EntryName, Peer, u64) {
+fn line_to(lines: &mut BTreeMap<EntryName, Line>, system: &System, other: EntryRecord) -> Line {
     let fresh = || Line {
         incarnation: other.incarnation,
         peer: Peer::new(other.system, system.secrets.clone()),
         told: 0,
+        needs_config: false,
     };
-    let line = lines.entry(other.name.clone()).or_insert_with(fresh);
+    let line = lines.entry(other.name).or_insert_with(fresh);
     if line.incarnation != other.incarnation {
         *line = fresh();
     }
-    (other.name, line.peer.clone(), line.told)
+    line.clone()
 }
 
 /// Makes one call; gives how far the other entry has been told.
-async fn tell(system: &System, line: (EntryName, Peer, u64)) -> (EntryName, u64) {
-    let (name, peer, told) = line;
-    let outgoing = system.members.outgoing(told);
+async fn tell(system: &System, name: EntryName, line: Line) -> Told {
+    let outgoing = system.members.outgoing(line.told);
     let exchange = Exchange {
         vms: outgoing.vms,
         complete: outgoing.complete,
+        config: line.needs_config.then(|| whole_config(system)).flatten(),
         ..system.introduce()
     };
-    match peer.call::<ExchangeCall>(exchange, TIMEOUT).await {
-        Ok(reply) if reply.need_complete => (name, 0),
+    let mut told = Told {
+        name,
+        upto: line.told,
+        needs_config: line.needs_config,
+    };
+    match line.peer.call::<ExchangeCall>(exchange, TIMEOUT).await {
         Ok(reply) => {
+            told.needs_config = reply.exchange.revision == Revision(0);
+            if reply.need_complete {
+                told.upto = 0;
+                return told;
+            }
+            told.upto = outgoing.upto;
             note_revision(system, &reply.exchange);
             system.cells.heard(reply.exchange.cells);
             system.cells.heard_teams(reply.exchange.teams);
-            (name, outgoing.upto)
-        }
-        Err(error) => {
-            tracing::debug!(entry = %name, %error, "exchange failed");
-            (name, told)
         }
+        Err(error) => tracing::debug!(entry = %told.name, %error, "exchange failed"),
     }
+    told
 }
 
 fn note_revision(system: &System, exchange: &Exchange) {
--- a/components/entry/src/system.rs
+++ b/components/entry/src/system.rs
@@ -50,7 +50,7 @@
         })
         .on::<ExchangeCall, _, _>(move |exchange| {
             let system = Arc::clone(&exchanging);
-            async move { Ok(system.exchange(exchange)) }
+            async move { Ok(system.exchange(exchange).await) }
         })
         .on::<SubmitCall, _, _>(move |submit| {
             let cells = Arc::clone(&submitting.cells);
@@ -132,7 +132,11 @@
         self.cells.heard_teams(exchange.teams);
     }
 
-    fn exchange(&self, exchange: Exchange) -> ExchangeReply {
+    async fn exchange(&self, mut exchange: Exchange) -> ExchangeReply {
+        if let Some(update) = exchange.config.take() {
+            let objects = Arc::new(update.objects);
+            self.config.offer(update.revision, objects).await;
+        }
         let need_complete = self.note(&exchange);
         if !need_complete {
             self.hear(exchange);
@@ -171,11 +175,21 @@
             vms: Vec::new(),
             cells: self.cells.owned(),
             teams: self.cells.team_sums(),
+            config: None,
             complete: false,
         }
     }
 }
 
+/// The configuration in force, if there is one.
+pub(crate) fn whole_config(system: &System) -> Option<ConfigUpdate> {
+    let in_force = system.config.in_force();
+    (in_force.revision > Revision(0)).then(|| ConfigUpdate {
+        revision: in_force.revision,
+        objects: ObjectSet::clone(&in_force.objects),
+    })
+}
+
 /// The objects that an agent needs: all availability zones, its services and
 /// their limits. It keeps heartbeats small when hundreds of teams exist.
 fn objects_for(info: &VmInfo, objects: &ObjectSet) -> ObjectSet {
--- a/components/proto/src/messages.rs
+++ b/components/proto/src/messages.rs
@@ -217,6 +217,10 @@
     /// What teams hold and want in those cells.
     #[serde(default)]
     pub teams: BTreeMap<CellName, Arc<TeamSums>>,
+    /// The whole configuration, for an entry that has none: it may have started
+    /// while the store was away.
+    #[serde(default)]
+    pub config: Option<ConfigUpdate>,
     /// Whether `vms` is everything the entry hears, not only changes.
     #[serde(default)]
     pub complete: bool,
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -13,12 +13,13 @@
 };
 use entry::{
     config::Follower,
-    daemon::{self, EntrySecrets},
+    daemon::{self, Entry, EntrySecrets},
+    peers::EntryRecord,
 };
 use fakes::store::MemStore;
 use futures_lite::FutureExt;
 use kernel::{
-    Clock, ObjectSet, Revision, Time,
+    Clock, Incarnation, ObjectSet, Revision, Time,
     object::{AvailabilityZone, ZoneState},
     secret::Secrets,
 };
@@ -193,32 +194,70 @@
     conf::settings::parse("entry.toml", &text).unwrap()
 }
 
+/// Starts an entry on `store`.
+async fn start(name: &str, store: &MemStore) -> Entry {
+    let secret = Secrets::parse("a secret of some length").unwrap();
+    let secrets = EntrySecrets {
+        system: secret.clone(),
+        operators: secret,
+    };
+    let settings = EntrySettings {
+        name: name.parse().unwrap(),
+        ..settings("zone-1")
+    };
+    daemon::start(settings, Arc::new(store.clone()), secrets)
+        .await
+        .unwrap()
+}
+
+/// Waits until `/readyz` of an entry answers with this status.
+async fn until_ready(entry: &Entry, expected: u16) {
+    let http = trillium_client::Client::new(trillium_smol::ClientConfig::new());
+    let url = format!("http://{}/readyz", entry.operators);
+    loop {
+        let conn = http.get(url.as_str()).await.unwrap();
+        if conn
+            .status()
+            .is_some_and(|status| status as u16 == expected)
+        {
+            return;
+        }
+        smol::Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
 #[test]
-fn an_entry_is_ready_while_its_configuration_is_in_force_and_its_zone_is_in() {
+fn an_entry_that_starts_without_the_store_gets_the_configuration_from_another() {
     run(async {
         let store = MemStore::manual();
-        let secret = Secrets::parse("a secret of some length").unwrap();
-        let secrets = EntrySecrets {
-            system: secret.clone(),
-            operators: secret,
+        publish_number(&store, 1).await;
+        let away = MemStore::manual();
+        away.set_outage(true);
+        let _first = start("entry-1", &store).await;
+        let second = start("entry-2", &away).await;
+        let record = EntryRecord {
+            name: "entry-2".parse().unwrap(),
+            incarnation: Incarnation(1),
+            system: second.system,
+            operators: second.operators,
         };
-        let entry = daemon::start(settings("zone-1"), Arc::new(store.clone()), secrets)
-            .await
-            .unwrap();
-        let http = trillium_client::Client::new(trillium_smol::ClientConfig::new());
-        let ready = async |expected: u16| {
-            let url = format!("http://{}/readyz", entry.operators);
-            loop {
-                let conn = http.get(url.as_str()).await.unwrap();
-                if conn
-                    .status()
-                    .is_some_and(|status| status as u16 == expected)
-                {
-                    return;
-                }
-                smol::Timer::after(Duration::from_millis(5)).await;
-            }
+        let value = serde_json::to_vec(&record).unwrap();
+        let txn = Txn {
+            ops: vec![Op::put(keys::entry(&record.name), value)],
+            ..Txn::default()
         };
+        store.txn(txn).await.unwrap();
+        until_ready(&second, 200).await;
+    });
+}
+
+#[test]
+fn an_entry_is_ready_while_its_configuration_is_in_force_and_its_zone_is_in() {
+    run(async {
+        let store = MemStore::manual();
+        let entry = start("entry-1", &store).await;
+        let http = trillium_client::Client::new(trillium_smol::ClientConfig::new());
+        let ready = async |expected: u16| until_ready(&entry, expected).await;
         ready(503).await;
         publish_number(&store, 1).await;
         ready(200).await;
