--- a/components/place/src/interference/mod.rs
+++ b/components/place/src/interference/mod.rs
@@ -13,8 +13,8 @@
 
 use crate::family::family;
 use history::{History, Latency};
-use model::ServiceModel;
 
+pub use model::SlowdownModel;
 pub use throttle::{Calm, Throttle, Throttler};
 
 /// The least change of an estimate that is passed on.
@@ -63,7 +63,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Estimator {
     vms: BTreeMap<VmName, History>,
-    services: BTreeMap<ServiceName, ServiceModel>,
+    services: BTreeMap<ServiceName, SlowdownModel<JobName>>,
     passed_on: BTreeMap<(ServiceName, JobName), f64>,
 }
 
--- a/components/place/src/interference/model.rs
+++ b/components/place/src/interference/model.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use kernel::{JobName, Time};
+use kernel::Time;
 
 /// The variance of the logarithm of one latency report.
 const REPORT_VARIANCE: f64 = 0.15 * 0.15;
@@ -58,24 +58,28 @@
     }
 }
 
-/// What slows one service.
-#[derive(Clone, Debug, Default)]
-pub(super) struct ServiceModel {
+/// What slows one service, by families `K` of tasks.
+#[derive(Clone, Debug)]
+pub struct SlowdownModel<K> {
     /// The logarithm of the undisturbed tail latency in microseconds.
     base: Option<Belief>,
-    weights: BTreeMap<JobName, Belief>,
+    weights: BTreeMap<K, Belief>,
 }
 
-impl ServiceModel {
+impl<K> Default for SlowdownModel<K> {
+    fn default() -> Self {
+        Self {
+            base: None,
+            weights: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K: Ord + Clone> SlowdownModel<K> {
     /// Learns from one report; `parts` are the parts of the VM's processors
     /// that each family used, with the prior of its weight. Gives the latency
     /// as a multiple of the undisturbed one.
-    pub(super) fn learn(
-        &mut self,
-        at: Time,
-        p99_micros: u64,
-        parts: &[(JobName, f64, f64)],
-    ) -> f64 {
+    pub fn learn(&mut self, at: Time, p99_micros: u64, parts: &[(K, f64, f64)]) -> f64 {
         let seen = (p99_micros.max(1) as f64).ln();
         for (job, _, prior) in parts {
             let fresh = Belief::new(*prior, WEIGHT_VARIANCE, at);
@@ -103,23 +107,27 @@
         (seen - base.mean).exp()
     }
 
-    pub(super) fn slowdown(&self, family: &JobName) -> Option<f64> {
+    /// The logarithm of the factor on the latency if a family used all cores of
+    /// a VM, if it was ever seen.
+    #[must_use]
+    pub fn slowdown(&self, family: &K) -> Option<f64> {
         self.weights.get(family).map(|weight| weight.mean)
     }
 
-    pub(super) fn slowdowns(&self) -> impl Iterator<Item = (&JobName, f64)> {
+    /// All families that were seen.
+    pub fn slowdowns(&self) -> impl Iterator<Item = (&K, f64)> {
         let means = self.weights.iter();
         means.map(|(job, weight)| (job, weight.mean))
     }
 
-    fn expected(&self, parts: &[(JobName, f64, f64)]) -> f64 {
+    fn expected(&self, parts: &[(K, f64, f64)]) -> f64 {
         let expected =
-            |(job, part, prior): &(JobName, f64, f64)| part * self.slowdown(job).unwrap_or(*prior);
+            |(job, part, prior): &(K, f64, f64)| part * self.slowdown(job).unwrap_or(*prior);
         parts.iter().map(expected).sum()
     }
 
-    fn variance(&self, parts: &[(JobName, f64, f64)]) -> f64 {
-        let variance = |(job, part, _): &(JobName, f64, f64)| {
+    fn variance(&self, parts: &[(K, f64, f64)]) -> f64 {
+        let variance = |(job, part, _): &(K, f64, f64)| {
             let weight = self.weights.get(job);
             part * part * weight.map_or(WEIGHT_VARIANCE, |weight| weight.variance)
         };
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -68,6 +68,12 @@
         self.channel.address()
     }
 
+    /// Drops the connection, so that the next call opens another; for one that
+    /// went silent.
+    pub fn reset(&self) {
+        self.channel.reset();
+    }
+
     /// Makes one call and waits at most `timeout` for its answer.
     ///
     /// # Errors
--- /dev/null
+++ b/components/stepd/src/agent.rs
@@ -0,0 +1,276 @@
+//! The daemon beside a worker.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use event_listener::Event;
+use futures_lite::FutureExt;
+use http::StatusCode;
+use kernel::VmName;
+use observe::{ListenError, listen};
+use proto::{Router, RpcError};
+use smol::Task;
+use steps::{
+    Keeper, Timing,
+    message::{
+        Attend, AttendCall, Life, Orders, OrdersCall, OrdersReply, Refusal, Report,
+        Result as OrderResult, RunKey,
+    },
+};
+use store::Store;
+
+use crate::{
+    SteadyClock,
+    edge::{Dialect, HttpResponse, WorkerApi, WorkerCall},
+    http1::{self, Arrived, DEFAULT_LIMITS, Setup},
+    secret,
+};
+
+mod looks;
+mod register;
+
+/// The most connections from the worker; it holds one or two.
+const MAX_WORKER_CONNECTIONS: usize = 64;
+
+/// What an agent has to know.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// The name of its VM.
+    pub vm: VmName,
+    /// Where the worker reports to.
+    pub worker_reports: SocketAddr,
+    /// Where owners call.
+    pub internal: SocketAddr,
+    /// The spans that owners and keepers agree on.
+    pub timing: Timing,
+}
+
+/// An agent that runs in this process.
+#[derive(Debug)]
+pub struct Agent {
+    running: Vec<Task<()>>,
+}
+
+/// What the tasks of an agent share.
+pub(crate) struct Shared {
+    settings: AgentSettings,
+    clock: SteadyClock,
+    keeper: Mutex<Keeper>,
+    api: Arc<dyn WorkerApi>,
+    dialect: Arc<dyn Dialect>,
+    /// The report has changed.
+    news: Event,
+    /// The next look should not wait.
+    kick: Event,
+}
+
+impl Shared {
+    fn keeper(&self) -> MutexGuard<'_, Keeper> {
+        self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Starts an agent.
+///
+/// # Errors
+///
+/// Returns a [`ListenError`] if a port can't be opened.
+pub async fn start(
+    settings: AgentSettings,
+    store: Arc<dyn Store>,
+    api: Arc<dyn WorkerApi>,
+    dialect: Arc<dyn Dialect>,
+) -> Result<Agent, ListenError> {
+    let (worker_reports, _) = listen("worker_reports", settings.worker_reports).await?;
+    let (internal, internal_address) = listen("internal", settings.internal).await?;
+    let clock = SteadyClock::start();
+    let shared = Arc::new(Shared {
+        keeper: Mutex::new(Keeper::new(settings.timing, clock.now())),
+        settings,
+        clock,
+        api,
+        dialect,
+        news: Event::new(),
+        kick: Event::new(),
+    });
+    let reports = http1::serve(worker_reports, reports(&shared), smol::future::pending());
+    let served = Arc::clone(&shared);
+    let owners = async move {
+        let secrets = secret::obtain(&*store).await;
+        let calls = proto::serve(internal, router(&served), secrets, smol::future::pending());
+        let vm = served.settings.vm.clone();
+        let registering = register::run(store, vm, internal_address);
+        futures_lite::future::zip(calls, registering).await;
+    };
+    let running = vec![
+        smol::spawn(reports),
+        smol::spawn(owners),
+        smol::spawn(looks::run(Arc::clone(&shared))),
+    ];
+    Ok(Agent { running })
+}
+
+impl Agent {
+    /// Stops the agent; what runs beside it goes on under its leases, and an
+    /// agent that starts in time takes it over.
+    pub async fn stop(self) {
+        for task in self.running {
+            task.cancel().await;
+        }
+    }
+}
+
+fn reports(
+    shared: &Arc<Shared>,
+) -> Setup<
+    impl Fn() -> steps::config::ConnectionLimits + Send + Sync + 'static,
+    impl Fn(Arrived) -> smol::future::Ready<HttpResponse> + Send + Sync + 'static,
+> {
+    let shared = Arc::clone(shared);
+    Setup {
+        limits: || DEFAULT_LIMITS,
+        handler: move |arrived| smol::future::ready(take_worker_call(&shared, arrived)),
+        max_connections: MAX_WORKER_CONNECTIONS,
+    }
+}
+
+fn take_worker_call(shared: &Shared, arrived: Arrived) -> HttpResponse {
+    let (head, body) = match arrived {
+        Arrived::Whole(head, body) => (head, body),
+        Arrived::TooLarge => return status(StatusCode::PAYLOAD_TOO_LARGE),
+        Arrived::Broken => return status(StatusCode::BAD_REQUEST),
+    };
+    match shared.dialect.worker_call(&head, &body) {
+        Ok(WorkerCall::Heartbeat(beat)) => shared.keeper().heartbeat(beat),
+        Ok(WorkerCall::Left(worker)) => shared.keeper().left(&worker),
+        Err(error) => {
+            tracing::warn!(%error, path = head.uri.path(), "a worker's call can't be read");
+            return status(StatusCode::BAD_REQUEST);
+        }
+    }
+    shared.news.notify(usize::MAX);
+    shared.kick.notify(usize::MAX);
+    status(StatusCode::OK)
+}
+
+fn status(code: StatusCode) -> HttpResponse {
+    let mut resp = HttpResponse::new(bytes::Bytes::from_static(b"{}").into());
+    *resp.status_mut() = code;
+    resp.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    resp
+}
+
+fn router(shared: &Arc<Shared>) -> Router {
+    let attending = Arc::clone(shared);
+    let ordering = Arc::clone(shared);
+    Router::new()
+        .on::<AttendCall, _, _>(move |attend| {
+            let shared = Arc::clone(&attending);
+            async move { attend_to(&shared, attend).await }
+        })
+        .on::<OrdersCall, _, _>(move |orders| {
+            let shared = Arc::clone(&ordering);
+            async move { Ok(carry_out(&shared, orders).await) }
+        })
+}
+
+/// Waits until there is a report that the owner does not have.
+async fn attend_to(shared: &Shared, attend: Attend) -> Result<Report, RpcError> {
+    shared.keeper().attend(&attend);
+    shared.kick.notify(usize::MAX);
+    let changed = async {
+        loop {
+            let news = shared.news.listen();
+            if shared.keeper().version() != attend.seen {
+                return;
+            }
+            news.await;
+        }
+    };
+    let waited = async {
+        smol::Timer::after(Duration::from_millis(attend.wait_millis)).await;
+    };
+    changed.or(waited).await;
+    Ok(shared.keeper().report(shared.clock.now()))
+}
+
+async fn carry_out(shared: &Arc<Shared>, orders: Orders) -> OrdersReply {
+    let obeys = shared.keeper().contact(&orders.contact);
+    shared.kick.notify(usize::MAX);
+    if !obeys {
+        return refuse_all(shared, &orders);
+    }
+    let starts = orders.starts.iter().map(|start| {
+        let orders = &orders;
+        async move { start_one(shared, orders, start).await }
+    });
+    let stops = orders
+        .stops
+        .iter()
+        .map(|key| stop_one(shared, &orders.life, key, orders.contact.epoch));
+    let (starts, stops) = futures_lite::future::zip(
+        futures_util::future::join_all(starts),
+        futures_util::future::join_all(stops),
+    )
+    .await;
+    let keeper = shared.keeper();
+    OrdersReply {
+        epoch: keeper.epoch(),
+        look: keeper.look_begun(),
+        starts,
+        stops,
+    }
+}
+
+fn refuse_all(shared: &Shared, orders: &Orders) -> OrdersReply {
+    let refused = OrderResult::Refused(Refusal::Fenced);
+    OrdersReply {
+        epoch: shared.keeper().epoch(),
+        look: 0,
+        starts: vec![refused; orders.starts.len()],
+        stops: vec![refused; orders.stops.len()],
+    }
+}
+
+async fn start_one(shared: &Shared, orders: &Orders, start: &steps::message::Start) -> OrderResult {
+    let admitted = shared.keeper().admit(shared.clock.now(), orders);
+    let admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            tracing::info!(task = %start.key.task, run = start.key.run, ?refusal, "start refused here");
+            return OrderResult::Refused(refusal);
+        }
+    };
+    let result = shared.api.start(&orders.life, start, admitted).await;
+    if result == OrderResult::Done {
+        let percent = shared.keeper().started(start);
+        if let Some(percent) = percent {
+            set_pace(shared, &orders.life, &start.key, percent, admitted.epoch).await;
+        }
+    } else {
+        tracing::info!(task = %start.key.task, run = start.key.run, ?result, "start not done");
+    }
+    result
+}
+
+async fn stop_one(shared: &Shared, life: &Life, key: &RunKey, epoch: u64) -> OrderResult {
+    let result = shared.api.stop(life, key, epoch).await;
+    if result != OrderResult::Done {
+        tracing::info!(task = %key.task, run = key.run, ?result, "stop not done");
+    }
+    result
+}
+
+async fn set_pace(shared: &Shared, life: &Life, key: &RunKey, percent: u32, epoch: u64) {
+    if shared.api.pace(life, key, percent, epoch).await {
+        shared.keeper().paced(key, percent);
+    } else {
+        tracing::info!(task = %key.task, run = key.run, percent, "pace not set");
+    }
+}
--- /dev/null
+++ b/components/stepd/src/entry/calls.rs
@@ -0,0 +1,91 @@
+//! Clients' calls and the balancer's question.
+
+use std::{sync::Arc, time::Duration};
+
+use http::StatusCode;
+use kernel::JobName;
+use steps::JobState;
+
+use super::{Shared, answers, submit};
+use crate::{
+    edge::{ClientCall, ClientReply, HttpResponse},
+    http1::Arrived,
+};
+
+/// When a client should come back if an entry can't serve it now: about the time
+/// in which the store or a configuration is usually there again.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Answers a client.
+pub(super) async fn answer(shared: Arc<Shared>, arrived: Arrived) -> HttpResponse {
+    let reply = match arrived {
+        Arrived::Whole(head, body) => {
+            let reply = decide(&shared, &head, &body).await;
+            if let ClientReply::NotNow { reason, .. } | ClientReply::Unknown(reason) = &reply {
+                tracing::info!(path = head.uri.path(), method = %head.method, reason, "refused");
+            }
+            reply
+        }
+        Arrived::TooLarge => ClientReply::TooLarge,
+        Arrived::Broken => ClientReply::Malformed("the body did not arrive".to_owned()),
+    };
+    shared.dialect.client_reply(&reply)
+}
+
+/// Answers the balancer.
+pub(super) fn readiness(shared: &Shared, arrived: &Arrived) -> HttpResponse {
+    let mut resp = HttpResponse::default();
+    *resp.status_mut() = match arrived {
+        Arrived::Whole(head, _) if !shared.dialect.is_readiness(head) => StatusCode::NOT_FOUND,
+        _ if shared.is_ready() => StatusCode::OK,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    resp
+}
+
+async fn decide(shared: &Shared, head: &http::request::Parts, body: &[u8]) -> ClientReply {
+    let Some(config) = shared.config.load_full() else {
+        return not_now("no configuration is known yet");
+    };
+    let call = match shared.dialect.client_call(&config, head, body) {
+        Ok(call) => call,
+        Err(reply) => return reply,
+    };
+    let deadline = shared.dialect.client_deadline(head);
+    match call {
+        ClientCall::Submit(job) => submit::submit(shared, *job, deadline).await,
+        ClientCall::Cancel(name) => submit::cancel(shared, &name, deadline).await,
+        ClientCall::State(name) => state(shared, &name).await,
+        ClientCall::Pending(queue) => ClientReply::Pending(answers::pending(shared, &queue).await),
+    }
+}
+
+pub(super) fn not_now(reason: impl Into<String>) -> ClientReply {
+    ClientReply::NotNow {
+        retry_after: RETRY_AFTER,
+        reason: reason.into(),
+    }
+}
+
+async fn state(shared: &Shared, name: &JobName) -> ClientReply {
+    if let Some(state) = known_state(shared, name) {
+        return ClientReply::State(state);
+    }
+    match submit::read_job(shared, name).await {
+        Ok(Some(state)) => ClientReply::State(state),
+        Ok(None) => ClientReply::NoSuchJob,
+        Err(error) => not_now(error.message),
+    }
+}
+
+fn known_state(shared: &Shared, name: &JobName) -> Option<JobState> {
+    let state = shared.index().job(name)?.state();
+    if state != JobState::Queued {
+        return Some(state);
+    }
+    let started = shared.term().and_then(|term| term.has_started(name));
+    Some(match started {
+        Some(true) => JobState::Running,
+        _ => state,
+    })
+}
--- /dev/null
+++ b/components/stepd/src/entry/campaign.rs
@@ -0,0 +1,163 @@
+//! Becoming the owner of the jobs when there is none.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::FutureExt;
+use kernel::Time;
+use rand::Rng;
+use store::{Compare, KeyRange, KeyValue, LeaseId, Op, StoreError, StoreRevision, Txn};
+
+use super::{
+    Shared,
+    term::{self, Claim},
+};
+use crate::{
+    keys::{self, OwnerRecord},
+    secret,
+};
+
+/// How long a campaign waits at most, so that entries do not all try at once and
+/// an owner whose lease lapsed in an outage can take its key back first.
+const SPREAD: Duration = Duration::from_millis(250);
+/// How often an entry looks whether there is an owner without being told.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Owns the jobs whenever nobody else does, until the entry stops.
+pub(super) async fn run(shared: Arc<Shared>) {
+    let secrets = secret::obtain(&*shared.store).await;
+    shared.set_secrets(secrets.clone());
+    let serving = smol::spawn(serve_entries(Arc::clone(&shared), secrets.clone()));
+    while !shared.is_stopping() {
+        wait_for_vacancy(&shared).await;
+        if shared.is_stopping() {
+            break;
+        }
+        match take(&shared).await {
+            Ok(Some(claim)) => term::run(&shared, claim, secrets.clone()).await,
+            Ok(None) => {}
+            Err(error) => tracing::info!(%error, "the jobs can't be taken over now"),
+        }
+    }
+    serving.cancel().await;
+}
+
+async fn serve_entries(shared: Arc<Shared>, secrets: kernel::secret::Secrets) {
+    match observe::listen("internal", shared.settings.internal).await {
+        Ok((listener, _)) => {
+            let router = super::answers::router(&shared);
+            proto::serve(listener, router, secrets, smol::future::pending()).await;
+        }
+        Err(error) => tracing::error!(%error, "other entries can't ask this one"),
+    }
+}
+
+async fn wait_for_vacancy(shared: &Shared) {
+    loop {
+        let changed = shared.owner_changed.listen();
+        let is_vacant = {
+            let index = shared.index();
+            index.is_read && index.owner().is_none()
+        };
+        if shared.is_stopping() {
+            return;
+        }
+        if is_vacant && shared.config.load().is_some() {
+            let wait = SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+            smol::Timer::after(wait).await;
+            if shared.index().owner().is_none() {
+                return;
+            }
+            continue;
+        }
+        let timer = async {
+            smol::Timer::after(CHECK_INTERVAL).await;
+        };
+        changed.or(timer).await;
+    }
+}
+
+/// Tries to become the owner.
+async fn take(shared: &Shared) -> Result<Option<Claim>, StoreError> {
+    let read = shared.store.range(KeyRange::one(keys::EPOCH), 1).await?;
+    let before = read.kvs.into_iter().next();
+    let epoch = before.as_ref().map_or(0, parse_epoch) + 1;
+    let sent = shared.clock.now();
+    let lease = shared.store.grant(shared.settings.timing.owner_key).await?;
+    let record = OwnerRecord {
+        entry: shared.settings.name.clone(),
+        address: shared.settings.internal,
+        epoch,
+    };
+    match write(shared, &record, lease, before.as_ref()).await {
+        Ok(Some(revision)) => Ok(Some(claim(record, lease, revision, sent))),
+        Ok(None) => {
+            revoke(shared, lease).await;
+            Ok(None)
+        }
+        Err(error) => {
+            // Without its lease the transaction can't take effect later.
+            revoke(shared, lease).await;
+            Err(error)
+        }
+    }
+}
+
+fn claim(record: OwnerRecord, lease: LeaseId, revision: StoreRevision, proved: Time) -> Claim {
+    Claim {
+        record,
+        lease,
+        epoch_revision: revision,
+        proved,
+    }
+}
+
+async fn write(
+    shared: &Shared,
+    record: &OwnerRecord,
+    lease: LeaseId,
+    before: Option<&KeyValue>,
+) -> Result<Option<StoreRevision>, StoreError> {
+    let epoch_as_read = match before {
+        Some(kv) => Compare::ModifiedAt(keys::EPOCH.to_owned(), kv.modified),
+        None => Compare::Absent(keys::EPOCH.to_owned()),
+    };
+    let txn = Txn {
+        compares: vec![Compare::Absent(keys::OWNER.to_owned()), epoch_as_read],
+        ops: vec![
+            put_owner(record, lease)?,
+            Op::put(keys::EPOCH, record.epoch.to_string()),
+        ],
+        otherwise: Vec::new(),
+    };
+    let reply = shared.store.txn(txn).await?;
+    Ok(reply.succeeded.then_some(reply.revision))
+}
+
+/// The change that names the owner.
+pub(super) fn put_owner(record: &OwnerRecord, lease: LeaseId) -> Result<Op, StoreError> {
+    let value =
+        serde_json::to_vec(record).map_err(|error| StoreError::not_run(error.to_string()))?;
+    Ok(Op::Put {
+        key: keys::OWNER.to_owned(),
+        value,
+        lease: Some(lease),
+    })
+}
+
+/// Ends a lease that is not needed; the store ends it by itself otherwise.
+pub(super) async fn revoke(shared: &Shared, lease: LeaseId) {
+    if let Err(error) = shared.store.revoke(lease).await {
+        tracing::info!(%error, "a lease was left to end by itself");
+    }
+}
+
+fn parse_epoch(kv: &KeyValue) -> u64 {
+    let text = String::from_utf8_lossy(&kv.value);
+    match text.parse() {
+        Ok(epoch) => epoch,
+        Err(error) => {
+            tracing::error!(%error, revision = kv.modified, "the epoch can't be read");
+            u64::try_from(kv.modified).unwrap_or_default()
+        }
+    }
+}
--- /dev/null
+++ b/components/steps/src/message.rs
@@ -0,0 +1,275 @@
+//! What owner and keeper say to one another.
+//!
+//! Both calls go from the owner to the agent beside a worker: [`Attend`] waits
+//! for news, [`Orders`] has tasks started and stopped. Times travel as readings
+//! of the worker's own clock, the only one that both ends of a lease share.
+
+use std::sync::Arc;
+
+use kernel::{AvailabilityZoneName, EntryName, Resources, ServiceName};
+use proto::Method;
+use serde::{Deserialize, Serialize};
+
+use crate::TaskKey;
+
+/// One life of a worker: a restart under the same name is another one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// The name that the worker gave itself.
+    pub worker: Arc<str>,
+    /// When it began, in milliseconds since 1970 by its own account.
+    pub born: u64,
+}
+
+/// A reading of the clock of one life of a worker, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Whose clock.
+    pub life: Life,
+    /// What it showed, at most.
+    pub millis: u64,
+}
+
+/// How a task behaves beside others on its worker.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// It uses what it reserved.
+    #[default]
+    Plain,
+    /// It answers users, and its tail latency has a target.
+    Serves {
+        /// The target in milliseconds.
+        target_millis: u64,
+        /// What it runs.
+        image: Option<Arc<str>>,
+    },
+    /// It uses what others leave, and disturbs those that serve.
+    Fills {
+        /// What it runs.
+        image: Option<Arc<str>>,
+    },
+}
+
+/// One numbered run of a task.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunKey {
+    /// The task.
+    pub task: TaskKey,
+    /// The number; a later run of the task has a higher one.
+    pub run: u64,
+}
+
+/// A task is to be started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// The run.
+    pub key: RunKey,
+    /// What the task is handed.
+    pub spec: Arc<str>,
+    /// Where it resumes.
+    pub checkpoint: Option<Arc<str>>,
+    /// The approval to run it on this worker, where one is needed.
+    pub ticket: Option<Arc<str>>,
+    /// How it behaves beside others.
+    pub role: Role,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Result {
+    /// The worker has carried it out.
+    Done,
+    /// It was not carried out and will not be.
+    Refused(Refusal),
+    /// The worker has not answered; it may be carried out later.
+    Unsettled,
+}
+
+/// Why an order was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// A higher epoch has spoken to the worker.
+    Fenced,
+    /// A run that is not older was stopped or has ended there.
+    Old,
+    /// The lease that it came with has ended.
+    Late,
+    /// The worker has no room for it.
+    Room,
+    /// The approval is not valid.
+    Ticket,
+    /// The worker is another one, leaves, or is out of order.
+    Worker,
+    /// The worker can't read the order.
+    Malformed,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum How {
+    /// The task is done.
+    Done,
+    /// It failed by its own fault or the worker's.
+    Failed,
+    /// It was stopped on an order.
+    Stopped,
+    /// Its lease ended.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited in vain for the other members of its gang.
+    Alone,
+}
+
+/// An end that a worker lists.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The number of the end within the life of the worker, from 1.
+    pub number: u64,
+    /// The run.
+    pub key: RunKey,
+    /// How it ended.
+    pub how: How,
+    /// The newest saved work, if there is any.
+    pub checkpoint: Option<Arc<str>>,
+}
+
+/// A run that a worker lists as present.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    /// The run.
+    pub key: RunKey,
+    /// The newest saved work, if there is any.
+    pub checkpoint: Option<Arc<str>>,
+    /// How much of its work is done, in percent; 100 for a task that lasts once
+    /// it is at work.
+    pub progress_percent: u32,
+    /// The tail latency in milliseconds of a serving task, the processor time
+    /// in use in thousandths of a core of any other, over the last half second.
+    pub figure: u64,
+}
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerInfo {
+    /// Its life.
+    pub life: Life,
+    /// The service whose tasks it runs.
+    pub service: ServiceName,
+    /// Where it is.
+    pub zone: AvailabilityZoneName,
+    /// Its kind and its rack.
+    pub labels: Vec<Arc<str>>,
+    /// What it holds for tasks.
+    pub room: Resources,
+    /// Whether it is about to leave and takes nothing new.
+    pub draining: bool,
+}
+
+/// What an owner proves with each call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// The term of the owner; a keeper obeys the highest it has seen.
+    pub epoch: u64,
+    /// The owner.
+    pub owner: EntryName,
+    /// The newest stamp that the owner has from this keeper, which bounds how
+    /// long the keeper may renew leases on the owner's behalf.
+    pub echo: Option<Stamp>,
+    /// The last end of that life whose record is durable.
+    pub recorded: Option<(Life, u64)>,
+}
+
+/// Waits for news of a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Attend {
+    /// Who asks.
+    pub contact: Contact,
+    /// The version of the report that the owner has, 0 for none; any other one
+    /// is news.
+    pub seen: u64,
+    /// How long to wait for a newer one, in milliseconds.
+    pub wait_millis: u64,
+    /// Roles of runs that another owner started.
+    pub roles: Vec<(RunKey, Role)>,
+    /// How much tasks of an image disturb those that serve, where that has
+    /// changed: the logarithm of the factor on the tail latency if they used a
+    /// whole VM.
+    pub weights: Vec<(Arc<str>, f64)>,
+}
+
+/// What a keeper knows of its worker.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The keeper's own life: versions and looks count from its start.
+    pub keeper: u64,
+    /// Rises with each change worth telling.
+    pub version: u64,
+    /// The highest epoch seen; a higher one than the owner's ends its term.
+    pub epoch: u64,
+    /// The epoch with which the worker last answered, so that no order of an
+    /// earlier one can still be carried out there.
+    pub confirmed: u64,
+    /// The worker, if one has reported and has not left.
+    pub worker: Option<WorkerInfo>,
+    /// Whether it answers.
+    pub answering: bool,
+    /// Whether every lease there has ended, so that nothing can run.
+    pub lapsed: bool,
+    /// A reading of the worker's clock.
+    pub stamp: Option<Stamp>,
+    /// The number of the look at the worker that the lists come from.
+    pub look: u64,
+    /// What runs.
+    pub running: Vec<Running>,
+    /// Ends whose record is not known to be durable.
+    pub ended: Vec<Ended>,
+}
+
+/// Tasks are to be started and stopped.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Who orders.
+    pub contact: Contact,
+    /// The life of the worker that is meant.
+    pub life: Life,
+    /// The last reading of the worker's clock at which a start may be sent.
+    pub start_by_millis: u64,
+    /// What to start.
+    pub starts: Vec<Start>,
+    /// What to stop.
+    pub stops: Vec<RunKey>,
+}
+
+/// What became of each order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrdersReply {
+    /// The highest epoch seen.
+    pub epoch: u64,
+    /// Looks at the worker that were begun later than this one show the effect.
+    pub look: u64,
+    /// For each start, in order.
+    pub starts: Vec<Result>,
+    /// For each stop, in order.
+    pub stops: Vec<Result>,
+}
+
+/// The call [`Attend`].
+#[derive(Debug)]
+pub struct AttendCall;
+
+impl Method for AttendCall {
+    const PATH: &'static str = "/hemlockmoor.Keeper/Attend";
+    type Req = Attend;
+    type Resp = Report;
+}
+
+/// The call [`Orders`].
+#[derive(Debug)]
+pub struct OrdersCall;
+
+impl Method for OrdersCall {
+    const PATH: &'static str = "/hemlockmoor.Keeper/Orders";
+    type Req = Orders;
+    type Resp = OrdersReply;
+}
--- /dev/null
+++ b/components/steps/src/owner.rs
@@ -0,0 +1,261 @@
+//! The owner of all jobs of steps: which task runs where, and what is durable.
+//!
+//! An owner keeps two kinds of knowledge apart. [`Progress`] of each job must
+//! not be forgotten and is written to the store before the workers may forget
+//! the ends that it rests on. What runs is known from the workers themselves, so
+//! a start needs no record: a new owner asks every worker before it starts what
+//! an earlier owner may have started. See `docs/STEPS.md`.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use kernel::{AvailabilityZoneName, EntryName, JobName, Time, VmName};
+
+use crate::{
+    Config, Job, Outcome, Progress, Queue, Timing,
+    message::{Orders, OrdersReply, Report},
+};
+
+mod ends;
+mod entry;
+mod harm;
+mod health;
+mod journal;
+mod orders;
+mod place;
+mod report;
+mod rescue;
+mod schedule;
+mod vm;
+
+pub use entry::JobEntry;
+pub use journal::Change;
+pub use vm::VmStatus;
+
+use vm::Vm;
+
+/// What happens to an owner.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A configuration is in force.
+    Config(Arc<Config>),
+    /// These availability zones take no new work.
+    ZonesOut(BTreeSet<AvailabilityZoneName>),
+    /// A job lies in the store, with what is durable of it and the revision of
+    /// that record.
+    Job {
+        /// The job.
+        job: Arc<Job>,
+        /// Its durable record, if there is one.
+        progress: Option<(Progress, i64)>,
+    },
+    /// A job was cancelled.
+    Cancelled(JobName),
+    /// An agent runs beside a worker on this VM.
+    Vm(VmName),
+    /// The agent on this VM answered a call that waited for news.
+    Report {
+        /// The VM.
+        vm: VmName,
+        /// What it said.
+        report: Box<Report>,
+    },
+    /// The agent on this VM gave no answer.
+    Unreachable(VmName),
+    /// Orders were answered, or not.
+    Ordered {
+        /// The VM.
+        vm: VmName,
+        /// What was ordered.
+        orders: Box<Orders>,
+        /// What became of it, if that is known.
+        reply: Option<OrdersReply>,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// The state machine of the owner.
+#[derive(Debug)]
+pub struct Owner {
+    name: EntryName,
+    epoch: u64,
+    timing: Timing,
+    config: Option<Arc<Config>>,
+    /// The last known policy of each queue, also of those that were removed.
+    queues: BTreeMap<Arc<str>, Arc<Queue>>,
+    zones_out: BTreeSet<AvailabilityZoneName>,
+    jobs: BTreeMap<JobName, JobEntry>,
+    vms: BTreeMap<VmName, Vm>,
+    /// Numbers the runs of this term.
+    starts: u64,
+    /// When the term began.
+    taken: Time,
+    /// The number of the last change that has to become durable.
+    changes: u64,
+    /// The number of the last change that is known to be durable.
+    durable: u64,
+    /// Jobs whose record is not durable yet.
+    dirty: BTreeSet<JobName>,
+    deposed: Option<u64>,
+    harm: harm::Harm,
+    schedule_due: bool,
+    next_rescue: Time,
+}
+
+impl Owner {
+    /// An owner at the start of its term.
+    #[must_use]
+    pub fn new(name: EntryName, epoch: u64, timing: Timing, now: Time) -> Self {
+        Self {
+            name,
+            epoch,
+            timing,
+            config: None,
+            queues: BTreeMap::new(),
+            zones_out: BTreeSet::new(),
+            jobs: BTreeMap::new(),
+            vms: BTreeMap::new(),
+            starts: 0,
+            taken: now,
+            changes: 0,
+            durable: 0,
+            dirty: BTreeSet::new(),
+            deposed: None,
+            harm: harm::Harm::default(),
+            schedule_due: true,
+            next_rescue: now,
+        }
+    }
+
+    /// The number of the term.
+    #[must_use]
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The epoch of a later owner, if one is known.
+    #[must_use]
+    pub const fn deposed_by(&self) -> Option<u64> {
+        self.deposed
+    }
+
+    /// Takes in one event; `wall` is the time of day, by which jobs are due.
+    pub fn handle(&mut self, now: Time, wall: Time, event: Event) {
+        match event {
+            Event::Config(config) => self.take_config(config),
+            Event::ZonesOut(zones) => {
+                self.zones_out = zones;
+                self.schedule_due = true;
+            }
+            Event::Job { job, progress } => self.take_job(now, job, progress),
+            Event::Cancelled(name) => self.take_cancel(now, &name),
+            Event::Vm(vm) => self.take_vm(now, vm),
+            Event::Report { vm, report } => self.take_report(now, &vm, *report),
+            Event::Unreachable(vm) => self.take_unreachable(&vm),
+            Event::Ordered { vm, orders, reply } => self.take_ordered(now, &vm, &orders, reply),
+            Event::Tick => self.tick(now),
+        }
+        if self.schedule_due || self.next_rescue.passed(now) {
+            self.schedule_due = false;
+            self.schedule(now, wall);
+        }
+    }
+
+    fn take_config(&mut self, config: Arc<Config>) {
+        let newest = self.config.as_ref().map_or(0, |known| known.version);
+        if config.version < newest {
+            return;
+        }
+        for queue in &config.queues {
+            let queue = Arc::new(queue.clone());
+            self.queues.insert(Arc::clone(&queue.name), queue);
+        }
+        self.config = Some(config);
+        self.schedule_due = true;
+    }
+
+    fn take_job(&mut self, now: Time, job: Arc<Job>, progress: Option<(Progress, i64)>) {
+        if self.jobs.contains_key(&job.name) {
+            return;
+        }
+        let entry = JobEntry::new(job, progress, now);
+        self.jobs.insert(entry.job.name.clone(), entry);
+        self.schedule_due = true;
+    }
+
+    fn take_cancel(&mut self, now: Time, name: &JobName) {
+        let Some(entry) = self.jobs.get_mut(name) else {
+            return;
+        };
+        if entry.outcome.is_some() {
+            return;
+        }
+        tracing::info!(job = %name, epoch = self.epoch, "job cancelled");
+        self.end_job(now, name, Outcome::Cancelled);
+    }
+
+    /// Ends a job for good: what still runs of it is stopped.
+    fn end_job(&mut self, now: Time, name: &JobName, outcome: Outcome) {
+        let Some(entry) = self.jobs.get_mut(name) else {
+            return;
+        };
+        entry.outcome = Some(outcome);
+        entry.ended = Some(now);
+        let runs = entry.runs();
+        tracing::info!(
+            job = %name,
+            outcome = ?outcome,
+            runs_left = runs.len(),
+            age_ms = now.since(entry.known_since).as_millis() as u64,
+            "job ended"
+        );
+        for (vm, key) in runs {
+            self.stop_run(now, &vm, &key, "job ended");
+        }
+        self.mark_dirty(name);
+        self.schedule_due = true;
+    }
+
+    fn take_vm(&mut self, now: Time, vm: VmName) {
+        self.vms.entry(vm).or_insert_with(|| Vm::new(now));
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.check_silent(now);
+        self.rescue(now);
+        self.forget_ended(now);
+    }
+
+    /// Drops jobs that ended long ago; their keys are removed by the driver.
+    fn forget_ended(&mut self, now: Time) {
+        let remember = self.timing.remember;
+        let dirty = &self.dirty;
+        self.jobs.retain(|name, entry| {
+            let is_over = entry.ended.is_some_and(|at| (at + remember).passed(now));
+            !is_over || dirty.contains(name) || entry.has_runs()
+        });
+    }
+
+    /// How many jobs of a queue have not started, for clients that ask.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> usize {
+        let of_queue = self.jobs.values().filter(|entry| {
+            entry.job.queue.as_ref() == queue && entry.outcome.is_none() && !entry.started
+        });
+        of_queue.count()
+    }
+
+    /// Whether a task of the job has started, if the job is known.
+    #[must_use]
+    pub fn has_started(&self, job: &JobName) -> Option<bool> {
+        self.jobs.get(job).map(|entry| entry.started)
+    }
+
+    /// Each VM as the owner sees it, for logs and reports.
+    pub fn vms(&self) -> impl Iterator<Item = (&VmName, VmStatus)> {
+        self.vms.iter().map(|(name, vm)| (name, vm.status()))
+    }
+}
--- /dev/null
+++ b/components/steps/src/owner/report.rs
@@ -0,0 +1,285 @@
+//! What agents report: lives of workers, what runs and what has ended.
+
+use std::collections::BTreeSet;
+
+use kernel::{Time, VmName};
+
+use super::{
+    Owner,
+    health::Health,
+    vm::{Held, Phase},
+};
+use crate::message::{Report, Role, RunKey, Running};
+
+/// How long a run of a job that is not known here may be seen before it is
+/// stopped; its job may have been accepted a moment ago.
+const STRANGER_GRACE: std::time::Duration = std::time::Duration::from_millis(1500);
+
+impl Owner {
+    pub(super) fn take_report(&mut self, now: Time, name: &VmName, report: Report) {
+        if report.epoch > self.epoch {
+            self.deposed = Some(report.epoch);
+            return;
+        }
+        if !self.vms.contains_key(name) {
+            return;
+        }
+        self.follow_keeper(name, &report);
+        self.follow_life(now, name, &report);
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        vm.last_answer = now;
+        vm.seen = report.version;
+        if vm.unreachable {
+            tracing::info!(vm = %name, "agent reached again");
+            vm.unreachable = false;
+            self.schedule_due = true;
+        }
+        if let Some(stamp) = report.stamp {
+            vm.stamp = Some((stamp, now));
+        }
+        let was_attached = vm.attached;
+        vm.attached = report.worker.is_some() && report.confirmed == self.epoch;
+        vm.answering = report.answering;
+        vm.written_off = report.lapsed;
+        if report.worker.is_some() {
+            vm.info = report.worker;
+        }
+        let is_attached = vm.attached;
+        if was_attached != is_attached {
+            tracing::info!(vm = %name, attached = is_attached, "worker under this term");
+        }
+        if report.lapsed {
+            self.lose_all(now, name, "leases ended");
+        }
+        if !is_attached {
+            self.schedule_due = true;
+            return;
+        }
+        for end in &report.ended {
+            self.take_end(now, name, end);
+        }
+        self.take_running(now, name, &report.running, report.look);
+        self.learn(now, name, &report.running);
+        if !was_attached {
+            self.schedule_due = true;
+        }
+    }
+
+    /// A keeper that has started again counts its looks from the beginning.
+    fn follow_keeper(&mut self, name: &VmName, report: &Report) {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        if vm.keeper == report.keeper {
+            return;
+        }
+        vm.keeper = report.keeper;
+        vm.attached = false;
+        vm.weights_told = 0;
+        let mut roles = Vec::new();
+        for (key, held) in &mut vm.held {
+            held.phase = match held.phase {
+                Phase::Ordered => Phase::Ordered,
+                Phase::Present { .. } => Phase::Present { after: 0 },
+                Phase::Stopping { .. } => Phase::Stopping { after: None },
+            };
+            if held.role != Role::Plain {
+                roles.push((key.clone(), held.role.clone()));
+            }
+        }
+        vm.roles = roles;
+    }
+
+    /// A new life of the worker holds nothing of the one before.
+    fn follow_life(&mut self, now: Time, name: &VmName, report: &Report) {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        let Some(info) = &report.worker else {
+            if report.lapsed && vm.info.take().is_some() {
+                tracing::info!(vm = %name, "no worker there");
+            }
+            return;
+        };
+        if vm.life() == Some(&info.life) {
+            if vm.info.as_ref() != Some(info) {
+                self.schedule_due = true;
+            }
+            return;
+        }
+        tracing::info!(
+            vm = %name,
+            worker = %info.life.worker,
+            born = info.life.born,
+            zone = %info.zone,
+            "worker"
+        );
+        vm.info = Some(info.clone());
+        vm.processed = 0;
+        vm.recorded = 0;
+        vm.told = 0;
+        vm.to_record.clear();
+        vm.strangers.clear();
+        vm.health = Health::default();
+        vm.stamp = None;
+        self.lose_all(now, name, "worker began a new life");
+        self.schedule_due = true;
+    }
+
+    pub(super) fn take_unreachable(&mut self, name: &VmName) {
+        if let Some(vm) = self.vms.get_mut(name)
+            && !vm.unreachable
+        {
+            tracing::warn!(vm = %name, "agent lost");
+            vm.unreachable = true;
+            vm.seen = 0;
+            vm.told = 0;
+        }
+    }
+
+    /// Gives up what ran beside agents that have been silent for longer than
+    /// any lease there can last.
+    pub(super) fn check_silent(&mut self, now: Time) {
+        let silence = self.timing.silence();
+        let mut silent = Vec::new();
+        for (name, vm) in &self.vms {
+            let since_taken = self.taken + self.timing.ownership;
+            let from = match vm.attached {
+                true => vm.last_answer,
+                false => vm.last_answer.max(since_taken),
+            };
+            if vm.unreachable && !vm.written_off && (from + silence).passed(now) {
+                silent.push(name.clone());
+            }
+        }
+        for name in silent {
+            tracing::warn!(vm = %name, "agent silent for longer than any lease there");
+            self.lose_all(now, &name, "agent silent");
+            if let Some(vm) = self.vms.get_mut(&name) {
+                vm.written_off = true;
+                vm.attached = false;
+            }
+            self.schedule_due = true;
+        }
+    }
+
+    fn lose_all(&mut self, now: Time, name: &VmName, why: &'static str) {
+        let Some(vm) = self.vms.get(name) else {
+            return;
+        };
+        let keys: Vec<RunKey> = vm.held.keys().cloned().collect();
+        for key in keys {
+            self.lose(now, name, &key, why);
+        }
+    }
+
+    /// A run is gone without an end.
+    pub(super) fn lose(&mut self, now: Time, vm: &VmName, key: &RunKey, why: &'static str) {
+        let held = self.vms.get(vm).and_then(|vm| vm.held.get(key));
+        let age_ms = held.map_or(0, |held| now.since(held.since).as_millis() as u64);
+        tracing::info!(task = %key.task, run = key.run, %vm, why, age_ms, "run lost");
+        self.drop_run(vm, key);
+    }
+
+    fn take_running(&mut self, now: Time, name: &VmName, running: &[Running], look: u64) {
+        let mut present = BTreeSet::new();
+        for row in running {
+            present.insert(row.key.clone());
+            self.take_row(now, name, row);
+        }
+        let Some(vm) = self.vms.get(name) else {
+            return;
+        };
+        let mut gone = Vec::new();
+        for (key, held) in &vm.held {
+            let after = match held.phase {
+                Phase::Present { after } | Phase::Stopping { after: Some(after) } => after,
+                Phase::Ordered | Phase::Stopping { after: None } => continue,
+            };
+            if look > after && !present.contains(key) {
+                gone.push(key.clone());
+            }
+        }
+        for key in gone {
+            self.lose(now, name, &key, "not there any more");
+        }
+    }
+
+    fn take_row(&mut self, now: Time, name: &VmName, row: &Running) {
+        if let Some(task) = self
+            .jobs
+            .get_mut(&row.key.task.job)
+            .and_then(|entry| entry.task_mut(&row.key.task))
+            && row.checkpoint.is_some()
+        {
+            task.checkpoint.clone_from(&row.checkpoint);
+        }
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        if let Some(held) = vm.held.get_mut(&row.key) {
+            let stands_still = row.figure == 0 && held.role == Role::Plain;
+            held.idle_since = match stands_still {
+                true => held.idle_since.or(Some(now)),
+                false => None,
+            };
+            return;
+        }
+        self.adopt(now, name, &row.key);
+    }
+
+    /// Takes over a run that an earlier owner started, or stops it if nobody
+    /// wants it.
+    fn adopt(&mut self, now: Time, name: &VmName, key: &RunKey) {
+        let Some(entry) = self.jobs.get_mut(&key.task.job) else {
+            self.take_stranger(now, name, key);
+            return;
+        };
+        let is_over = entry.outcome.is_some();
+        let Some(step) = entry.job.steps.get(usize::from(key.task.step)).cloned() else {
+            self.take_stranger(now, name, key);
+            return;
+        };
+        let Some(task) = entry.task_mut(&key.task) else {
+            self.take_stranger(now, name, key);
+            return;
+        };
+        let is_wanted = !is_over && !task.done && (task.runs.is_empty() || step.copies);
+        task.runs.push((name.clone(), key.run));
+        entry.started = true;
+        tracing::info!(task = %key.task, run = key.run, vm = %name, is_wanted, "run adopted");
+        let role = super::schedule::role_of(&step);
+        if let Some(vm) = self.vms.get_mut(name) {
+            vm.hold(
+                key.clone(),
+                Held {
+                    phase: Phase::Present { after: 0 },
+                    since: now,
+                    reserved: step.reserved(),
+                    wants_cpu: step.need.cpu_milli,
+                    role: role.clone(),
+                    stop_sent: None,
+                    idle_since: None,
+                },
+            );
+            if role != Role::Plain {
+                vm.roles.push((key.clone(), role));
+            }
+        }
+        if !is_wanted {
+            self.stop_run(now, name, key, "not wanted");
+        }
+    }
+
+    fn take_stranger(&mut self, now: Time, name: &VmName, key: &RunKey) {
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        let since = *vm.strangers.entry(key.clone()).or_insert(now);
+        if (since + STRANGER_GRACE).passed(now) && vm.stops.insert(key.clone()) {
+            tracing::warn!(task = %key.task, run = key.run, vm = %name, "run of an unknown job stopped");
+        }
+    }
+}
--- /dev/null
+++ b/components/steps/src/owner/schedule.rs
@@ -0,0 +1,336 @@
+//! Which tasks start now.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use kernel::{JobName, Time, VmName};
+
+use super::{
+    Owner,
+    entry::{JobEntry, task_key},
+    place::Wish,
+    vm::{Held, Phase},
+};
+use crate::{
+    Queue, Step,
+    message::{Role, RunKey, Start},
+};
+
+/// A job later than this many times its objective is worth nothing any more;
+/// its tasks come after those of jobs that still are.
+const WORTHLESS_AFTER: u32 = 3;
+/// An occurrence starts this much after its time, since the clocks of machines
+/// differ and none may start early.
+const CLOCK_MARGIN: Duration = Duration::from_millis(40);
+/// Run numbers of one term start at a multiple of this, so that they rise from
+/// term to term without a record.
+const RUNS_PER_TERM: u64 = 1 << 24;
+
+/// The order in which jobs are served.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    is_worthless: bool,
+    priority: u32,
+    deadline: Time,
+    job: JobName,
+}
+
+/// How a task of a step behaves beside others.
+pub(super) fn role_of(step: &Step) -> Role {
+    match step.target_millis {
+        Some(target_millis) => Role::Serves {
+            target_millis,
+            image: step.image.clone(),
+        },
+        None if step.fills => Role::Fills {
+            image: step.image.clone(),
+        },
+        None => Role::Plain,
+    }
+}
+
+impl Owner {
+    /// Until when what an earlier owner started may still be unknown.
+    fn unknown_until(&self) -> Time {
+        self.taken + self.timing.ownership + self.timing.silence()
+    }
+
+    /// Whether every worker is known or written off, so that nothing of an
+    /// earlier owner can run unseen.
+    fn all_accounted_for(&self) -> bool {
+        self.vms.values().all(|vm| vm.attached || vm.written_off)
+    }
+
+    /// Starts what can start.
+    pub(super) fn schedule(&mut self, now: Time, wall: Time) {
+        let is_clear = self.all_accounted_for() || self.unknown_until().passed(now);
+        let earlier_owner_over = self.taken + self.timing.ownership;
+        for turn in self.turns(now) {
+            let Some(entry) = self.jobs.get(&turn.job) else {
+                continue;
+            };
+            if !is_clear && entry.known_since < earlier_owner_over {
+                continue;
+            }
+            let Some(queue) = self.queues.get(&entry.job.queue).cloned() else {
+                continue;
+            };
+            self.schedule_job(now, wall, &turn.job, &queue);
+        }
+    }
+
+    fn turns(&self, now: Time) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        for (name, entry) in &self.jobs {
+            if entry.outcome.is_some() {
+                continue;
+            }
+            let Some(queue) = self.queues.get(&entry.job.queue) else {
+                continue;
+            };
+            let objective = objective(entry, queue);
+            let is_worthless = !entry.job.is_lasting()
+                && entry.job.schedule.is_none()
+                && (entry.known_since + objective * WORTHLESS_AFTER).passed(now);
+            turns.push(Turn {
+                is_worthless,
+                priority: queue.priority,
+                deadline: entry.known_since + objective,
+                job: name.clone(),
+            });
+        }
+        turns.sort_unstable();
+        turns
+    }
+
+    fn schedule_job(&mut self, now: Time, wall: Time, name: &JobName, queue: &Arc<Queue>) {
+        let Some(entry) = self.jobs.get_mut(name) else {
+            return;
+        };
+        for occurrence in due(entry, wall) {
+            let Some(entry) = self.jobs.get_mut(name) else {
+                return;
+            };
+            let job = Arc::clone(&entry.job);
+            entry.occurrence(occurrence);
+            for (number, step) in job.steps.iter().enumerate() {
+                let Some(entry) = self.jobs.get(name) else {
+                    return;
+                };
+                if !entry.may_start(occurrence, number) {
+                    continue;
+                }
+                match step.gang || step.same_rack {
+                    true => self.schedule_together(now, name, occurrence, number, step, queue),
+                    false => self.schedule_step(now, name, occurrence, number, step, queue),
+                }
+            }
+        }
+    }
+
+    fn schedule_step(
+        &mut self,
+        now: Time,
+        name: &JobName,
+        occurrence: u32,
+        number: usize,
+        step: &Step,
+        queue: &Queue,
+    ) {
+        let Some(entry) = self.jobs.get(name) else {
+            return;
+        };
+        let state = &entry.occurrences[&occurrence][number];
+        let mut beside = count_beside(state);
+        let mut waiting = Vec::new();
+        for (index, task) in state.tasks.iter().enumerate() {
+            if !task.done && task.runs.is_empty() && task.not_before.passed(now) {
+                waiting.push((index, task.avoid.clone()));
+            }
+        }
+        for (index, avoid) in waiting {
+            let wish = Wish {
+                service: &queue.service,
+                step,
+                avoid: &avoid,
+                beside: &beside,
+                rack: None,
+            };
+            let Some(vm) = self.choose(now, &wish) else {
+                return;
+            };
+            *beside.entry(vm.clone()).or_default() += 1;
+            let run = self.next_run();
+            let task = task_key(name, occurrence, number, index);
+            self.start(now, &vm, RunKey { task, run }, step);
+        }
+    }
+
+    /// Starts all tasks of a step at once, or none of them.
+    fn schedule_together(
+        &mut self,
+        now: Time,
+        name: &JobName,
+        occurrence: u32,
+        number: usize,
+        step: &Step,
+        queue: &Queue,
+    ) {
+        let Some(entry) = self.jobs.get(name) else {
+            return;
+        };
+        let state = &entry.occurrences[&occurrence][number];
+        let may_start = |task: &super::entry::Task| task.not_before.passed(now);
+        if step.gang
+            && !state
+                .tasks
+                .iter()
+                .all(|task| task.runs.is_empty() && may_start(task))
+        {
+            return;
+        }
+        let mut waiting = Vec::new();
+        for (index, task) in state.tasks.iter().enumerate() {
+            if !task.done && task.runs.is_empty() && may_start(task) {
+                waiting.push((index, task.avoid.clone()));
+            }
+        }
+        if waiting.is_empty() {
+            return;
+        }
+        let mut racks: Vec<Option<String>> = vec![None];
+        if step.same_rack {
+            racks = self.racks(&queue.service).into_iter().map(Some).collect();
+            // Slower on several racks is better than not at all.
+            racks.push(None);
+        }
+        for rack in racks {
+            let beside = count_beside(&self.jobs[name].occurrences[&occurrence][number]);
+            let rack = rack.as_deref();
+            if self.start_all(
+                now, name, occurrence, number, step, queue, &waiting, beside, rack,
+            ) {
+                return;
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn start_all(
+        &mut self,
+        now: Time,
+        name: &JobName,
+        occurrence: u32,
+        number: usize,
+        step: &Step,
+        queue: &Queue,
+        waiting: &[(usize, std::collections::BTreeSet<VmName>)],
+        mut beside: BTreeMap<VmName, u32>,
+        rack: Option<&str>,
+    ) -> bool {
+        let run = self.next_run();
+        let mut started: Vec<(VmName, RunKey)> = Vec::new();
+        for (index, avoid) in waiting {
+            let wish = Wish {
+                service: &queue.service,
+                step,
+                avoid,
+                beside: &beside,
+                rack,
+            };
+            let Some(vm) = self.choose(now, &wish) else {
+                for (vm, key) in started {
+                    self.drop_run(&vm, &key);
+                }
+                return false;
+            };
+            *beside.entry(vm.clone()).or_default() += 1;
+            let run = if step.gang { run } else { self.next_run() };
+            let task = task_key(name, occurrence, number, *index);
+            let key = RunKey { task, run };
+            self.start(now, &vm, key.clone(), step);
+            started.push((vm, key));
+        }
+        true
+    }
+
+    pub(super) fn next_run(&mut self) -> u64 {
+        self.starts += 1;
+        self.epoch * RUNS_PER_TERM + self.starts
+    }
+
+    /// Reserves the room and orders the start.
+    pub(super) fn start(&mut self, now: Time, name: &VmName, key: RunKey, step: &Step) {
+        let Some(entry) = self.jobs.get_mut(&key.task.job) else {
+            return;
+        };
+        entry.started = true;
+        let job = Arc::clone(&entry.job);
+        let known_since = entry.known_since;
+        let Some(task) = entry.task_mut(&key.task) else {
+            return;
+        };
+        task.runs.push((name.clone(), key.run));
+        let checkpoint = task.checkpoint.clone().filter(|_| step.checkpoints);
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        tracing::info!(
+            task = %key.task,
+            run = key.run,
+            vm = %name,
+            resumes = checkpoint.is_some(),
+            job_age_ms = now.since(known_since).as_millis() as u64,
+            "start"
+        );
+        let role = role_of(step);
+        vm.hold(
+            key.clone(),
+            Held {
+                phase: Phase::Ordered,
+                since: now,
+                reserved: step.reserved(),
+                wants_cpu: step.need.cpu_milli,
+                role: role.clone(),
+                stop_sent: None,
+                idle_since: None,
+            },
+        );
+        vm.starts.push(Start {
+            key,
+            spec: Arc::clone(&job.spec),
+            checkpoint,
+            ticket: None,
+            role,
+        });
+    }
+}
+
+/// The occurrences whose time has come and that are not finished.
+fn due(entry: &JobEntry, wall: Time) -> Vec<u32> {
+    let mut found = Vec::new();
+    for occurrence in 0..entry.job.occurrences() {
+        if entry.job.schedule.is_some() && !(entry.job.due(occurrence) + CLOCK_MARGIN).passed(wall)
+        {
+            break;
+        }
+        if !entry.finished.contains(&occurrence) {
+            found.push(occurrence);
+        }
+    }
+    found
+}
+
+pub(super) fn count_beside(state: &super::entry::StepState) -> BTreeMap<VmName, u32> {
+    let mut beside = BTreeMap::new();
+    for task in &state.tasks {
+        for (vm, _) in &task.runs {
+            *beside.entry(vm.clone()).or_default() += 1;
+        }
+    }
+    beside
+}
+
+fn objective(entry: &JobEntry, queue: &Queue) -> Duration {
+    let chain = Duration::from_millis(entry.job.longest_chain_millis());
+    chain.mul_f64(queue.slack_factor.max(1.0)) + queue.target_latency
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -54,16 +54,23 @@
     let settings = |about| {
         file_arg("settings", "F", about)
             .long("settings")
-            .required(true)
+            .required_unless_present("platform")
+            .conflicts_with("platform")
+    };
+    let platform = || {
+        flag(
+            "platform",
+            "Run jobs of steps on the users' platform, with its own settings",
+        )
     };
     [
         Command::new("entry")
             .about("Run an entry: callers' and operators' HTTP, routing, placement")
-            .arg(settings("The settings of the entry"))
+            .args([settings("The settings of the entry"), platform()])
             .after_help("Example:\n  hemlockmoor entry --settings /etc/hemlockmoor/entry.toml"),
         Command::new("agent")
             .about("Run an agent beside an endpoint or a worker")
-            .arg(settings("The settings of the agent"))
+            .args([settings("The settings of the agent"), platform()])
             .after_help("Example:\n  hemlockmoor agent --settings /etc/hemlockmoor/agent.toml"),
         Command::new("dev")
             .about("Run the whole system in one process, with stand-ins for the platform")
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -5,13 +5,16 @@
 use conf::settings::{AgentSettings, load_agent};
 use kernel::secret::Secrets;
 
-use super::{daemon_settings, until_signal};
+use super::{daemon_settings, platform, until_signal};
 use crate::{client::read_secrets, failure::CommandError};
 
 pub(super) fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    if matches.get_flag("platform") {
+        return platform::run_agent();
+    }
     let settings = load_agent(daemon_settings(matches)?)?;
     let secrets = read_secrets(&settings.secret_file)?;
-    observe::logs::init();
+    let _logs = observe::logs::init();
     smol::block_on(serve(settings, secrets))
 }
 
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -7,16 +7,19 @@
 use entry::daemon::{self, EntrySecrets};
 use store::EtcdStore;
 
-use super::{daemon_settings, until_signal};
+use super::{daemon_settings, platform, until_signal};
 use crate::{client::read_secrets, failure::CommandError};
 
 pub(super) fn run(matches: &ArgMatches) -> Result<(), CommandError> {
+    if matches.get_flag("platform") {
+        return platform::run_entry();
+    }
     let settings = load_entry(daemon_settings(matches)?)?;
     let secrets = EntrySecrets {
         system: read_secrets(&settings.secret_file)?,
         operators: read_secrets(&settings.operator_secret_file)?,
     };
-    observe::logs::init();
+    let _logs = observe::logs::init();
     smol::block_on(serve(settings, secrets))
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 mod get;
 mod identity;
 mod jobs;
+mod platform;
 mod report;
 mod settings;
 mod submit;
--- a/tests/processes/cluster.rs
+++ b/tests/processes/cluster.rs
@@ -39,14 +39,14 @@
             .arg("--settings")
             .arg(settings)
             .env("SMOL_THREADS", "2")
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let stderr = child.stderr.take().unwrap();
+        let stdout = child.stdout.take().unwrap();
         let (tx, rx) = mpsc::channel();
         let log = settings.with_extension("log");
-        std::thread::spawn(move || follow(stderr, &log, &tx));
+        std::thread::spawn(move || follow(stdout, &log, &tx));
         let listening = rx.recv_timeout(PATIENCE).expect("the daemon must listen");
         Self { child, listening }
     }
@@ -91,10 +91,10 @@
     }
 }
 
-fn follow(stderr: impl std::io::Read, log: &Path, tx: &mpsc::Sender<serde_json::Value>) {
+fn follow(stdout: impl std::io::Read, log: &Path, tx: &mpsc::Sender<serde_json::Value>) {
     use std::io::Write;
     let mut file = std::fs::File::create(log).unwrap();
-    for line in BufReader::new(stderr).lines() {
+    for line in BufReader::new(stdout).lines() {
         let Ok(line) = line else { return };
         let _ = writeln!(file, "{line}");
         let Ok(fields) = serde_json::from_str::<serde_json::Value>(&line) else {
