Departed VMs are forgotten, records gather, entries follow only what they need

The owner now removes the key of a VM that is empty and does not answer; a living agent writes it again.

Besides: progress records lie apart from what all entries watch, the end of a job replaces its other keys, and records that no client waits for gather 120 ms.

--- a/components/stepd/src/agent/looks.rs
+++ b/components/stepd/src/agent/looks.rs
@@ -16,7 +16,7 @@
 
 /// How often the worker is looked at while ends wait for their records: it would
 /// list them at once each time.
-const UNRECORDED_PAUSE: Duration = Duration::from_millis(250);
+const UNRECORDED_PAUSE: Duration = Duration::from_millis(50);
 /// The pause after a look that was not answered.
 const SILENT_PAUSE: Duration = Duration::from_millis(150);
 /// How often an agent without a worker or an owner checks its leases.
--- a/components/stepd/src/agent/register.rs
+++ b/components/stepd/src/agent/register.rs
@@ -8,7 +8,7 @@
 use crate::keys::{self, AgentRecord};
 
 /// How often an agent looks whether its key is still there.
-const CHECK_INTERVAL: Duration = Duration::from_secs(10);
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Keeps the key there for as long as the agent runs.
 pub(super) async fn run(store: Arc<dyn Store>, vm: VmName, address: SocketAddr) {
--- a/components/stepd/src/entry/follow.rs
+++ b/components/stepd/src/entry/follow.rs
@@ -94,7 +94,7 @@
 
 /// Follows what our processes wrote.
 pub(super) async fn own(shared: Arc<Shared>) {
-    let mut follow = Follow::new(Arc::clone(&shared.store), keys::all());
+    let mut follow = Follow::new(Arc::clone(&shared.store), keys::followed());
     loop {
         let news = follow.next().await;
         shared.heard_store();
--- a/components/stepd/src/entry/index.rs
+++ b/components/stepd/src/entry/index.rs
@@ -10,24 +10,28 @@
 use steps::{Job, JobState, Outcome, Progress};
 use store::{Change, KeyValue, StoreRevision};
 
-use crate::keys::{AgentRecord, Key, OwnerRecord};
+use crate::keys::{AgentRecord, EndRecord, Key, OwnerRecord};
 
 /// A job as far as the store tells.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Known {
-    pub(super) queue: Arc<str>,
+    /// Its queue, unless it ended before this entry knew it.
+    pub(super) queue: Option<Arc<str>>,
     pub(super) outcome: Option<Outcome>,
-    pub(super) has_progress: bool,
     pub(super) cancelled: bool,
 }
 
 impl Known {
+    /// Whether there is more than a cancelling.
+    pub(super) const fn is_accepted(&self) -> bool {
+        self.queue.is_some() || self.outcome.is_some()
+    }
+
     pub(super) fn state(&self) -> JobState {
-        match (self.outcome, self.cancelled, self.has_progress) {
-            (Some(outcome), _, _) => JobState::Ended(outcome),
-            (None, true, _) => JobState::Ended(Outcome::Cancelled),
-            (None, false, true) => JobState::Running,
-            (None, false, false) => JobState::Queued,
+        match (self.outcome, self.cancelled) {
+            (Some(outcome), _) => JobState::Ended(outcome),
+            (None, true) => JobState::Ended(Outcome::Cancelled),
+            (None, false) => JobState::Queued,
         }
     }
 }
@@ -39,16 +43,16 @@
     Job(Arc<Job>),
     /// A job's record was written.
     Progress(JobName, Progress, StoreRevision),
+    /// A job has ended.
+    Ended(JobName, Outcome),
     /// A job was cancelled.
     Cancelled(JobName),
-    /// An agent runs there.
-    Agent(VmName, SocketAddr),
-    /// An agent's key was removed.
-    AgentGone(VmName),
+    /// An agent runs there, by the key of that revision.
+    Agent(VmName, SocketAddr, StoreRevision),
     /// The owner changed.
     Owner(Option<OwnerRecord>),
-    /// A job was forgotten.
-    JobGone(JobName),
+    /// A job that had ended was forgotten.
+    Forgotten(JobName),
 }
 
 /// Reads a change; nothing for what is of no interest or can't be read.
@@ -57,9 +61,8 @@
         Change::Put(kv) => read_put(kv),
         Change::Deleted(key, _) => match Key::parse(key) {
             Key::Owner => Some(Fact::Owner(None)),
-            Key::Agent(vm) => Some(Fact::AgentGone(vm)),
-            Key::Job(name) => Some(Fact::JobGone(name)),
-            Key::Progress(_) | Key::Cancelled(_) | Key::Other => None,
+            Key::Ended(name) => Some(Fact::Forgotten(name)),
+            Key::Job(_) | Key::Progress(_) | Key::Cancelled(_) | Key::Agent(_) | Key::Other => None,
         },
     }
 }
@@ -72,11 +75,15 @@
             (job.name == name).then(|| Fact::Job(Arc::new(job)))
         }
         Key::Progress(name) => Some(Fact::Progress(name, parse(kv)?, kv.modified)),
+        Key::Ended(name) => {
+            let record: EndRecord = parse(kv)?;
+            Some(Fact::Ended(name, record.outcome))
+        }
         Key::Cancelled(name) => Some(Fact::Cancelled(name)),
         Key::Owner => Some(Fact::Owner(Some(parse(kv)?))),
         Key::Agent(vm) => {
             let record: AgentRecord = parse(kv)?;
-            Some(Fact::Agent(vm, record.address))
+            Some(Fact::Agent(vm, record.address, kv.modified))
         }
         Key::Other => None,
     }
@@ -96,7 +103,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Index {
     jobs: BTreeMap<JobName, Known>,
-    agents: BTreeMap<VmName, SocketAddr>,
     owner: Option<OwnerRecord>,
     /// The availability zones that take no new work.
     pub(super) zones_out: BTreeSet<AvailabilityZoneName>,
@@ -106,7 +112,7 @@
 
 impl Index {
     pub(super) fn job(&self, name: &JobName) -> Option<&Known> {
-        self.jobs.get(name)
+        self.jobs.get(name).filter(|known| known.is_accepted())
     }
 
     pub(super) const fn owner(&self) -> Option<&OwnerRecord> {
@@ -115,46 +121,34 @@
 
     /// How many jobs of a queue show no sign of having started.
     pub(super) fn pending(&self, queue: &str) -> usize {
-        let waits =
-            |known: &&Known| known.queue.as_ref() == queue && known.state() == JobState::Queued;
+        let waits = |known: &&Known| {
+            known.queue.as_deref() == Some(queue) && known.state() == JobState::Queued
+        };
         self.jobs.values().filter(waits).count()
     }
 
     pub(super) fn clear(&mut self) {
         self.jobs.clear();
-        self.agents.clear();
         self.owner = None;
     }
 
     pub(super) fn apply(&mut self, fact: &Fact) {
         match fact {
             Fact::Job(job) => {
-                self.jobs.entry(job.name.clone()).or_insert_with(|| Known {
-                    queue: Arc::clone(&job.queue),
-                    outcome: None,
-                    has_progress: false,
-                    cancelled: false,
-                });
+                let known = self.jobs.entry(job.name.clone()).or_default();
+                known.queue = Some(Arc::clone(&job.queue));
             }
-            Fact::Progress(name, progress, _) => {
-                if let Some(known) = self.jobs.get_mut(name) {
-                    known.outcome = progress.outcome;
-                    known.has_progress = true;
-                }
+            Fact::Ended(name, outcome) => {
+                let known = self.jobs.entry(name.clone()).or_default();
+                known.outcome = Some(*outcome);
             }
             Fact::Cancelled(name) => {
-                if let Some(known) = self.jobs.get_mut(name) {
-                    known.cancelled = true;
-                }
-            }
-            Fact::Agent(vm, address) => {
-                self.agents.insert(vm.clone(), *address);
-            }
-            Fact::AgentGone(vm) => {
-                self.agents.remove(vm);
+                let known = self.jobs.entry(name.clone()).or_default();
+                known.cancelled = true;
             }
+            Fact::Progress(..) | Fact::Agent(..) => {}
             Fact::Owner(owner) => self.owner.clone_from(owner),
-            Fact::JobGone(name) => {
+            Fact::Forgotten(name) => {
                 self.jobs.remove(name);
             }
         }
--- a/components/stepd/src/entry/journal.rs
+++ b/components/stepd/src/entry/journal.rs
@@ -1,18 +1,26 @@
 //! Writing the records of jobs.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
-use kernel::Verdict;
+use kernel::{JobName, Verdict};
 use steps::owner::Change;
-use store::{Compare, KeyRange, KeyValue, Op, Txn, TxnReply, backoff::Backoff};
+use store::{Compare, KeyRange, KeyValue, Op, StoreRevision, Txn, TxnReply, backoff::Backoff};
 
 use super::term::Term;
-use crate::keys;
+use crate::keys::{self, EndRecord};
 
-/// How many records one transaction takes. The store accepts 32 entries; each
-/// record is a condition and a change, and the epoch is one more condition.
-const RECORDS_PER_TXN: usize = 15;
+/// How many conditions and changes one transaction takes; the store accepts 32.
+const MOST_ROWS: usize = 32;
+/// What the end of a job takes: two conditions and three changes.
+const ROWS_OF_AN_END: usize = 5;
+/// What any other record takes: a condition and a change.
+const ROWS_OF_A_RECORD: usize = 2;
+/// How long records gather that no client waits for. Each write is priced, and a
+/// worker lists its ends again until it is told that they are recorded.
+const GATHER: Duration = Duration::from_millis(120);
+/// Workers wait for records, so a store that returns is found soon.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// Writes records for as long as the term lasts.
 pub(super) async fn run(term: Arc<Term>) {
@@ -21,45 +29,97 @@
         if !term.owner().has_changes() {
             changed.await;
         }
+        gather(&term).await;
         flush(&term).await;
         term.dispatch();
     }
 }
 
+/// Waits until enough has gathered, or something must not wait.
+async fn gather(term: &Term) {
+    let until = term.now() + GATHER;
+    loop {
+        let changed = term.changed.listen();
+        let now = term.now();
+        if until.passed(now) || term.owner().has_urgent_changes() {
+            return;
+        }
+        let timer = async {
+            smol::Timer::after(until.remaining(now)).await;
+        };
+        changed.or(timer).await;
+    }
+}
+
 /// Writes all records that are due now.
 pub(super) async fn flush(term: &Term) {
     let (last, changes) = {
         let mut owner = term.owner();
         (owner.last_change(), owner.take_changes())
     };
-    if changes.is_empty() {
-        return;
-    }
     let mut is_whole = true;
-    for chunk in changes.chunks(RECORDS_PER_TXN) {
-        is_whole &= write(term, chunk).await;
+    let mut rest = changes.as_slice();
+    while !rest.is_empty() {
+        let (group, others) = rest.split_at(fitting(rest));
+        is_whole &= write(term, group).await;
+        rest = others;
     }
     if is_whole {
         term.owner().durable(last);
     }
 }
 
+/// How many of the changes fit into one transaction.
+fn fitting(changes: &[Change]) -> usize {
+    let mut rows = 1;
+    for (count, change) in changes.iter().enumerate() {
+        rows += match change.is_end {
+            true => ROWS_OF_AN_END,
+            false => ROWS_OF_A_RECORD,
+        };
+        if rows > MOST_ROWS {
+            return count;
+        }
+    }
+    changes.len()
+}
+
+/// One key that a record lies under, with its value.
+struct Row {
+    key: String,
+    value: Vec<u8>,
+    replaces: Option<StoreRevision>,
+}
+
+fn row(change: &Change) -> Result<Row, serde_json::Error> {
+    if let Some(outcome) = change.progress.outcome {
+        return Ok(Row {
+            key: keys::ended(&change.job),
+            value: serde_json::to_vec(&EndRecord { outcome })?,
+            replaces: None,
+        });
+    }
+    Ok(Row {
+        key: keys::progress(&change.job),
+        value: serde_json::to_vec(&change.progress)?,
+        replaces: change.replaces,
+    })
+}
+
 /// Writes some records; whether all of them are durable as they are.
 ///
 /// Each record is compared with the revision that it replaces, so a write that
 /// the network held back can't undo a later one.
 async fn write(term: &Term, changes: &[Change]) -> bool {
-    let mut values = Vec::new();
-    for change in changes {
-        match serde_json::to_vec(&change.progress) {
-            Ok(value) => values.push(value),
-            Err(error) => {
-                tracing::error!(job = %change.job, %error, "a record can't be written");
-                return false;
-            }
+    let rows: Result<Vec<Row>, _> = changes.iter().map(row).collect();
+    let rows = match rows {
+        Ok(rows) => rows,
+        Err(error) => {
+            tracing::error!(%error, records = changes.len(), "records can't be written");
+            return false;
         }
-    }
-    let txn = transaction(term, changes, &values);
+    };
+    let txn = transaction(term, changes, &rows);
     let mut backoff = Backoff::random();
     loop {
         if term.is_over() {
@@ -78,7 +138,7 @@
                 }
                 return true;
             }
-            Ok(reply) => return settle(term, changes, &values, &reply),
+            Ok(reply) => return settle(term, changes, &rows, &reply),
             Err(error) => {
                 if backoff.failures() == 0 {
                     tracing::warn!(
@@ -97,31 +157,44 @@
     }
 }
 
-/// Workers wait for records, so a store that returns is found soon.
-const LONGEST_PAUSE: std::time::Duration = std::time::Duration::from_millis(400);
-
-fn transaction(term: &Term, changes: &[Change], values: &[Vec<u8>]) -> Txn {
+fn transaction(term: &Term, changes: &[Change], rows: &[Row]) -> Txn {
     let epoch = keys::EPOCH.to_owned();
     let mut txn = Txn {
         compares: vec![Compare::ModifiedAt(epoch, term.claim.epoch_revision)],
         ops: Vec::new(),
         otherwise: vec![KeyRange::one(keys::EPOCH)],
     };
-    for (change, value) in changes.iter().zip(values) {
-        let key = keys::progress(&change.job);
-        txn.compares.push(match change.replaces {
-            Some(revision) => Compare::ModifiedAt(key.clone(), revision),
-            None => Compare::Absent(key.clone()),
+    for (change, row) in changes.iter().zip(rows) {
+        txn.compares.push(match row.replaces {
+            Some(revision) => Compare::ModifiedAt(row.key.clone(), revision),
+            None => Compare::Absent(row.key.clone()),
         });
-        txn.otherwise.push(KeyRange::one(key.as_str()));
-        txn.ops.push(Op::put(key, value.as_slice()));
+        txn.otherwise.push(KeyRange::one(row.key.as_str()));
+        txn.ops
+            .push(Op::put(row.key.as_str(), row.value.as_slice()));
+        if !change.is_end {
+            continue;
+        }
+        // From here on the end alone tells of the job.
+        txn.ops.push(remove(keys::job(&change.job)));
+        if let Some(revision) = change.replaces {
+            let key = keys::progress(&change.job);
+            txn.compares
+                .push(Compare::ModifiedAt(key.clone(), revision));
+            txn.otherwise.push(KeyRange::one(key.as_str()));
+            txn.ops.push(remove(key));
+        }
     }
     txn
 }
 
+fn remove(key: String) -> Op {
+    Op::Delete(KeyRange::one(key))
+}
+
 /// Finds out from a refusal which records lie in the store already, because an
 /// earlier answer was lost; whether all of them do.
-fn settle(term: &Term, changes: &[Change], values: &[Vec<u8>], reply: &TxnReply) -> bool {
+fn settle(term: &Term, changes: &[Change], rows: &[Row], reply: &TxnReply) -> bool {
     let found = |key: &str| -> Option<&KeyValue> {
         reply.otherwise.iter().flatten().find(|kv| kv.key == key)
     };
@@ -133,15 +206,33 @@
     }
     let mut is_whole = true;
     let mut owner = term.owner();
-    for (change, value) in changes.iter().zip(values) {
-        let kv = found(&keys::progress(&change.job));
-        if let Some(kv) = kv {
-            owner.written(&change.job, kv.modified);
-        }
-        if kv.is_none_or(|kv| kv.value != *value) {
-            owner.not_written(&change.job);
-            is_whole = false;
+    for (change, row) in changes.iter().zip(rows) {
+        // An end that is there stays, whoever wrote it.
+        let is_there = found(&row.key).is_some_and(|kv| change.is_end || kv.value == row.value);
+        if is_there {
+            let revision = found(&row.key).map_or(0, |kv| kv.modified);
+            owner.written(&change.job, revision);
+            continue;
         }
+        let progress = found(&keys::progress(&change.job)).map(|kv| kv.modified);
+        tracing::info!(job = %change.job, revision = progress, "a record is written again");
+        owner.not_written(&change.job, progress);
+        is_whole = false;
     }
     is_whole
 }
+
+/// Removes the last keys of jobs that ended long ago.
+pub(super) async fn forget(term: &Term, jobs: &[JobName]) {
+    for group in jobs.chunks(MOST_ROWS / 2) {
+        let mut txn = Txn::default();
+        for job in group {
+            txn.ops.push(remove(keys::ended(job)));
+            txn.ops.push(remove(keys::cancelled(job)));
+        }
+        match term.store.txn(txn).await {
+            Ok(_) => tracing::info!(jobs = group.len(), "jobs that ended are forgotten"),
+            Err(error) => tracing::info!(%error, jobs = group.len(), "keys of ended jobs stay"),
+        }
+    }
+}
--- a/components/stepd/src/entry/submit.rs
+++ b/components/stepd/src/entry/submit.rs
@@ -52,7 +52,14 @@
         Err(error) => return ClientReply::Malformed(error.to_string()),
     };
     let began = shared.clock.now();
-    let created = create(shared, &keys::job(&job.name), value, deadline).await;
+    let created = create(
+        shared,
+        &keys::job(&job.name),
+        &[keys::ended(&job.name)],
+        value,
+        deadline,
+    )
+    .await;
     let took_ms = shared.clock.now().since(began).as_millis() as u64;
     match created {
         Created::Now => {
@@ -89,7 +96,7 @@
         return ClientReply::CancelAccepted;
     }
     let key = keys::cancelled(name);
-    match create(shared, &key, b"{}".to_vec(), deadline).await {
+    match create(shared, &key, &[], b"{}".to_vec(), deadline).await {
         Created::Now | Created::Before => {
             tracing::info!(job = %name, "cancelling accepted");
             ClientReply::CancelAccepted
@@ -107,33 +114,42 @@
     name: &JobName,
 ) -> Result<Option<JobState>, StoreError> {
     let mut found = Vec::new();
-    let keys = [keys::job(name), keys::progress(name), keys::cancelled(name)];
+    // A job's key goes in the step in which its end comes, so this order can't
+    // miss both.
+    let keys = [keys::job(name), keys::ended(name), keys::cancelled(name)];
     for key in keys {
-        let read = shared.store.range(KeyRange::one(key), 1).await?;
-        if found.is_empty() && read.kvs.is_empty() {
-            return Ok(None);
-        }
-        found.extend(read.kvs);
+        found.extend(shared.store.range(KeyRange::one(key), 1).await?.kvs);
     }
     let mut index = Index::default();
     for fact in in_order(&found) {
         index.apply(&fact);
-        if let Fact::Job(_) = fact {
+        if matches!(fact, Fact::Job(_) | Fact::Ended(..)) {
             shared.index().apply(&fact);
         }
     }
-    Ok(index.job(name).map(super::index::Known::state))
+    let known = index.job(name).filter(|known| known.is_accepted());
+    Ok(known.map(super::index::Known::state))
 }
 
-/// Creates a key. An answer that is lost is settled by the same call again: it
-/// creates the key, so it takes effect once.
-async fn create(shared: &Shared, key: &str, value: Vec<u8>, deadline: Option<Duration>) -> Created {
+/// Creates a key unless it or one of `others` exists. An answer that is lost is
+/// settled by the same call again: it creates the key, so it takes effect once.
+async fn create(
+    shared: &Shared,
+    key: &str,
+    others: &[String],
+    value: Vec<u8>,
+    deadline: Option<Duration>,
+) -> Created {
     let give_up = shared.clock.now() + deadline.unwrap_or(DEFAULT_DEADLINE).mul_f64(WRITE_PART);
-    let txn = Txn {
+    let mut txn = Txn {
         compares: vec![Compare::Absent(key.to_owned())],
-        ops: vec![Op::put(key, value.clone())],
+        ops: vec![Op::put(key, value)],
         otherwise: vec![KeyRange::one(key)],
     };
+    for other in others {
+        txn.compares.push(Compare::Absent(other.clone()));
+        txn.otherwise.push(KeyRange::one(other.as_str()));
+    }
     let mut backoff = Backoff::random();
     let mut may_have_run = false;
     loop {
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -19,7 +19,7 @@
     Event, Owner,
     message::{AttendCall, Orders, OrdersCall},
 };
-use store::{Compare, LeaseId, Store, StoreError, StoreRevision, Txn};
+use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn};
 
 use super::{
     Shared, campaign,
@@ -74,6 +74,8 @@
 
 struct Agent {
     peer: Peer,
+    /// The revision of its key.
+    revision: StoreRevision,
     _attending: Task<()>,
 }
 
@@ -151,8 +153,8 @@
 async fn load(shared: &Shared, term: &Arc<Term>) {
     let mut backoff = store::backoff::Backoff::random();
     let kvs = loop {
-        match shared.store.range(keys::all(), 0).await {
-            Ok(reply) => break reply.kvs,
+        match read_all(shared).await {
+            Ok(kvs) => break kvs,
             Err(error) => {
                 if backoff.failures() == 0 {
                     tracing::warn!(%error, "the jobs can't be read yet");
@@ -173,10 +175,26 @@
     term.apply(&early);
 }
 
+async fn read_all(shared: &Shared) -> Result<Vec<KeyValue>, StoreError> {
+    let mut kvs = shared.store.range(keys::followed(), 0).await?.kvs;
+    // Read later than the jobs, so that no record is missed; one of a job that
+    // ended meanwhile does no harm.
+    kvs.extend(shared.store.range(keys::all_progress(), 0).await?.kvs);
+    Ok(kvs)
+}
+
 async fn tick(term: Arc<Term>) {
     loop {
         smol::Timer::after(TICK).await;
         term.handle(Event::Tick);
+        let departed = term.owner().take_departed();
+        for vm in departed {
+            term.part(&vm);
+        }
+        let forgotten = term.owner().take_forgotten();
+        if !forgotten.is_empty() {
+            journal::forget(&term, &forgotten).await;
+        }
     }
 }
 
@@ -324,25 +342,29 @@
                     self.handle_quietly(Event::Job { job, progress });
                 }
                 Fact::Cancelled(name) => self.handle_quietly(Event::Cancelled(name.clone())),
-                Fact::Agent(vm, address) => self.meet(vm, *address),
+                Fact::Ended(name, outcome) => {
+                    let (name, outcome) = (name.clone(), *outcome);
+                    self.handle_quietly(Event::Ended(name, outcome));
+                }
+                Fact::Agent(vm, address, revision) => self.meet(vm, *address, *revision),
                 Fact::Owner(Some(record)) if record.epoch > self.claim.record.epoch => {
                     tracing::warn!(owner = %record.entry, epoch = record.epoch, "a later owner");
                     self.end();
                 }
-                Fact::Progress(..) | Fact::AgentGone(_) | Fact::Owner(_) | Fact::JobGone(_) => {}
+                Fact::Progress(..) | Fact::Owner(_) | Fact::Forgotten(_) => {}
             }
         }
         self.dispatch();
     }
 
     /// Attends to an agent from now on.
-    fn meet(self: &Arc<Self>, vm: &VmName, address: SocketAddr) {
+    fn meet(self: &Arc<Self>, vm: &VmName, address: SocketAddr, revision: StoreRevision) {
         self.handle_quietly(Event::Vm(vm.clone()));
         let mut agents = self.agents();
-        if agents
-            .get(vm)
-            .is_some_and(|agent| agent.peer.address() == address)
+        if let Some(known) = agents.get_mut(vm)
+            && known.peer.address() == address
         {
+            known.revision = revision;
             return;
         }
         let peer = Peer::new(address, self.secrets.clone());
@@ -351,11 +373,33 @@
             vm.clone(),
             Agent {
                 peer,
+                revision,
                 _attending: attending,
             },
         );
     }
 
+    /// Removes the key of an agent that is gone, so that a later owner does not
+    /// wait for it; one that lives writes it again.
+    fn part(self: &Arc<Self>, vm: &VmName) {
+        let Some(agent) = self.agents().remove(vm) else {
+            return;
+        };
+        let key = keys::agent(vm);
+        let txn = Txn {
+            compares: vec![Compare::ModifiedAt(key.clone(), agent.revision)],
+            ops: vec![Op::Delete(KeyRange::one(key))],
+            otherwise: Vec::new(),
+        };
+        let (store, vm) = (Arc::clone(&self.store), vm.clone());
+        smol::spawn(async move {
+            if let Err(error) = store.txn(txn).await {
+                tracing::info!(%vm, %error, "the key of an agent that is gone stays");
+            }
+        })
+        .detach();
+    }
+
     /// Takes in an event and sends the orders that follow from it.
     pub(super) fn handle(self: &Arc<Self>, event: Event) {
         self.handle_quietly(event);
--- a/components/stepd/src/keys.rs
+++ b/components/stepd/src/keys.rs
@@ -3,9 +3,10 @@
 use kernel::{EntryName, JobName, VmName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use steps::Outcome;
 use store::KeyRange;
 
-/// Everything of ours.
+/// Everything of ours that all entries follow.
 pub const ROOT: &str = "hemlockmoor/";
 /// Who owns the jobs, on that process's lease.
 pub const OWNER: &str = "hemlockmoor/owner";
@@ -14,7 +15,9 @@
 /// The secret that our processes share, made once.
 pub const SECRET: &str = "hemlockmoor/secret";
 const JOBS: &str = "hemlockmoor/jobs/";
-const PROGRESS: &str = "hemlockmoor/progress/";
+const ENDED: &str = "hemlockmoor/ended/";
+/// What only an owner reads, at the start of its term.
+const PROGRESS: &str = "hemlockmoor-progress/";
 const CANCELLED: &str = "hemlockmoor/cancelled/";
 const AGENTS: &str = "hemlockmoor/agents/";
 
@@ -29,6 +32,13 @@
     pub epoch: u64,
 }
 
+/// What the key of a job that has ended says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndRecord {
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
 /// What an agent's key says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentRecord {
@@ -43,6 +53,8 @@
     Job(JobName),
     /// The record of a job's progress.
     Progress(JobName),
+    /// How a job ended.
+    Ended(JobName),
     /// The mark of a cancelled job.
     Cancelled(JobName),
     /// The owner of the jobs.
@@ -65,6 +77,8 @@
             job(name).map(Self::Job)
         } else if let Some(name) = key.strip_prefix(PROGRESS) {
             job(name).map(Self::Progress)
+        } else if let Some(name) = key.strip_prefix(ENDED) {
+            job(name).map(Self::Ended)
         } else if let Some(name) = key.strip_prefix(CANCELLED) {
             job(name).map(Self::Cancelled)
         } else if let Some(name) = key.strip_prefix(AGENTS) {
@@ -88,6 +102,12 @@
     format!("{PROGRESS}{name}")
 }
 
+/// The key that says how a job ended.
+#[must_use]
+pub fn ended(name: &JobName) -> String {
+    format!("{ENDED}{name}")
+}
+
 /// The key that marks a job as cancelled.
 #[must_use]
 pub fn cancelled(name: &JobName) -> String {
@@ -100,8 +120,14 @@
     format!("{AGENTS}{vm}")
 }
 
-/// All keys of ours.
+/// The keys that all entries follow.
 #[must_use]
-pub fn all() -> KeyRange {
+pub fn followed() -> KeyRange {
     KeyRange::prefix(ROOT)
 }
+
+/// The records of jobs that have not ended.
+#[must_use]
+pub fn all_progress() -> KeyRange {
+    KeyRange::prefix(PROGRESS)
+}
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -51,6 +51,8 @@
         /// Its durable record, if there is one.
         progress: Option<(Progress, i64)>,
     },
+    /// A job has ended, and that is durable.
+    Ended(JobName, Outcome),
     /// A job was cancelled.
     Cancelled(JobName),
     /// An agent runs beside a worker on this VM.
@@ -88,6 +90,8 @@
     queues: BTreeMap<Arc<str>, Arc<Queue>>,
     zones_out: BTreeSet<AvailabilityZoneName>,
     jobs: BTreeMap<JobName, JobEntry>,
+    /// Jobs that ended before this term, and when that was learnt.
+    over: BTreeMap<JobName, Time>,
     vms: BTreeMap<VmName, Vm>,
     /// Numbers the runs of this term.
     starts: u64,
@@ -100,6 +104,7 @@
     /// Jobs whose record is not durable yet.
     dirty: BTreeSet<JobName>,
     deposed: Option<u64>,
+    forgotten: Vec<JobName>,
     harm: harm::Harm,
     schedule_due: bool,
     next_rescue: Time,
@@ -117,6 +122,7 @@
             queues: BTreeMap::new(),
             zones_out: BTreeSet::new(),
             jobs: BTreeMap::new(),
+            over: BTreeMap::new(),
             vms: BTreeMap::new(),
             starts: 0,
             taken: now,
@@ -124,6 +130,7 @@
             durable: 0,
             dirty: BTreeSet::new(),
             deposed: None,
+            forgotten: Vec::new(),
             harm: harm::Harm::default(),
             schedule_due: true,
             next_rescue: now,
@@ -151,6 +158,7 @@
                 self.schedule_due = true;
             }
             Event::Job { job, progress } => self.take_job(now, job, progress),
+            Event::Ended(name, outcome) => self.take_ended(now, &name, outcome),
             Event::Cancelled(name) => self.take_cancel(now, &name),
             Event::Vm(vm) => self.take_vm(now, vm),
             Event::Report { vm, report } => self.take_report(now, &vm, *report),
@@ -178,7 +186,7 @@
     }
 
     fn take_job(&mut self, now: Time, job: Arc<Job>, progress: Option<(Progress, i64)>) {
-        if self.jobs.contains_key(&job.name) {
+        if self.jobs.contains_key(&job.name) || self.over.contains_key(&job.name) {
             return;
         }
         let entry = JobEntry::new(job, progress, now);
@@ -186,6 +194,17 @@
         self.schedule_due = true;
     }
 
+    /// Takes in an end that an earlier owner made durable; what still runs of
+    /// the job is stopped as it is seen.
+    fn take_ended(&mut self, now: Time, name: &JobName, outcome: Outcome) {
+        if let Some(entry) = self.jobs.get_mut(name) {
+            entry.outcome = Some(outcome);
+            entry.ended = entry.ended.or(Some(now));
+            return;
+        }
+        self.over.insert(name.clone(), now);
+    }
+
     fn take_cancel(&mut self, now: Time, name: &JobName) {
         let Some(entry) = self.jobs.get_mut(name) else {
             return;
@@ -229,14 +248,29 @@
         self.forget_ended(now);
     }
 
-    /// Drops jobs that ended long ago; their keys are removed by the driver.
+    /// Forgets jobs that ended long ago.
     fn forget_ended(&mut self, now: Time) {
         let remember = self.timing.remember;
-        let dirty = &self.dirty;
-        self.jobs.retain(|name, entry| {
+        for (name, entry) in &self.jobs {
             let is_over = entry.ended.is_some_and(|at| (at + remember).passed(now));
-            !is_over || dirty.contains(name) || entry.has_runs()
-        });
+            if is_over && !self.dirty.contains(name) && !entry.has_runs() {
+                self.forgotten.push(name.clone());
+            }
+        }
+        for (name, at) in &self.over {
+            if (*at + remember).passed(now) {
+                self.forgotten.push(name.clone());
+            }
+        }
+        for name in &self.forgotten {
+            self.jobs.remove(name);
+            self.over.remove(name);
+        }
+    }
+
+    /// Takes out jobs whose last keys may be removed.
+    pub fn take_forgotten(&mut self) -> Vec<JobName> {
+        std::mem::take(&mut self.forgotten)
     }
 
     /// How many jobs of a queue have not started, for clients that ask.
--- a/components/steps/src/owner/journal.rs
+++ b/components/steps/src/owner/journal.rs
@@ -14,6 +14,8 @@
     pub progress: Progress,
     /// The revision at which the record before was written, if there is one.
     pub replaces: Option<i64>,
+    /// Whether the job has ended, so that its other keys go.
+    pub is_end: bool,
 }
 
 impl Owner {
@@ -35,6 +37,13 @@
         !self.dirty.is_empty()
     }
 
+    /// Whether a client waits for what has to be written: the end of a job.
+    #[must_use]
+    pub fn has_urgent_changes(&self) -> bool {
+        let mut dirty = self.dirty.iter().filter_map(|job| self.jobs.get(job));
+        dirty.any(|entry| entry.outcome.is_some())
+    }
+
     /// Takes out all changes that have to be written now.
     pub fn take_changes(&mut self) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -43,6 +52,7 @@
                 continue;
             };
             changes.push(Change {
+                is_end: entry.outcome.is_some(),
                 progress: entry.progress(),
                 replaces: entry.record,
                 job,
@@ -58,9 +68,13 @@
         }
     }
 
-    /// The record of a job could not be written and has to be written again.
-    pub fn not_written(&mut self, job: &JobName) {
-        self.dirty.insert(job.clone());
+    /// The record of a job could not be written and has to be written again, in
+    /// place of the one of this revision.
+    pub fn not_written(&mut self, job: &JobName, found: Option<i64>) {
+        if let Some(entry) = self.jobs.get_mut(job) {
+            entry.record = found;
+            self.dirty.insert(job.clone());
+        }
     }
 
     /// All changes up to this number are durable.
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -165,6 +165,22 @@
         }
     }
 
+    /// Takes out VMs that are gone: nothing runs there and their agents do not
+    /// answer. A later owner need not wait for them.
+    pub fn take_departed(&mut self) -> Vec<VmName> {
+        let mut departed = Vec::new();
+        for (name, vm) in &self.vms {
+            if vm.unreachable && vm.written_off && vm.held.is_empty() {
+                tracing::info!(vm = %name, "VM is gone");
+                departed.push(name.clone());
+            }
+        }
+        for name in &departed {
+            self.vms.remove(name);
+        }
+        departed
+    }
+
     fn lose_all(&mut self, now: Time, name: &VmName, why: &'static str) {
         let Some(vm) = self.vms.get(name) else {
             return;
@@ -234,16 +250,17 @@
     /// wants it.
     fn adopt(&mut self, now: Time, name: &VmName, key: &RunKey) {
         let Some(entry) = self.jobs.get_mut(&key.task.job) else {
-            self.take_stranger(now, name, key);
+            let is_over = self.over.contains_key(&key.task.job);
+            self.take_stranger(now, name, key, is_over);
             return;
         };
         let is_over = entry.outcome.is_some();
         let Some(step) = entry.job.steps.get(usize::from(key.task.step)).cloned() else {
-            self.take_stranger(now, name, key);
+            self.take_stranger(now, name, key, false);
             return;
         };
         let Some(task) = entry.task_mut(&key.task) else {
-            self.take_stranger(now, name, key);
+            self.take_stranger(now, name, key, false);
             return;
         };
         let is_wanted = !is_over && !task.done && (task.runs.is_empty() || step.copies);
@@ -273,12 +290,12 @@
         }
     }
 
-    fn take_stranger(&mut self, now: Time, name: &VmName, key: &RunKey) {
+    fn take_stranger(&mut self, now: Time, name: &VmName, key: &RunKey, is_over: bool) {
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
         let since = *vm.strangers.entry(key.clone()).or_insert(now);
-        if (since + STRANGER_GRACE).passed(now) && vm.stops.insert(key.clone()) {
+        if (is_over || (since + STRANGER_GRACE).passed(now)) && vm.stops.insert(key.clone()) {
             tracing::warn!(task = %key.task, run = key.run, vm = %name, "run of an unknown job stopped");
         }
     }
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -15,8 +15,7 @@
     message::{Role, RunKey, Start},
 };
 
-/// A job later than this many times its objective is worth nothing any more;
-/// its tasks come after those of jobs that still are.
+/// A job later than this many times its objective is worth nothing any more.
 const WORTHLESS_AFTER: u32 = 3;
 /// An occurrence starts this much after its time, since the clocks of machines
 /// differ and none may start early.
@@ -25,11 +24,20 @@
 /// term to term without a record.
 const RUNS_PER_TERM: u64 = 1 << 24;
 
-/// The order in which jobs are served.
+/// What a job that is finished soon is still worth, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Worth {
+    Whole,
+    Late,
+    Nothing,
+}
+
+/// The order in which jobs are served: under overload the earliest deadline
+/// alone would make all of them late, so those that are late already wait.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Turn {
-    is_worthless: bool,
     priority: u32,
+    worth: Worth,
     deadline: Time,
     job: JobName,
 }
@@ -88,13 +96,18 @@
                 continue;
             };
             let objective = objective(entry, queue);
-            let is_worthless = !entry.job.is_lasting()
-                && entry.job.schedule.is_none()
-                && (entry.known_since + objective * WORTHLESS_AFTER).passed(now);
+            let deadline = entry.known_since + objective;
+            let last = entry.known_since + objective * WORTHLESS_AFTER;
+            let has_deadline = !entry.job.is_lasting() && entry.job.schedule.is_none();
+            let worth = match has_deadline {
+                true if last.passed(now) => Worth::Nothing,
+                true if deadline.passed(now) => Worth::Late,
+                _ => Worth::Whole,
+            };
             turns.push(Turn {
-                is_worthless,
                 priority: queue.priority,
-                deadline: entry.known_since + objective,
+                worth,
+                deadline,
                 job: name.clone(),
             });
         }
