--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -31,7 +31,10 @@
             span_ms,
             "run ended"
         );
-        let needs = match self.settle_end(now, name, end, span_ms) {
+        // What makes an end needless may itself not be durable yet, such as the
+        // end of another run of the task, so every end that is done waits for it.
+        let is_settled = self.settle_end(now, name, end, span_ms);
+        let needs = match is_settled || end.how == How::Done {
             true => self.changes,
             false => 0,
         };
