--- a/components/steps/src/owner/rescue.rs
+++ b/components/steps/src/owner/rescue.rs
@@ -38,6 +38,10 @@
         for (name, vm) in &self.vms {
             for (key, held) in &vm.held {
                 let is_present = matches!(held.phase, Phase::Present { .. });
+                // A task that lasts may rest, and a stop of ours takes it from users.
+                if self.lasts(key) {
+                    continue;
+                }
                 let is_idle = held
                     .idle_since
                     .is_some_and(|since| (since + STUCK_AFTER).passed(now));
@@ -54,6 +58,12 @@
         }
     }
 
+    fn lasts(&self, key: &RunKey) -> bool {
+        let entry = self.jobs.get(&key.task.job);
+        let step = entry.and_then(|entry| entry.job.steps.get(usize::from(key.task.step)));
+        step.is_some_and(|step| step.lasting)
+    }
+
     /// Stops a run so that its task starts elsewhere.
     fn abandon(&mut self, now: Time, name: &VmName, key: &RunKey, why: &'static str) {
         if let Some(task) = self
