--- a/components/steps/src/pace.rs
+++ b/components/steps/src/pace.rs
@@ -13,7 +13,7 @@
 use crate::message::{Role, RunKey, Running};
 
 /// The part of its target at which the worst serving task is held.
-const AIM: f64 = 0.7;
+const AIM: f64 = 0.85;
 /// The part of its target that a serving task takes without any disturbance;
 /// what is above it is taken to grow with the level.
 const UNDISTURBED: f64 = 0.25;
