An agent takes itself off the list when its worker has left

Cause: the key of its agent stayed, the owner was lost 0.6 s later, and the next one waited 13.5 s for leases beside an agent that is gone. Ruled out: a slow notice of the departure (the agent logged it at once). Now the agent removes its key as its worker leaves, and holds a worker that comes back until the key is there again, or an owner that does not know of the VM could start its tasks twice.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -14,7 +14,8 @@
 use proto::{Router, RpcError};
 use smol::Task;
 use steps::{
-    Keeper, Timing,
+    Keeper, Registration, Timing,
+    keeper::Heartbeat,
     message::{
         Attend, AttendCall, Life, Orders, OrdersCall, OrdersReply, Refusal, Report,
         Result as OrderResult, RunKey,
@@ -65,12 +66,39 @@
     news: Event,
     /// The next look should not wait.
     kick: Event,
+    registration: Mutex<Registration>,
+    /// The agent's key in the store may have to be written or removed.
+    registration_changed: Event,
 }
 
 impl Shared {
     fn keeper(&self) -> MutexGuard<'_, Keeper> {
         self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn registration(&self) -> MutexGuard<'_, Registration> {
+        self.registration
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_heartbeat(&self, beat: Heartbeat) {
+        self.keeper().heartbeat(beat);
+        self.news.notify(usize::MAX);
+        self.kick.notify(usize::MAX);
+    }
+
+    fn take_departure(&self, worker: &str) {
+        let mut keeper = self.keeper();
+        keeper.left(worker);
+        let is_vacant = keeper.worker().is_none();
+        drop(keeper);
+        if is_vacant {
+            self.registration().left();
+        }
+        self.news.notify(usize::MAX);
+        self.kick.notify(usize::MAX);
+    }
 }
 
 /// Starts an agent.
@@ -95,14 +123,15 @@
         dialect,
         news: Event::new(),
         kick: Event::new(),
+        registration: Mutex::default(),
+        registration_changed: Event::new(),
     });
     let reports = http1::serve(worker_reports, reports(&shared), smol::future::pending());
     let served = Arc::clone(&shared);
     let owners = async move {
         let secrets = secret::obtain(&*store).await;
         let calls = proto::serve(internal, router(&served), secrets, smol::future::pending());
-        let vm = served.settings.vm.clone();
-        let registering = register::run(store, vm, internal_address);
+        let registering = register::run(Arc::clone(&served), store, internal_address);
         futures_lite::future::zip(calls, registering).await;
     };
     let running = vec![
@@ -144,15 +173,21 @@
         Arrived::Broken => return status(StatusCode::BAD_REQUEST),
     };
     match shared.dialect.worker_call(&head, &body) {
-        Ok(WorkerCall::Heartbeat(beat)) => shared.keeper().heartbeat(beat),
-        Ok(WorkerCall::Left(worker)) => shared.keeper().left(&worker),
+        Ok(WorkerCall::Heartbeat(beat)) => {
+            let beat = shared.registration().heartbeat(beat);
+            if let Some(beat) = beat {
+                shared.take_heartbeat(beat);
+            }
+        }
+        Ok(WorkerCall::Left(worker)) => shared.take_departure(&worker),
         Err(error) => {
             tracing::warn!(%error, path = head.uri.path(), "a worker's call can't be read");
             return status(StatusCode::BAD_REQUEST);
         }
     }
-    shared.news.notify(usize::MAX);
-    shared.kick.notify(usize::MAX);
+    if shared.registration().is_urgent() {
+        shared.registration_changed.notify(1);
+    }
     status(StatusCode::OK)
 }
 
--- a/components/stepd/src/agent/register.rs
+++ b/components/stepd/src/agent/register.rs
@@ -2,49 +2,116 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_lite::FutureExt;
 use kernel::VmName;
-use store::{KeyRange, Op, Store, StoreError, Txn, backoff::Backoff};
+use steps::registration::Due;
+use store::{
+    Compare, KeyRange, Op, Store, StoreError, StoreRevision, Txn, backoff::Backoff,
+};
 
+use super::Shared;
 use crate::keys::{self, AgentRecord};
 
 /// How often an agent looks whether its key is still there.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Keeps the key there for as long as the agent runs.
-pub(super) async fn run(store: Arc<dyn Store>, vm: VmName, address: SocketAddr) {
+/// Keeps the key there while there is a worker or one may come.
+pub(super) async fn run(shared: Arc<Shared>, store: Arc<dyn Store>, address: SocketAddr) {
     let mut backoff = Backoff::random();
     loop {
-        match ensure(&*store, &vm, address).await {
+        let changed = shared.registration_changed.listen();
+        let due = shared.registration().due();
+        let done = match due {
+            Some(due) => carry_out(&shared, &*store, address, due).await,
+            None => Ok(()),
+        };
+        let wait = match done {
             Ok(()) => {
                 if backoff.failures() > 0 {
                     tracing::info!("store regained");
                 }
                 backoff.succeeded();
-                smol::Timer::after(CHECK_INTERVAL).await;
+                CHECK_INTERVAL
             }
             Err(error) => {
                 if backoff.failures() == 0 {
-                    tracing::warn!(%error, "store lost: the agent's key is not confirmed");
+                    tracing::warn!(%error, ?due, "store lost: the agent's key is not confirmed");
                 }
-                smol::Timer::after(backoff.failed()).await;
+                backoff.failed()
             }
+        };
+        if backoff.failures() == 0 && shared.registration().is_urgent() {
+            continue;
         }
+        let timer = async {
+            smol::Timer::after(wait).await;
+        };
+        changed.or(timer).await;
     }
 }
 
-async fn ensure(store: &dyn Store, vm: &VmName, address: SocketAddr) -> Result<(), StoreError> {
+async fn carry_out(
+    shared: &Shared,
+    store: &dyn Store,
+    address: SocketAddr,
+    due: Due,
+) -> Result<(), StoreError> {
+    let vm = &shared.settings.vm;
+    match due {
+        Due::List => {
+            let revision = ensure(store, vm, address).await?;
+            let held = shared.registration().listed(revision);
+            if let Some(beat) = held {
+                shared.take_heartbeat(beat);
+            }
+            Ok(())
+        }
+        Due::Withdraw(revision) => {
+            withdraw(store, vm, revision).await?;
+            shared.registration().withdrawn();
+            Ok(())
+        }
+    }
+}
+
+/// Makes sure that the key is there; gives its revision.
+async fn ensure(
+    store: &dyn Store,
+    vm: &VmName,
+    address: SocketAddr,
+) -> Result<StoreRevision, StoreError> {
     let key = keys::agent(vm);
     let record = serde_json::to_vec(&AgentRecord { address })
         .map_err(|error| StoreError::not_run(error.to_string()))?;
     let found = store.range(KeyRange::one(key.as_str()), 1).await?;
-    if found.kvs.first().is_some_and(|kv| kv.value == record) {
-        return Ok(());
+    if let Some(kv) = found.kvs.first()
+        && kv.value == record
+    {
+        return Ok(kv.modified);
     }
     let txn = Txn {
         ops: vec![Op::put(key, record)],
         ..Txn::default()
     };
-    store.txn(txn).await?;
+    let reply = store.txn(txn).await?;
     tracing::info!(%vm, %address, "agent registered");
+    Ok(reply.revision)
+}
+
+/// Removes the key unless it was written again. A removal that comes late finds
+/// another revision and does nothing.
+async fn withdraw(
+    store: &dyn Store,
+    vm: &VmName,
+    revision: StoreRevision,
+) -> Result<(), StoreError> {
+    let key = keys::agent(vm);
+    let txn = Txn {
+        compares: vec![Compare::ModifiedAt(key.clone(), revision)],
+        ops: vec![Op::Delete(KeyRange::one(key))],
+        otherwise: Vec::new(),
+    };
+    store.txn(txn).await?;
+    tracing::info!(%vm, "agent withdrawn: its worker has left");
     Ok(())
 }
--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod owner;
 pub mod pace;
 pub mod progress;
+pub mod registration;
 pub mod timing;
 
 pub use config::{Config, Queue};
@@ -19,4 +20,5 @@
 pub use keeper::Keeper;
 pub use owner::{Event, Owner};
 pub use progress::{JobState, Outcome, Progress};
+pub use registration::Registration;
 pub use timing::Timing;
