Weights by pair of images; paces in the order of starts; placement by speed

Change: the owner learns weights by pair from differences between readings, and keepers use them; what serving tasks can bear goes to tasks in the order of their starts, so the first end in time; a task that fills waits unless it will work at 0.8 of its speed, except for a job that stands still; serving tasks of one image are put together.

--- a/components/stepd/src/agent/register.rs
+++ b/components/stepd/src/agent/register.rs
@@ -5,9 +5,7 @@
 use futures_lite::FutureExt;
 use kernel::VmName;
 use steps::registration::Due;
-use store::{
-    Compare, KeyRange, Op, Store, StoreError, StoreRevision, Txn, backoff::Backoff,
-};
+use store::{Compare, KeyRange, Op, Store, StoreError, StoreRevision, Txn, backoff::Backoff};
 
 use super::Shared;
 use crate::keys::{self, AgentRecord};
--- a/components/steps/src/keeper.rs
+++ b/components/steps/src/keeper.rs
@@ -1,7 +1,7 @@
 //! The keeper of a worker: obeys the newest owner, holds the leases of what
 //! runs, and remembers what has ended until its record is durable.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::collections::BTreeMap;
 
 use kernel::{EntryName, Time};
 
@@ -12,6 +12,7 @@
         WorkerInfo,
     },
     pace::Pacer,
+    pressure::Weights,
 };
 
 /// How long one look at the worker waits for an end, in milliseconds; the worker
@@ -111,7 +112,7 @@
     ended: BTreeMap<u64, Ended>,
     roles: BTreeMap<RunKey, Role>,
     /// How much images disturb.
-    weights: BTreeMap<Arc<str>, f64>,
+    weights: Weights,
     pacer: Pacer,
 }
 
@@ -139,7 +140,7 @@
             running: Vec::new(),
             ended: BTreeMap::new(),
             roles: BTreeMap::new(),
-            weights: BTreeMap::new(),
+            weights: Weights::default(),
             pacer: Pacer::default(),
             timing,
             began: now,
@@ -288,8 +289,8 @@
         for (key, role) in &attend.roles {
             self.roles.insert(key.clone(), role.clone());
         }
-        for (image, weight) in &attend.weights {
-            self.weights.insert(Arc::clone(image), *weight);
+        for weight in &attend.weights {
+            self.weights.set(weight);
         }
         true
     }
@@ -337,6 +338,11 @@
         })
     }
 
+    fn capacity_milli(&self) -> u64 {
+        let room = self.worker.as_ref().map(|worker| worker.room);
+        room.unwrap_or_default().cpu_milli
+    }
+
     fn paces(&self) -> bool {
         let has = |wanted: fn(&Role) -> bool| {
             self.running
@@ -397,8 +403,14 @@
             self.version += 1;
         }
         self.running = seen.running;
-        self.pacer
-            .decide(now, &self.running, &self.roles, &self.weights)
+        let capacity_milli = self.capacity_milli();
+        self.pacer.decide(
+            now,
+            capacity_milli,
+            &self.running,
+            &self.roles,
+            &self.weights,
+        )
     }
 
     /// Takes in that a look was not answered.
@@ -483,7 +495,8 @@
     /// if that isn't the full one.
     pub fn started(&mut self, start: &Start) -> Option<u32> {
         self.roles.insert(start.key.clone(), start.role.clone());
-        let percent = self.pacer.percent(&start.role, &self.weights);
+        let capacity_milli = self.capacity_milli();
+        let percent = self.pacer.first(&start.role, capacity_milli, &self.weights);
         (percent < 100).then_some(percent)
     }
 
--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod message;
 pub mod owner;
 pub mod pace;
+pub mod pressure;
 pub mod progress;
 pub mod registration;
 pub mod timing;
--- a/components/steps/src/message.rs
+++ b/components/steps/src/message.rs
@@ -10,7 +10,7 @@
 use proto::Method;
 use serde::{Deserialize, Serialize};
 
-use crate::TaskKey;
+use crate::{TaskKey, pressure::Weight};
 
 /// One life of a worker: a restart under the same name is another one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -47,6 +47,8 @@
     Fills {
         /// What it runs.
         image: Option<Arc<str>>,
+        /// The processor time that it uses at full speed.
+        cpu_milli: u64,
     },
 }
 
@@ -192,10 +194,8 @@
     pub wait_millis: u64,
     /// Roles of runs that another owner started.
     pub roles: Vec<(RunKey, Role)>,
-    /// How much tasks of an image disturb those that serve, where that has
-    /// changed: the logarithm of the factor on the tail latency if they used a
-    /// whole VM.
-    pub weights: Vec<(Arc<str>, f64)>,
+    /// How much images disturb one another, where that has changed.
+    pub weights: Vec<Weight>,
 }
 
 /// What a keeper knows of its worker.
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -75,6 +75,8 @@
     pub(super) outcome: Option<Outcome>,
     pub(super) ended: Option<Time>,
     pub(super) started: bool,
+    /// Since when nothing of it runs.
+    pub(super) idle_since: Option<Time>,
     pub(super) occurrences: BTreeMap<u32, Vec<StepState>>,
     /// Occurrences all of whose tasks are done, as a count of the first ones
     /// and a set of later ones.
@@ -89,6 +91,7 @@
             outcome: None,
             ended: None,
             started: false,
+            idle_since: None,
             occurrences: BTreeMap::new(),
             finished: BTreeSet::new(),
             job,
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -6,19 +6,21 @@
 
 use super::{
     Owner,
-    harm::Harm,
     vm::{Vm, VmStatus},
 };
-use crate::Step;
+use crate::{Step, pressure::Weights};
 
 /// The cost of running far from the data, against a full worker at 1.
 const FAR_COST: f64 = 2.0;
-/// The cost for a task that fills beside tasks that serve, for each unit of the
-/// logarithm of the factor that is expected on their latency.
-const PRESSURE_COST: f64 = 2.0;
-/// The same for a task that serves beside tasks that fill; those end within
-/// seconds.
-const BESIDE_FILLING_COST: f64 = 0.3;
+/// The cost of a task that fills where it would stand still, against one where
+/// it takes all that is scarce at 1.
+const SLOWED_COST: f64 = 4.0;
+/// Below this part of its full speed a task that fills waits for a better place:
+/// its job is in time at twice its shortest time, of which some is spent waiting.
+const LEAST_SPEED: f64 = 0.8;
+/// The cost for a task that serves beside any that serve another image: alike
+/// ones are disturbed by the same tasks, and others find room beside them.
+const UNLIKE_COST: f64 = 0.7;
 /// The cost of a worker at twice the usual time of tasks.
 const SLOW_COST: f64 = 1.5;
 
@@ -32,6 +34,8 @@
     pub(super) beside: &'a BTreeMap<VmName, u32>,
     /// The rack that all tasks of the step have to share.
     pub(super) rack: Option<&'a str>,
+    /// Whether any place is better than none.
+    pub(super) is_urgent: bool,
 }
 
 impl Owner {
@@ -51,7 +55,9 @@
             {
                 continue;
             }
-            let cost = cost(vm, now, wish, &self.harm);
+            let Some(cost) = cost(vm, now, wish, self.harm.weights()) else {
+                continue;
+            };
             let slot = match wish.avoid.contains(name) {
                 true => &mut fallback,
                 false => &mut best,
@@ -112,25 +118,24 @@
     vm.health.admits(now, holds)
 }
 
-fn cost(vm: &Vm, now: Time, wish: &Wish<'_>, harm: &Harm) -> f64 {
-    let Some(info) = &vm.info else {
-        return f64::INFINITY;
-    };
+/// The cost of a place; none for a task that fills and had better wait.
+fn cost(vm: &Vm, now: Time, wish: &Wish<'_>, weights: &Weights) -> Option<f64> {
+    let info = vm.info.as_ref()?;
     let step = wish.step;
-    let weight = harm.weight(step.image.as_ref());
     let after = vm.used.plus(step.reserved());
     let mut cost = after.dominant_share(info.room);
-    let capacity = info.room.cpu_milli.max(1) as f64;
     if step.fills {
-        let free = info.room.cpu_milli.saturating_sub(vm.used.cpu_milli).max(1);
-        cost = (vm.filling_cpu() + step.need.cpu_milli) as f64 / free as f64;
-        if vm.serving() > 0 {
-            let part = step.need.cpu_milli as f64 / capacity;
-            cost += (vm.pressure(harm) + weight * part) * PRESSURE_COST * weight;
+        let prospect = vm.prospect(step.image.as_ref(), step.need.cpu_milli, weights);
+        if prospect.speed < LEAST_SPEED && !wish.is_urgent {
+            return None;
         }
+        cost = (1.0 - prospect.speed) * SLOWED_COST + prospect.strain;
     } else if step.target_millis.is_some() {
         // Close together, so that tasks that fill find workers of their own.
-        cost = 1.0 - cost + vm.pressure(harm) * BESIDE_FILLING_COST;
+        cost = 1.0 - cost;
+        if vm.serving_others(step.image.as_ref()) > 0 {
+            cost += UNLIKE_COST;
+        }
     }
     cost += (vm.health.slowness(now) - 1.0) * SLOW_COST;
     let is_far = step
@@ -140,5 +145,5 @@
     if is_far {
         cost += FAR_COST;
     }
-    cost
+    Some(cost)
 }
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -304,9 +304,9 @@
                     phase: Phase::Present { after: 0 },
                     since: now,
                     reserved: step.reserved(),
-                    wants_cpu: step.need.cpu_milli,
                     role: role.clone(),
                     stop_sent: None,
+                    undisturbed: None,
                     idle_since: None,
                 },
             );
--- a/components/steps/src/owner/rescue.rs
+++ b/components/steps/src/owner/rescue.rs
@@ -140,6 +140,7 @@
             avoid: &avoid,
             beside: &beside,
             rack: None,
+            is_urgent: true,
         };
         let Some(vm) = self.choose(now, &wish) else {
             return;
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -20,6 +20,9 @@
 /// An occurrence starts this much after its time, since the clocks of machines
 /// differ and none may start early.
 const CLOCK_MARGIN: Duration = Duration::from_millis(40);
+/// A job with nothing running and a task whose turn has come waits no longer for
+/// a good place: users see a job that stands still for 3 s as lost.
+const LONGEST_IDLE: Duration = Duration::from_millis(1_500);
 /// Run numbers of one term start at a multiple of this, so that they rise from
 /// term to term without a record.
 const RUNS_PER_TERM: u64 = 1 << 24;
@@ -51,6 +54,7 @@
         },
         None if step.fills => Role::Fills {
             image: step.image.clone(),
+            cpu_milli: step.need.cpu_milli,
         },
         None => Role::Plain,
     }
@@ -119,6 +123,10 @@
         let Some(entry) = self.jobs.get_mut(name) else {
             return;
         };
+        entry.idle_since = match entry.has_runs() {
+            true => None,
+            false => entry.idle_since.or(Some(now)),
+        };
         for occurrence in due(entry, wall) {
             let Some(entry) = self.jobs.get_mut(name) else {
                 return;
@@ -152,6 +160,9 @@
         let Some(entry) = self.jobs.get(name) else {
             return;
         };
+        let mut is_urgent = entry
+            .idle_since
+            .is_some_and(|since| (since + LONGEST_IDLE).passed(now));
         let state = &entry.occurrences[&occurrence][number];
         let mut beside = count_beside(state);
         let mut waiting = Vec::new();
@@ -167,6 +178,7 @@
                 avoid: &avoid,
                 beside: &beside,
                 rack: None,
+                is_urgent,
             };
             let Some(vm) = self.choose(now, &wish) else {
                 return;
@@ -175,6 +187,7 @@
             let run = self.next_run();
             let task = task_key(name, occurrence, number, index);
             self.start(now, &vm, RunKey { task, run }, step);
+            is_urgent = false;
         }
     }
 
@@ -249,6 +262,7 @@
                 avoid,
                 beside: &beside,
                 rack,
+                is_urgent: true,
             };
             let Some(vm) = self.choose(now, &wish) else {
                 for (vm, key) in started {
@@ -302,9 +316,9 @@
                 phase: Phase::Ordered,
                 since: now,
                 reserved: step.reserved(),
-                wants_cpu: step.need.cpu_milli,
                 role: role.clone(),
                 stop_sent: None,
+                undisturbed: None,
                 idle_since: None,
             },
         );
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -1,12 +1,39 @@
 //! A VM with a worker, as the owner keeps it.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 use kernel::{Resources, Time};
 use serde::{Deserialize, Serialize};
 
-use super::{harm::Harm, health::Health};
-use crate::message::{Life, Role, RunKey, Stamp, Start, WorkerInfo};
+use super::health::Health;
+use crate::{
+    message::{Life, Role, RunKey, Stamp, Start, WorkerInfo},
+    pressure::{Weights, image_name, part_of},
+};
+
+/// The part of its target up to which a serving task is loaded by placement: its
+/// load may rise before the tasks placed now have ended.
+const AIM: f64 = 0.75;
+/// The part of its target that a serving task takes undisturbed until its first
+/// figure is known.
+const USUALLY_UNDISTURBED: f64 = 0.35;
+/// What a serving task can bear at least, as a divisor.
+const LEAST_BEARABLE: f64 = 0.05;
+/// Serving tasks reserve for their highest load and use about half of it; if
+/// they use more, those that fill are slower.
+const SERVING_USES_ONE_OF: u64 = 2;
+
+/// What a task that fills would find on a VM.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Prospect {
+    /// The part of its full speed.
+    pub(super) speed: f64,
+    /// The part that it would take of what is scarcest there.
+    pub(super) strain: f64,
+}
 
 /// Where a run is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,12 +59,12 @@
     /// When it was ordered, or first seen.
     pub(super) since: Time,
     pub(super) reserved: Resources,
-    /// The processor time that it wants, in thousandths of a core, also if it
-    /// reserves none.
-    pub(super) wants_cpu: u64,
     pub(super) role: Role,
     /// When the order to stop it was last sent.
     pub(super) stop_sent: Option<Time>,
+    /// The logarithm of a serving task's latency without those that fill, as a
+    /// part of its target, once it is known.
+    pub(super) undisturbed: Option<f64>,
     /// Since when it has used no processor time.
     pub(super) idle_since: Option<Time>,
 }
@@ -180,35 +207,91 @@
         Some(held)
     }
 
-    /// The processor time that tasks which fill want here.
-    pub(super) fn filling_cpu(&self) -> u64 {
-        let fills = |held: &&Held| matches!(held.role, Role::Fills { .. });
-        self.held
-            .values()
-            .filter(fills)
-            .map(|held| held.wants_cpu)
-            .sum()
+    /// The processor time that the worker has, in thousandths of a core.
+    pub(super) fn capacity_milli(&self) -> u64 {
+        let room = self.info.as_ref().map(|info| info.room);
+        room.unwrap_or_default().cpu_milli.max(1)
+    }
+
+    /// How many serving tasks of other images are here.
+    pub(super) fn serving_others(&self, image: Option<&Arc<str>>) -> usize {
+        let mut count = 0;
+        for held in self.held.values() {
+            if let Role::Serves { image: other, .. } = &held.role {
+                count += usize::from(other.as_ref() != image);
+            }
+        }
+        count
+    }
+
+    /// What a task that fills would find here.
+    pub(super) fn prospect(
+        &self,
+        image: Option<&Arc<str>>,
+        cpu_milli: u64,
+        weights: &Weights,
+    ) -> Prospect {
+        let image = image_name(image);
+        let capacity = self.capacity_milli();
+        let part = part_of(cpu_milli, capacity);
+        let mut prospect = Prospect {
+            speed: 1.0,
+            strain: 0.0,
+        };
+        for held in self.held.values() {
+            let Role::Serves { image: serves, .. } = &held.role else {
+                continue;
+            };
+            let serves = image_name(serves.as_ref());
+            let whole = weights.get(&serves, &image) * part;
+            let left = self.bearable(&serves, held.undisturbed, weights);
+            if whole > 0.0 {
+                prospect.speed = prospect.speed.min((left / whole).max(0.0));
+                let of_left = whole / left.max(LEAST_BEARABLE);
+                prospect.strain = prospect.strain.max(of_left.min(1.0));
+            }
+        }
+        let wanted = self.filling_milli() + cpu_milli;
+        let free = self.free_milli();
+        let share = part_of(free, wanted).min(1.0);
+        prospect.speed = prospect.speed.min(share);
+        prospect.strain = prospect.strain.max(part_of(cpu_milli, free).min(1.0));
+        prospect
     }
 
-    /// The logarithm of the factor that is expected on the latency of serving
-    /// tasks if those that fill ran at full speed.
-    pub(super) fn pressure(&self, harm: &Harm) -> f64 {
-        let capacity = self
-            .info
-            .as_ref()
-            .map_or(1, |info| info.room.cpu_milli.max(1)) as f64;
-        let mut sum = 0.0;
+    /// The logarithm of the factor on its latency that a serving image can still
+    /// bear if all that fills here works at full speed.
+    fn bearable(&self, serves: &Arc<str>, undisturbed: Option<f64>, weights: &Weights) -> f64 {
+        let mut left = AIM.ln() - undisturbed.unwrap_or(USUALLY_UNDISTURBED.ln());
         for held in self.held.values() {
-            if let Role::Fills { image } = &held.role {
-                sum += harm.weight(image.as_ref()) * held.wants_cpu as f64 / capacity;
+            if let Role::Fills { image, cpu_milli } = &held.role {
+                let image = image_name(image.as_ref());
+                left -= weights.get(serves, &image) * part_of(*cpu_milli, self.capacity_milli());
+            }
+        }
+        left
+    }
+
+    /// The processor time that tasks which fill want here.
+    fn filling_milli(&self) -> u64 {
+        let mut sum = 0;
+        for held in self.held.values() {
+            if let Role::Fills { cpu_milli, .. } = &held.role {
+                sum += cpu_milli;
             }
         }
         sum
     }
 
-    /// How many serving tasks are here.
-    pub(super) fn serving(&self) -> usize {
-        let serves = |held: &&Held| matches!(held.role, Role::Serves { .. });
-        self.held.values().filter(serves).count()
+    /// The processor time that tasks which fill find here.
+    fn free_milli(&self) -> u64 {
+        let mut used = 0;
+        for held in self.held.values() {
+            used += match held.role {
+                Role::Serves { .. } => held.reserved.cpu_milli / SERVING_USES_ONE_OF,
+                Role::Plain | Role::Fills { .. } => held.reserved.cpu_milli,
+            };
+        }
+        self.capacity_milli().saturating_sub(used)
     }
 }
