A refused repeat of a start settles nothing if an earlier order went unanswered

Likely cause: the first run was started by an agent that was being stopped, so its answer was lost; the owner repeats such orders, the next process of the agent did not know its worker yet and refused, and the refusal was taken to say that nothing runs there. Now a run that was ordered without an answer is stopped and confirmed gone unless the worker says that it has it.

Ruled out: the weights by pair of images (the path is older), and the agent's withdrawal (its worker had not left).

--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -146,9 +146,10 @@
         let mut stale = Vec::new();
         if let Some(vm) = self.vms.get_mut(name) {
             for start in &orders.starts {
-                let Some(held) = vm.held.get(&start.key) else {
+                let Some(held) = vm.held.get_mut(&start.key) else {
                     continue;
                 };
+                held.is_doubtful = true;
                 if held.phase == Phase::Ordered && !(held.since + fresh).passed(now) {
                     vm.starts.push(start.clone());
                 } else if held.phase == Phase::Ordered {
@@ -185,6 +186,10 @@
                 held.phase = Phase::Present { after: look };
             }
             Result::Unsettled => self.stop_run(now, name, key, "start unsettled"),
+            Result::Refused(_) if held.is_doubtful => {
+                self.stop_run(now, name, key, "an earlier order may have started it");
+                self.break_gang(now, key);
+            }
             Result::Refused(_) => {
                 vm.full_until = now + REFUSED_PAUSE;
                 self.drop_run(name, key);
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -317,6 +317,7 @@
                 since: now,
                 reserved: step.reserved(),
                 role: role.clone(),
+                is_doubtful: false,
                 stop_sent: None,
                 undisturbed: None,
                 idle_since: None,
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -60,6 +60,9 @@
     pub(super) since: Time,
     pub(super) reserved: Resources,
     pub(super) role: Role,
+    /// Whether an order to start it went unanswered, so that the refusal of a
+    /// repeated one does not say that it is not there.
+    pub(super) is_doubtful: bool,
     /// When the order to stop it was last sent.
     pub(super) stop_sent: Option<Time>,
     /// The logarithm of a serving task's latency without those that fill, as a
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -10,7 +10,7 @@
 use kernel::Time;
 use steps::{
     Event, Outcome, Owner, Timing,
-    message::{Ended, How, Report, RunKey, Running, Stamp},
+    message::{Ended, How, OrdersReply, Refusal, Report, RunKey, Running, Stamp},
 };
 
 const BEGIN: Time = Time::from_secs(1_000);
@@ -232,3 +232,56 @@
     let second = session.ordered(at(40), 0);
     assert_eq!(second[0].task.step, 1);
 }
+
+/// An agent was stopped after it had started a task and before it answered; the
+/// next process did not know its worker yet and refused the repeated order. The
+/// task was started elsewhere beside the first run (hunt, seed 474129440355).
+#[test]
+fn the_refusal_of_a_repeated_start_settles_nothing() {
+    let mut session = Session::new(2);
+    session.report(at(0), 0, |_| ());
+    session.report(at(0), 1, |_| ());
+    session.submit(at(10), A, 1);
+    let number = (0..2)
+        .find(|&number| {
+            !session.owner.runs_of(&name(A)).is_empty()
+                && session.owner.runs_of(&name(A))[0].0 == vm(number)
+        })
+        .unwrap();
+    let first = session.owner.take_orders(at(10), &vm(number)).unwrap();
+    let key = first.starts[0].key.clone();
+    let unanswered = Event::Ordered {
+        vm: vm(number),
+        orders: Box::new(first),
+        reply: None,
+    };
+    session.tell(at(300), unanswered);
+    let repeated = session.owner.take_orders(at(310), &vm(number)).unwrap();
+    assert_eq!(repeated.starts[0].key, key);
+    let reply = OrdersReply {
+        epoch: EPOCH,
+        look: 1,
+        starts: vec![steps::message::Result::Refused(Refusal::Worker)],
+        stops: Vec::new(),
+    };
+    let refused = Event::Ordered {
+        vm: vm(number),
+        orders: Box::new(repeated),
+        reply: Some(reply),
+    };
+    session.tell(at(320), refused);
+    let runs: Vec<RunKey> = session
+        .owner
+        .runs_of(&name(A))
+        .into_iter()
+        .map(|(_, run)| run)
+        .collect();
+    assert_eq!(runs, [key.clone()], "it may run");
+    assert_eq!(session.ordered(at(330), 1 - number), [], "not a second one");
+    let stops = session
+        .owner
+        .take_orders(at(330), &vm(number))
+        .unwrap()
+        .stops;
+    assert_eq!(stops, [key]);
+}
