Serving tasks are packed without regard to their images

Cause: a cost for a VM that serves another image spread them over more VMs, and a VM without serving tasks takes any task that fills at full speed.

--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -18,9 +18,6 @@
 /// Below this part of its full speed a task that fills waits for a better place:
 /// its job is in time at twice its shortest time, of which some is spent waiting.
 const LEAST_SPEED: f64 = 0.8;
-/// The cost for a task that serves beside any that serve another image: alike
-/// ones are disturbed by the same tasks, and others find room beside them.
-const UNLIKE_COST: f64 = 0.7;
 /// The cost of a worker at twice the usual time of tasks.
 const SLOW_COST: f64 = 1.5;
 
@@ -133,9 +130,6 @@
     } else if step.target_millis.is_some() {
         // Close together, so that tasks that fill find workers of their own.
         cost = 1.0 - cost;
-        if vm.serving_others(step.image.as_ref()) > 0 {
-            cost += UNLIKE_COST;
-        }
     }
     cost += (vm.health.slowness(now) - 1.0) * SLOW_COST;
     let is_far = step
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -216,17 +216,6 @@
         room.unwrap_or_default().cpu_milli.max(1)
     }
 
-    /// How many serving tasks of other images are here.
-    pub(super) fn serving_others(&self, image: Option<&Arc<str>>) -> usize {
-        let mut count = 0;
-        for held in self.held.values() {
-            if let Role::Serves { image: other, .. } = &held.role {
-                count += usize::from(other.as_ref() != image);
-            }
-        }
-        count
-    }
-
     /// What a task that fills would find here.
     pub(super) fn prospect(
         &self,
