--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -55,6 +55,7 @@
         let Some(spec) = entry.job.steps.get(usize::from(key.step)).cloned() else {
             return false;
         };
+        entry.started = true;
         let is_over = entry.outcome.is_some();
         let Some(task) = entry.task_mut(key) else {
             return false;
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -74,6 +74,7 @@
     pub(super) record: Option<i64>,
     pub(super) outcome: Option<Outcome>,
     pub(super) ended: Option<Time>,
+    /// Whether a worker has begun a task of it; an order alone may come to nothing.
     pub(super) started: bool,
     /// Since when nothing of it runs.
     pub(super) idle_since: Option<Time>,
--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -188,6 +188,7 @@
         match result {
             Result::Done | Result::Refused(Refusal::Old) => {
                 held.phase = Phase::Present { after: look };
+                self.note_begun(&key.task.job);
             }
             Result::Unsettled => self.stop_run(now, name, key, "start unsettled"),
             Result::Refused(_) if held.is_doubtful => {
@@ -202,6 +203,13 @@
         }
     }
 
+    /// Notes that a worker has begun a task of the job.
+    pub(super) fn note_begun(&mut self, job: &JobName) {
+        if let Some(entry) = self.jobs.get_mut(job) {
+            entry.started = true;
+        }
+    }
+
     fn take_stop_result(&mut self, name: &VmName, key: &RunKey, result: Result, look: u64) {
         let Some(held) = self.vms.get_mut(name).and_then(|vm| vm.held.get_mut(key)) else {
             return;
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -265,6 +265,7 @@
                 true => held.idle_since.or(Some(now)),
                 false => None,
             };
+            self.note_begun(&row.key.task.job);
             return;
         }
         self.adopt(now, name, &row.key);
--- a/components/steps/src/owner/rescue.rs
+++ b/components/steps/src/owner/rescue.rs
@@ -41,20 +41,18 @@
     }
 
     /// Moves tasks that last away from workers that are about to leave, one of
-    /// each worker at a time: a VM may be gone without a word, and then nothing
-    /// may be started again before its leases have ended.
+    /// each worker in each round: a VM may be gone within 2 s without a word, and
+    /// then nothing may be started again before its leases have ended.
     fn leave_draining(&mut self, now: Time) {
         let mut leaving = Vec::new();
         for (name, vm) in &self.vms {
             if vm.status() != VmStatus::Draining {
                 continue;
             }
-            let is_stopping = |held: &&Held| matches!(held.phase, Phase::Stopping { .. });
-            if vm.held.values().any(|held| is_stopping(&held)) {
-                continue;
-            }
-            let lasting = vm.held.keys().find(|key| self.lasts(key));
-            leaving.extend(lasting.map(|key| (name.clone(), key.clone())));
+            let stays = |held: &Held| !matches!(held.phase, Phase::Stopping { .. });
+            let mut runs = vm.held.iter();
+            let next = runs.find(|(key, held)| stays(held) && self.lasts(key));
+            leaving.extend(next.map(|(key, _)| (name.clone(), key.clone())));
         }
         for (name, key) in leaving {
             if self.has_place_elsewhere(now, &key) {
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -290,7 +290,6 @@
         let Some(entry) = self.jobs.get_mut(&key.task.job) else {
             return;
         };
-        entry.started = true;
         let job = Arc::clone(&entry.job);
         let known_since = entry.known_since;
         let Some(task) = entry.task_mut(&key.task) else {
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -399,3 +399,27 @@
     let orders = session.owner.take_orders(at(1_700), &vm(0)).unwrap();
     assert_eq!(orders.stops, keys);
 }
+
+/// Jobs whose orders went to workers that were cut off counted as begun (own day
+/// workers-cut-off, seed 2).
+#[test]
+fn a_job_waits_until_a_worker_has_begun_it() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    session.submit(at(10), A, 1);
+    let orders = session.owner.take_orders(at(20), &vm(0)).unwrap();
+    assert_eq!(session.owner.pending("quick"), 1, "it is only ordered");
+    let reply = OrdersReply {
+        epoch: EPOCH,
+        look: 1,
+        starts: vec![steps::message::Result::Done],
+        stops: Vec::new(),
+    };
+    let ordered = Event::Ordered {
+        vm: vm(0),
+        orders: Box::new(orders),
+        reply: Some(reply),
+    };
+    session.tell(at(30), ordered);
+    assert_eq!(session.owner.pending("quick"), 0);
+}
