--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -284,7 +284,7 @@
         .into_iter()
         .map(|(_, run)| run)
         .collect();
-    assert_eq!(runs, [key.clone()], "it may run");
+    assert_eq!(runs, std::slice::from_ref(&key), "it may run");
     assert_eq!(session.ordered(at(330), 1 - number), [], "not a second one");
     let stops = session
         .owner
@@ -373,7 +373,7 @@
         progress: None,
     };
     session.report(at(0), 1, |report| {
-        report.worker.as_mut().unwrap().draining = true
+        report.worker.as_mut().unwrap().draining = true;
     });
     session.tell(at(10), event);
     let keys = session.ordered(at(20), 0);
