--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -1,17 +1,21 @@
 //! Which tasks start now.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use kernel::{JobName, Time, VmName};
+use kernel::{JobName, ServiceName, Time, VmName};
 
 use super::{
     Owner,
-    entry::{JobEntry, task_key},
+    entry::{JobEntry, StepState, task_key},
     place::Wish,
     vm::{Held, Phase},
 };
 use crate::{
-    Queue, Step,
+    Queue, Step, TaskKey,
     message::{Role, RunKey, Start},
 };
 
@@ -45,6 +49,61 @@
     job: JobName,
 }
 
+/// A step whose turn has come.
+struct StepTurn<'a> {
+    job: &'a JobName,
+    occurrence: u32,
+    number: usize,
+    step: &'a Step,
+    service: &'a ServiceName,
+}
+
+/// A task without a run.
+struct Waiting {
+    index: usize,
+    avoid: BTreeSet<VmName>,
+}
+
+impl StepTurn<'_> {
+    fn state<'a>(&self, entry: &'a JobEntry) -> &'a StepState {
+        &entry.occurrences[&self.occurrence][self.number]
+    }
+
+    fn task(&self, index: usize) -> TaskKey {
+        task_key(self.job, self.occurrence, self.number, index)
+    }
+
+    fn wish<'a>(
+        &'a self,
+        waiting: &'a Waiting,
+        beside: &'a BTreeMap<VmName, u32>,
+        rack: Option<&'a str>,
+        is_urgent: bool,
+    ) -> Wish<'a> {
+        Wish {
+            service: self.service,
+            step: self.step,
+            avoid: &waiting.avoid,
+            beside,
+            rack,
+            is_urgent,
+        }
+    }
+}
+
+/// The tasks of a step that may start now.
+fn waiting(now: Time, state: &StepState) -> Vec<Waiting> {
+    let mut found = Vec::new();
+    for (index, task) in state.tasks.iter().enumerate() {
+        if task.done || !task.runs.is_empty() || !task.not_before.passed(now) {
+            continue;
+        }
+        let avoid = task.avoid.clone();
+        found.push(Waiting { index, avoid });
+    }
+    found
+}
+
 /// How a task of a step behaves beside others.
 pub(super) fn role_of(step: &Step) -> Role {
     match step.target_millis {
@@ -140,130 +199,82 @@
                 if !entry.may_start(occurrence, number) {
                     continue;
                 }
+                let turn = StepTurn {
+                    job: name,
+                    occurrence,
+                    number,
+                    step,
+                    service: &queue.service,
+                };
                 match step.gang || step.same_rack {
-                    true => self.schedule_together(now, name, occurrence, number, step, queue),
-                    false => self.schedule_step(now, name, occurrence, number, step, queue),
+                    true => self.schedule_together(now, &turn),
+                    false => self.schedule_step(now, &turn),
                 }
             }
         }
     }
 
-    fn schedule_step(
-        &mut self,
-        now: Time,
-        name: &JobName,
-        occurrence: u32,
-        number: usize,
-        step: &Step,
-        queue: &Queue,
-    ) {
-        let Some(entry) = self.jobs.get(name) else {
+    /// Starts the tasks of a step that find a place.
+    fn schedule_step(&mut self, now: Time, turn: &StepTurn<'_>) {
+        let Some(entry) = self.jobs.get(turn.job) else {
             return;
         };
         let mut is_urgent = entry
             .idle_since
             .is_some_and(|since| (since + LONGEST_IDLE).passed(now));
-        let state = &entry.occurrences[&occurrence][number];
+        let state = turn.state(entry);
         let mut beside = count_beside(state);
-        let mut waiting = Vec::new();
-        for (index, task) in state.tasks.iter().enumerate() {
-            if !task.done && task.runs.is_empty() && task.not_before.passed(now) {
-                waiting.push((index, task.avoid.clone()));
-            }
-        }
-        for (index, avoid) in waiting {
-            let wish = Wish {
-                service: &queue.service,
-                step,
-                avoid: &avoid,
-                beside: &beside,
-                rack: None,
-                is_urgent,
-            };
+        for waiting in waiting(now, state) {
+            let wish = turn.wish(&waiting, &beside, None, is_urgent);
             let Some(vm) = self.choose(now, &wish) else {
                 return;
             };
             *beside.entry(vm.clone()).or_default() += 1;
             let run = self.next_run();
-            let task = task_key(name, occurrence, number, index);
-            self.start(now, &vm, RunKey { task, run }, step);
+            let task = turn.task(waiting.index);
+            self.start(now, &vm, RunKey { task, run }, turn.step);
             is_urgent = false;
         }
     }
 
     /// Starts all tasks of a step at once, or none of them.
-    fn schedule_together(
-        &mut self,
-        now: Time,
-        name: &JobName,
-        occurrence: u32,
-        number: usize,
-        step: &Step,
-        queue: &Queue,
-    ) {
-        let Some(entry) = self.jobs.get(name) else {
+    fn schedule_together(&mut self, now: Time, turn: &StepTurn<'_>) {
+        let Some(entry) = self.jobs.get(turn.job) else {
             return;
         };
-        let state = &entry.occurrences[&occurrence][number];
-        let may_start = |task: &super::entry::Task| task.not_before.passed(now);
-        if step.gang
-            && !state
-                .tasks
-                .iter()
-                .all(|task| task.runs.is_empty() && may_start(task))
-        {
-            return;
-        }
-        let mut waiting = Vec::new();
-        for (index, task) in state.tasks.iter().enumerate() {
-            if !task.done && task.runs.is_empty() && may_start(task) {
-                waiting.push((index, task.avoid.clone()));
-            }
-        }
-        if waiting.is_empty() {
+        let state = turn.state(entry);
+        let waiting = waiting(now, state);
+        let is_whole = waiting.len() == state.tasks.len();
+        if waiting.is_empty() || (turn.step.gang && !is_whole) {
             return;
         }
+        let beside = count_beside(state);
         let mut racks: Vec<Option<String>> = vec![None];
-        if step.same_rack {
-            racks = self.racks(&queue.service).into_iter().map(Some).collect();
+        if turn.step.same_rack {
+            racks = self.racks(turn.service).into_iter().map(Some).collect();
             // Slower on several racks is better than not at all.
             racks.push(None);
         }
         for rack in racks {
-            let beside = count_beside(&self.jobs[name].occurrences[&occurrence][number]);
-            let rack = rack.as_deref();
-            if self.start_all(
-                now, name, occurrence, number, step, queue, &waiting, beside, rack,
-            ) {
+            if self.start_all(now, turn, &waiting, &beside, rack.as_deref()) {
                 return;
             }
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn start_all(
         &mut self,
         now: Time,
-        name: &JobName,
-        occurrence: u32,
-        number: usize,
-        step: &Step,
-        queue: &Queue,
-        waiting: &[(usize, std::collections::BTreeSet<VmName>)],
-        mut beside: BTreeMap<VmName, u32>,
+        turn: &StepTurn<'_>,
+        waiting: &[Waiting],
+        beside: &BTreeMap<VmName, u32>,
         rack: Option<&str>,
     ) -> bool {
-        let run = self.next_run();
+        let mut beside = beside.clone();
+        let of_gang = self.next_run();
         let mut started: Vec<(VmName, RunKey)> = Vec::new();
-        for (index, avoid) in waiting {
-            let wish = Wish {
-                service: &queue.service,
-                step,
-                avoid,
-                beside: &beside,
-                rack,
-                is_urgent: true,
-            };
+        for waiting in waiting {
+            let wish = turn.wish(waiting, &beside, rack, true);
             let Some(vm) = self.choose(now, &wish) else {
                 for (vm, key) in started {
                     self.drop_run(&vm, &key);
@@ -271,10 +282,13 @@
                 return false;
             };
             *beside.entry(vm.clone()).or_default() += 1;
-            let run = if step.gang { run } else { self.next_run() };
-            let task = task_key(name, occurrence, number, *index);
+            let run = match turn.step.gang {
+                true => of_gang,
+                false => self.next_run(),
+            };
+            let task = turn.task(waiting.index);
             let key = RunKey { task, run };
-            self.start(now, &vm, key.clone(), step);
+            self.start(now, &vm, key.clone(), turn.step);
             started.push((vm, key));
         }
         true
@@ -347,7 +361,7 @@
     found
 }
 
-pub(super) fn count_beside(state: &super::entry::StepState) -> BTreeMap<VmName, u32> {
+pub(super) fn count_beside(state: &StepState) -> BTreeMap<VmName, u32> {
     let mut beside = BTreeMap::new();
     for task in &state.tasks {
         for (vm, _) in &task.runs {
