An agent writes its key anew after it was withdrawn

Found by reading: a removal of the key whose answer was lost may be carried out seconds later. An agent whose worker came back only looked whether the key was there, found it, and took the worker in; the late removal then took the key away, and an owner to come would not have known of the VM. Now the key is written, so that the removal finds another revision. Test: registration.rs, fails before (there was no such order).

--- a/components/stepd/src/agent/register.rs
+++ b/components/stepd/src/agent/register.rs
@@ -56,8 +56,11 @@
 ) -> Result<(), StoreError> {
     let vm = &shared.settings.vm;
     match due {
-        Due::List => {
-            let revision = ensure(store, vm, address).await?;
+        Due::List | Due::ListAgain => {
+            let revision = match due {
+                Due::ListAgain => write(store, vm, address).await?,
+                _ => ensure(store, vm, address).await?,
+            };
             let held = shared.registration().listed(revision);
             if let Some(beat) = held {
                 shared.take_heartbeat(beat);
@@ -78,17 +81,28 @@
     vm: &VmName,
     address: SocketAddr,
 ) -> Result<StoreRevision, StoreError> {
-    let key = keys::agent(vm);
-    let record = serde_json::to_vec(&AgentRecord { address })
-        .map_err(|error| StoreError::not_run(error.to_string()))?;
-    let found = store.range(KeyRange::one(key.as_str()), 1).await?;
+    let found = store.range(KeyRange::one(keys::agent(vm)), 1).await?;
     if let Some(kv) = found.kvs.first()
-        && kv.value == record
+        && kv.value == record(address)?
     {
         return Ok(kv.modified);
     }
+    write(store, vm, address).await
+}
+
+fn record(address: SocketAddr) -> Result<Vec<u8>, StoreError> {
+    serde_json::to_vec(&AgentRecord { address })
+        .map_err(|error| StoreError::not_run(error.to_string()))
+}
+
+/// Writes the key; gives its revision.
+async fn write(
+    store: &dyn Store,
+    vm: &VmName,
+    address: SocketAddr,
+) -> Result<StoreRevision, StoreError> {
     let txn = Txn {
-        ops: vec![Op::put(key, record)],
+        ops: vec![Op::put(keys::agent(vm), record(address)?)],
         ..Txn::default()
     };
     let reply = store.txn(txn).await?;
--- a/components/steps/src/registration.rs
+++ b/components/steps/src/registration.rs
@@ -15,6 +15,9 @@
 pub enum Due {
     /// The agent's key has to be there.
     List,
+    /// The key has to be written, also if it is there: a removal of ours may still
+    /// be on its way, and it finds another revision then.
+    ListAgain,
     /// The key, written at this revision, has to go.
     Withdraw(StoreRevision),
 }
@@ -54,7 +57,10 @@
     /// removal is sent.
     pub fn due(&mut self) -> Option<Due> {
         if !self.is_vacant {
-            return Some(Due::List);
+            return Some(match self.is_withdrawn {
+                true => Due::ListAgain,
+                false => Due::List,
+            });
         }
         let revision = self.listed?;
         self.is_withdrawn = true;
--- a/components/steps/tests/registration.rs
+++ b/components/steps/tests/registration.rs
@@ -39,8 +39,11 @@
     registration.withdrawn();
     assert_eq!(registration.heartbeat(beat(2)), None, "it is not listed");
     assert!(registration.is_urgent());
-    assert_eq!(registration.due(), Some(Due::List));
+    // A removal whose answer was lost may be carried out later, so that finding
+    // the key is not enough.
+    assert_eq!(registration.due(), Some(Due::ListAgain));
     assert_eq!(registration.listed(9), Some(beat(2)));
+    assert_eq!(registration.due(), Some(Due::List));
     assert_eq!(registration.heartbeat(beat(2)), Some(beat(2)));
 }
 
