--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -11,6 +11,7 @@
 use steps::{
     Event, Outcome, Owner, Timing,
     message::{Ended, How, OrdersReply, Refusal, Report, RunKey, Running, Stamp},
+    owner::Handover,
 };
 
 const BEGIN: Time = Time::from_secs(1_000);
@@ -35,6 +36,18 @@
         Self { owner, version: 0 }
     }
 
+    /// A later owner of two VMs and a job, with the note of an earlier one.
+    fn after(note: Handover, epoch: u64, taken: Time) -> Self {
+        let mut owner = Owner::new(entry(2), epoch, Timing::default(), taken);
+        owner.handle(taken, taken, Event::Config(config()));
+        owner.handle(taken, taken, Event::HandedOver(note));
+        let mut session = Self { owner, version: 0 };
+        session.submit(taken, A, 1);
+        session.tell(taken, Event::Vm(vm(0)));
+        session.tell(taken, Event::Vm(vm(1)));
+        session
+    }
+
     fn tell(&mut self, now: Time, event: Event) {
         self.owner.handle(now, now, event);
     }
@@ -306,13 +319,7 @@
     assert_eq!(note.silent.len(), 1);
 
     let taken = at(3_100);
-    let mut owner = Owner::new(entry(2), EPOCH + 1, Timing::default(), taken);
-    owner.handle(taken, taken, Event::Config(config()));
-    owner.handle(taken, taken, Event::HandedOver(note));
-    let mut session = Session { owner, version: 0 };
-    session.submit(taken, A, 1);
-    session.tell(taken, Event::Vm(vm(0)));
-    session.tell(taken, Event::Vm(vm(1)));
+    let mut session = Session::after(note, EPOCH + 1, taken);
     session.tell(taken, Event::Unreachable(vm(1)));
     let attached = |report: &mut Report| {
         report.epoch = EPOCH + 1;
@@ -332,13 +339,7 @@
     before.tell(at(100), Event::Unreachable(vm(0)));
     let note = before.owner.handover(at(20_000));
     let taken = at(20_100);
-    let mut owner = Owner::new(entry(2), EPOCH + 2, Timing::default(), taken);
-    owner.handle(taken, taken, Event::Config(config()));
-    owner.handle(taken, taken, Event::HandedOver(note));
-    let mut session = Session { owner, version: 0 };
-    session.submit(taken, A, 1);
-    session.tell(taken, Event::Vm(vm(0)));
-    session.tell(taken, Event::Vm(vm(1)));
+    let mut session = Session::after(note, EPOCH + 2, taken);
     session.tell(taken, Event::Unreachable(vm(0)));
     session.report(at(20_200), 1, |report| {
         report.epoch = EPOCH + 2;
