--- a/components/steps/src/listing.rs
+++ b/components/steps/src/listing.rs
@@ -81,16 +81,21 @@
         *self = Self::default();
     }
 
-    /// Applies the runs of a report. Returns all active runs, or `None` if the report is
-    /// based on another one than the last.
-    pub(crate) fn apply(&mut self, report: &AgentReport) -> Option<Vec<ActiveRun>> {
+    /// All active runs.
+    pub(crate) const fn running(&self) -> &BTreeMap<RunKey, ActiveRun> {
+        &self.running
+    }
+
+    /// Applies the runs of a report. Returns whether it could be applied; it can't if it
+    /// is based on another report than the last.
+    pub(crate) fn apply(&mut self, report: &AgentReport) -> bool {
         let is_whole = report.base == 0;
         let is_next = self.applied.is_some_and(|applied| {
             applied.agent_incarnation == report.agent_incarnation && applied.number == report.base
         });
         if !is_whole && !is_next {
             self.reset();
-            return None;
+            return false;
         }
         if is_whole {
             self.running.clear();
@@ -105,6 +110,6 @@
             agent_incarnation: report.agent_incarnation,
             number: report.number,
         });
-        Some(self.running.values().cloned().collect())
+        true
     }
 }
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -141,6 +141,18 @@
     durable_change: u64,
     /// Jobs whose record has not been written since it changed.
     dirty: BTreeSet<JobName>,
+    /// Whether one of these records ends a job.
+    has_urgent_changes: bool,
+    /// Jobs that may have tasks to start; a pass visits no others.
+    waiting_jobs: BTreeSet<JobName>,
+    /// VMs that may have orders to send.
+    order_vms: BTreeSet<VmName>,
+    /// VMs with ends that wait for a durable record.
+    unrecorded_vms: BTreeSet<VmName>,
+    /// Workers that take tasks, in the order of what is free on them.
+    index: place::WorkerIndex,
+    /// VMs that have changed since they were entered into the index.
+    index_vms: BTreeSet<VmName>,
     /// Epoch of a later owner, if an agent has reported one.
     deposed_by: Option<u64>,
     /// Jobs dropped after their retention, whose remaining keys the caller may remove
@@ -180,6 +192,12 @@
             last_change: 0,
             durable_change: 0,
             dirty: BTreeSet::new(),
+            has_urgent_changes: false,
+            waiting_jobs: BTreeSet::new(),
+            order_vms: BTreeSet::new(),
+            unrecorded_vms: BTreeSet::new(),
+            index: place::WorkerIndex::default(),
+            index_vms: BTreeSet::new(),
             deposed_by: None,
             forgotten: Vec::new(),
             interference: interference::InterferenceModel::default(),
@@ -261,6 +279,9 @@
             return;
         }
         let entry = JobEntry::new(job, progress, now);
+        if entry.outcome.is_none() {
+            self.waiting_jobs.insert(entry.job.name.clone());
+        }
         self.jobs.insert(entry.job.name.clone(), entry);
         self.schedule_due = true;
     }
@@ -271,6 +292,7 @@
         if let Some(entry) = self.jobs.get_mut(name) {
             entry.outcome = Some(outcome);
             entry.ended_at = entry.ended_at.or(Some(now));
+            self.waiting_jobs.remove(name);
             return;
         }
         self.ended_jobs.insert(name.clone(), now);
@@ -294,6 +316,7 @@
         };
         entry.outcome = Some(outcome);
         entry.ended_at = Some(now);
+        self.waiting_jobs.remove(name);
         let runs = entry.runs();
         tracing::info!(
             job = %name,
@@ -309,6 +332,12 @@
         self.schedule_due = true;
     }
 
+    /// Notes that a VM has changed, so that it may have orders to send and other room.
+    fn touch_vm(&mut self, vm: &VmName) {
+        self.order_vms.insert(vm.clone());
+        self.index_vms.insert(vm.clone());
+    }
+
     fn on_vm(&mut self, now: Time, vm: VmName) {
         self.vms.entry(vm).or_insert_with(|| Vm::new(now));
     }
--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -59,8 +59,9 @@
         };
         if let Some(vm) = self.vms.get_mut(name) {
             vm.unrecorded_ends.push_back((end.number, required_change));
+            vm.advance_recorded_end(self.durable_change);
+            self.unrecorded_vms.insert(name.clone());
         }
-        self.advance_recorded_ends();
         self.schedule_due = true;
     }
 
@@ -82,14 +83,16 @@
         };
         entry.started = true;
         let has_ended = entry.outcome.is_some();
+        if entry.remove_run(now, &end.key) {
+            self.waiting_jobs.insert(key.job.clone());
+        }
         let Some(task) = entry.task_mut(key) else {
             return false;
         };
-        task.runs.retain(|(_, run)| *run != end.key.run);
         if end.checkpoint.is_some() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
-        if has_ended || task.done {
+        if has_ended || task.is_done() {
             return false;
         }
         match end.how {
@@ -119,29 +122,10 @@
         let Some(entry) = self.jobs.get_mut(&job) else {
             return;
         };
-        let Some(step) = entry.step_mut(key) else {
-            return;
-        };
-        let median = step.median_duration_millis(MIN_DURATIONS);
-        step.durations_millis.extend(span_ms);
-        let mut others = Vec::new();
-        for (index, task) in (0u32..).zip(&mut step.tasks) {
-            if task.done || (index != key.index && !gang) {
-                continue;
-            }
-            task.done = true;
-            step.done += 1;
-            let mut task_key = key.clone();
-            task_key.index = index;
-            for (vm, number) in &task.runs {
-                let other = RunKey {
-                    task: task_key.clone(),
-                    run: *number,
-                };
-                others.push((vm.clone(), other));
-            }
-        }
-        entry.note_finished(key.occurrence);
+        let median = entry
+            .step(key)
+            .and_then(|step| step.median_duration_millis(MIN_DURATIONS));
+        let others = entry.complete(key, gang, span_ms);
         let is_complete = entry.is_complete();
         if let Some(vm) = self.vms.get_mut(name) {
             vm.health.record_end(now, &job, false);
@@ -157,6 +141,8 @@
             }
         }
         self.mark_dirty(&job);
+        // The next steps may be ready now.
+        self.waiting_jobs.insert(job.clone());
         if is_complete {
             self.end_job(now, &job, Outcome::Completed);
         }
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -3,65 +3,109 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use kernel::{JobName, Time, VmName};
 
 use crate::{
-    Job, Outcome, Progress, TaskKey,
+    Job, Outcome, Progress, Queue, TaskKey,
     message::RunKey,
     progress::{StepProgress, to_ranges},
 };
 
-/// State of one task.
+/// State of one task. Only [`JobEntry`] changes its runs and its completion, since it
+/// counts both.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
     /// Whether the task has completed.
-    pub(super) done: bool,
+    done: bool,
     /// Numbers of the runs that failed.
     pub(super) failures: Vec<u64>,
     /// Runs that exist or may exist, each as VM and run number.
-    pub(super) runs: Vec<(VmName, u64)>,
+    runs: Vec<(VmName, u64)>,
     /// Newest checkpoint that a run of the task has saved.
     pub(super) checkpoint: Option<Arc<str>>,
     /// VMs on which the task failed, was stuck or ran too slowly.
     pub(super) avoid: BTreeSet<VmName>,
-    /// Earliest time of the next start.
-    pub(super) not_before: Time,
+}
+
+impl Task {
+    pub(super) const fn is_done(&self) -> bool {
+        self.done
+    }
+
+    pub(super) fn runs(&self) -> &[(VmName, u64)] {
+        &self.runs
+    }
+
+    /// Whether the task is not done and has no run.
+    pub(super) const fn is_waiting(&self) -> bool {
+        !self.done && self.runs.is_empty()
+    }
 }
 
 /// State of one step in one occurrence of the job.
 #[derive(Clone, Debug)]
 pub(super) struct StepState {
-    pub(super) tasks: Vec<Task>,
+    tasks: Vec<Task>,
     /// Number of completed tasks.
-    pub(super) done: usize,
-    /// Durations of the completed tasks in milliseconds, in order of completion.
-    pub(super) durations_millis: Vec<u64>,
+    done: usize,
+    /// Number of tasks that are not done and have no run.
+    waiting: usize,
+    /// Durations of the completed tasks in milliseconds, shortest first.
+    durations_millis: Vec<u64>,
 }
 
 impl StepState {
     fn new(count: u32) -> Self {
+        let count = usize::try_from(count).unwrap_or_default();
         Self {
-            tasks: vec![Task::default(); usize::try_from(count).unwrap_or_default()],
+            tasks: vec![Task::default(); count],
             done: 0,
+            waiting: count,
             durations_millis: Vec::new(),
         }
     }
 
+    pub(super) fn tasks(&self) -> &[Task] {
+        &self.tasks
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.done == self.tasks.len()
     }
 
+    /// Number of tasks that are not done and have no run.
+    pub(super) const fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Completes a task; returns whether it was not done before.
+    fn complete(&mut self, index: usize) -> bool {
+        let Some(task) = self.tasks.get_mut(index).filter(|task| !task.done) else {
+            return false;
+        };
+        self.waiting -= usize::from(task.is_waiting());
+        task.done = true;
+        self.done += 1;
+        true
+    }
+
+    pub(super) fn record_duration(&mut self, millis: u64) {
+        let place = self
+            .durations_millis
+            .partition_point(|&known| known <= millis);
+        self.durations_millis.insert(place, millis);
+    }
+
     /// Median duration of completed tasks in milliseconds; `None` if fewer than
     /// `at_least` have completed.
     pub(super) fn median_duration_millis(&self, at_least: usize) -> Option<u64> {
         if self.durations_millis.len() < at_least.max(1) {
             return None;
         }
-        let mut durations_millis = self.durations_millis.clone();
-        durations_millis.sort_unstable();
-        Some(durations_millis[durations_millis.len() / 2])
+        Some(self.durations_millis[self.durations_millis.len() / 2])
     }
 }
 
@@ -80,7 +124,11 @@
     /// since the worker may never carry it out.
     pub(super) started: bool,
     /// Time since which the job has had no runs; `None` while it has runs.
-    pub(super) idle_since: Option<Time>,
+    idle_since: Option<Time>,
+    /// Number of runs of all tasks.
+    run_count: usize,
+    /// Longest chain of estimated durations through the steps.
+    longest_chain: Duration,
     pub(super) occurrences: BTreeMap<u32, Vec<StepState>>,
     /// Occurrences in which all tasks have completed.
     pub(super) finished: BTreeSet<u32>,
@@ -94,7 +142,9 @@
             outcome: None,
             ended_at: None,
             started: false,
-            idle_since: None,
+            idle_since: Some(now),
+            run_count: 0,
+            longest_chain: Duration::from_millis(job.longest_chain_millis()),
             occurrences: BTreeMap::new(),
             finished: BTreeSet::new(),
             job,
@@ -121,10 +171,7 @@
             };
             for &(from, until) in &saved.done {
                 for index in from..until {
-                    if let Some(task) = step.tasks.get_mut(index as usize) {
-                        step.done += usize::from(!task.done);
-                        task.done = true;
-                    }
+                    step.complete(index as usize);
                 }
             }
             for (index, failures) in &saved.failed {
@@ -166,6 +213,112 @@
         self.step_mut(key)?.tasks.get_mut(key.index as usize)
     }
 
+    /// Adds a run to its task; returns whether the job has the task.
+    pub(super) fn add_run(&mut self, key: &RunKey, vm: &VmName) -> bool {
+        let Some(step) = self.step_mut(&key.task) else {
+            return false;
+        };
+        let Some(task) = step.tasks.get_mut(key.task.index as usize) else {
+            return false;
+        };
+        step.waiting -= usize::from(task.is_waiting());
+        task.runs.push((vm.clone(), key.run));
+        self.run_count += 1;
+        self.idle_since = None;
+        true
+    }
+
+    /// Removes a run from its task; returns whether the task may start again.
+    pub(super) fn remove_run(&mut self, now: Time, key: &RunKey) -> bool {
+        let Some(step) = self.step_mut(&key.task) else {
+            return false;
+        };
+        let Some(task) = step.tasks.get_mut(key.task.index as usize) else {
+            return false;
+        };
+        let before = task.runs.len();
+        task.runs.retain(|(_, run)| *run != key.run);
+        let removed = before - task.runs.len();
+        let is_waiting = task.is_waiting();
+        step.waiting += usize::from(is_waiting && removed > 0);
+        self.run_count -= removed;
+        if self.run_count == 0 && removed > 0 {
+            self.idle_since = Some(now);
+        }
+        is_waiting && self.outcome.is_none()
+    }
+
+    /// Completes a task and, for a gang, all tasks of its step, and records how long the
+    /// run took. Returns the runs that are left.
+    pub(super) fn complete(
+        &mut self,
+        key: &TaskKey,
+        is_gang: bool,
+        span_millis: Option<u64>,
+    ) -> Vec<(VmName, RunKey)> {
+        let mut left = Vec::new();
+        let Some(step) = self.step_mut(key) else {
+            return left;
+        };
+        if let Some(millis) = span_millis {
+            step.record_duration(millis);
+        }
+        let indexes = match is_gang {
+            true => 0..step.tasks.len(),
+            false => key.index as usize..key.index as usize + 1,
+        };
+        for index in indexes {
+            if !step.complete(index) {
+                continue;
+            }
+            let mut task = key.clone();
+            task.index = u32::try_from(index).unwrap_or(u32::MAX);
+            for (vm, run) in &step.tasks[index].runs {
+                let task = task.clone();
+                left.push((vm.clone(), RunKey { task, run: *run }));
+            }
+        }
+        self.note_finished(key.occurrence);
+        left
+    }
+
+    /// Whether a task may start now or once the next occurrence is due. Otherwise only
+    /// the end of a run makes a task ready.
+    pub(super) fn may_have_ready_tasks(&self) -> bool {
+        if self.outcome.is_some() {
+            return false;
+        }
+        if self.occurrences.len() < self.job.occurrences() as usize {
+            return true;
+        }
+        for (&occurrence, steps) in &self.occurrences {
+            if self.finished.contains(&occurrence) {
+                continue;
+            }
+            for (number, step) in steps.iter().enumerate() {
+                if step.waiting > 0 && self.may_start(occurrence, number) {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// Since when the job has had no runs; `None` while it has runs.
+    pub(super) const fn idle_since(&self) -> Option<Time> {
+        self.idle_since
+    }
+
+    /// Takes back the changes that starts which were not sent made to the idle time.
+    pub(super) const fn set_idle_since(&mut self, idle_since: Option<Time>) {
+        self.idle_since = idle_since;
+    }
+
+    /// Time within which the job should be done from its submission on.
+    pub(super) fn objective(&self, queue: &Queue) -> Duration {
+        self.longest_chain.mul_f64(queue.slack_factor.max(1.0)) + queue.target_latency
+    }
+
     /// Adds an occurrence to the finished ones if all of its tasks have completed.
     pub(super) fn note_finished(&mut self, occurrence: u32) {
         let is_done = self
@@ -207,9 +360,8 @@
         found
     }
 
-    pub(super) fn has_runs(&self) -> bool {
-        let mut steps = self.occurrences.values().flatten();
-        steps.any(|step| step.tasks.iter().any(|task| !task.runs.is_empty()))
+    pub(super) const fn has_runs(&self) -> bool {
+        self.run_count > 0
     }
 
     /// State of the job that must be durable.
--- a/components/steps/src/owner/interference.rs
+++ b/components/steps/src/owner/interference.rs
@@ -12,6 +12,7 @@
 
 use super::{Owner, vm::Vm};
 use crate::{
+    TaskKey,
     interference::{PRIOR_WEIGHT, Weight, Weights, cpu_share, image_name},
     message::{ActiveRun, Role, RunKey},
 };
@@ -50,6 +51,8 @@
     regressions: BTreeMap<Arc<str>, Regression>,
     /// Newest sample of each serving task.
     samples: BTreeMap<RunKey, LatencySample>,
+    /// Time at which old samples were last dropped.
+    forgotten_at: Time,
     /// Time of the last report of each VM from which the model has learnt.
     learnt_at: BTreeMap<VmName, Time>,
     weights: Weights,
@@ -134,10 +137,19 @@
         job: &'a JobName,
         sample: &'a LatencySample,
     ) -> impl Iterator<Item = &'a LatencySample> {
+        let first = RunKey {
+            task: TaskKey {
+                job: job.clone(),
+                occurrence: 0,
+                step: 0,
+                index: 0,
+            },
+            run: 0,
+        };
         let of_job = self
             .samples
-            .iter()
-            .filter(move |(key, _)| key.task.job == *job);
+            .range(first..)
+            .take_while(move |(key, _)| key.task.job == *job);
         of_job
             .map(|(_, other)| other)
             .filter(|other| other.vm != sample.vm && other.is_comparable(sample))
@@ -145,6 +157,10 @@
 
     /// Drops samples that are too old to compare.
     fn forget(&mut self, now: Time) {
+        if !(self.forgotten_at + MAX_SAMPLE_DISTANCE).passed(now) {
+            return;
+        }
+        self.forgotten_at = now;
         self.samples
             .retain(|_, sample| !(sample.at + MAX_SAMPLE_DISTANCE).passed(now));
     }
@@ -238,9 +254,9 @@
 }
 
 /// Share of the VM that best-effort tasks use, by image.
-fn usage(vm: &Vm, running: &[ActiveRun]) -> Vec<ImageUsage> {
+fn usage(vm: &Vm, running: &BTreeMap<RunKey, ActiveRun>) -> Vec<ImageUsage> {
     let mut sums: BTreeMap<Arc<str>, f64> = BTreeMap::new();
-    for row in running {
+    for row in running.values() {
         let Some(assigned) = vm.runs.get(&row.key) else {
             continue;
         };
@@ -258,7 +274,7 @@
 impl Owner {
     /// Updates the model and the baselines of serving tasks from a worker's list of
     /// active runs.
-    pub(super) fn learn_interference(&mut self, now: Time, name: &VmName, running: &[ActiveRun]) {
+    pub(super) fn learn_interference(&mut self, now: Time, name: &VmName) {
         let learnt_at = self
             .interference
             .learnt_at
@@ -271,10 +287,14 @@
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
+        if !vm.has_serving_runs() {
+            return;
+        }
         self.interference.learnt_at.insert(name.clone(), now);
         self.interference.forget(now);
-        let usage = usage(vm, running);
-        for row in running {
+        let listing = std::mem::take(&mut vm.listing);
+        let usage = usage(vm, listing.running());
+        for row in listing.running().values() {
             let Some(assigned) = vm.runs.get_mut(&row.key) else {
                 continue;
             };
@@ -304,5 +324,6 @@
             let before = assigned.baseline.unwrap_or(baseline);
             assigned.baseline = Some(before + (baseline - before) * NEWEST_FACTOR);
         }
+        vm.listing = listing;
     }
 }
--- a/components/steps/src/owner/journal.rs
+++ b/components/steps/src/owner/journal.rs
@@ -21,6 +21,12 @@
 impl Owner {
     pub(super) fn mark_dirty(&mut self, job: &JobName) {
         self.last_change += 1;
+        self.mark_unwritten(job);
+    }
+
+    fn mark_unwritten(&mut self, job: &JobName) {
+        let entry = self.jobs.get(job);
+        self.has_urgent_changes |= entry.is_some_and(|entry| entry.outcome.is_some());
         self.dirty.insert(job.clone());
     }
 
@@ -39,13 +45,13 @@
 
     /// Whether a record to be written ends a job, for which a client may be waiting.
     #[must_use]
-    pub fn has_urgent_changes(&self) -> bool {
-        let mut dirty = self.dirty.iter().filter_map(|job| self.jobs.get(job));
-        dirty.any(|entry| entry.outcome.is_some())
+    pub const fn has_urgent_changes(&self) -> bool {
+        self.has_urgent_changes
     }
 
     /// Returns and clears the records that must be written now.
     pub fn take_changes(&mut self) -> Vec<RecordWrite> {
+        self.has_urgent_changes = false;
         let mut changes = Vec::new();
         for job in std::mem::take(&mut self.dirty) {
             let Some(entry) = self.jobs.get(&job) else {
@@ -73,7 +79,7 @@
     pub fn record_not_written(&mut self, job: &JobName, found: Option<i64>) {
         if let Some(entry) = self.jobs.get_mut(job) {
             entry.record_revision = found;
-            self.dirty.insert(job.clone());
+            self.mark_unwritten(job);
         }
     }
 
@@ -85,14 +91,16 @@
 
     /// Releases run ends that need no record or whose record is durable, so that
     /// workers may forget them.
-    pub(super) fn advance_recorded_ends(&mut self) {
-        for vm in self.vms.values_mut() {
-            while let Some(&(end, required_change)) = vm.unrecorded_ends.front() {
-                if required_change > self.durable_change {
-                    break;
-                }
-                vm.recorded_end = end;
-                vm.unrecorded_ends.pop_front();
+    fn advance_recorded_ends(&mut self) {
+        for name in std::mem::take(&mut self.unrecorded_vms) {
+            let Some(vm) = self.vms.get_mut(&name) else {
+                continue;
+            };
+            if vm.advance_recorded_end(self.durable_change) {
+                self.order_vms.insert(name.clone());
+            }
+            if !vm.unrecorded_ends.is_empty() {
+                self.unrecorded_vms.insert(name);
             }
         }
     }
--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -2,7 +2,10 @@
 
 use kernel::{JobName, Time, VmName};
 
-use super::{Owner, vm::Phase};
+use super::{
+    Owner,
+    vm::{Phase, Vm},
+};
 use crate::message::{
     ClockReading, OrderResult, Orders, OrdersReply, OwnerHeader, Refusal, ReportPoll, RunKey,
 };
@@ -87,10 +90,12 @@
 
     /// VMs that have pending orders, or whose agents do not yet have the number of the
     /// last recorded end.
-    #[must_use]
-    pub fn vms_with_orders(&self) -> Vec<VmName> {
-        let waiting = self.vms.iter().filter(|(_, vm)| vm.may_send_orders());
-        waiting.map(|(name, _)| name.clone()).collect()
+    pub fn vms_with_orders(&mut self) -> Vec<VmName> {
+        let vms = &self.vms;
+        self.order_vms
+            .retain(|name| vms.get(name).is_some_and(Vm::has_orders));
+        let may_send = |name: &&VmName| vms.get(*name).is_some_and(Vm::may_send_orders);
+        self.order_vms.iter().filter(may_send).cloned().collect()
     }
 
     /// Returns and clears the pending orders for a VM; `None` if there are none.
@@ -148,32 +153,32 @@
         let Some(assigned) = entry.runs.get_mut(key) else {
             return;
         };
-        if matches!(assigned.phase, Phase::Stopping { .. }) {
+        if matches!(assigned.phase(), Phase::Stopping { .. }) {
             return;
         }
         let age_ms = now.since(assigned.since).as_millis() as u64;
         tracing::info!(task = %key.task, run = key.run, %vm, why = reason, age_ms, "stopping run");
         let is_queued = entry.starts.iter().any(|start| start.key == *key);
         if is_queued && !assigned.start_unanswered {
-            self.remove_run(vm, key);
+            self.remove_run(now, vm, key);
             return;
         }
         entry.starts.retain(|start| start.key != *key);
-        assigned.phase = Phase::Stopping { after_poll: None };
+        entry.set_phase(key, Phase::Stopping { after_poll: None });
         entry.stops.insert(key.clone());
+        self.touch_vm(vm);
     }
 
     /// Removes a run that certainly does not exist on the worker.
-    pub(super) fn remove_run(&mut self, vm: &VmName, key: &RunKey) {
+    pub(super) fn remove_run(&mut self, now: Time, vm: &VmName, key: &RunKey) {
         if let Some(entry) = self.vms.get_mut(vm) {
             entry.remove_run(key);
+            self.touch_vm(vm);
         }
-        if let Some(task) = self
-            .jobs
-            .get_mut(&key.task.job)
-            .and_then(|entry| entry.task_mut(&key.task))
+        if let Some(entry) = self.jobs.get_mut(&key.task.job)
+            && entry.remove_run(now, key)
         {
-            task.runs.retain(|(_, run)| *run != key.run);
+            self.waiting_jobs.insert(key.task.job.clone());
         }
         self.schedule_due = true;
     }
@@ -188,6 +193,7 @@
         if let Some(vm) = self.vms.get_mut(vm) {
             vm.open_calls = vm.open_calls.saturating_sub(1);
         }
+        self.touch_vm(vm);
         let is_same_life =
             self.vms.get(vm).and_then(|vm| vm.incarnation()) == Some(&orders.incarnation);
         if !is_same_life {
@@ -220,9 +226,9 @@
                 };
                 assigned.start_unanswered = true;
                 self.window.record_reply(name, now.since(assigned.since));
-                if assigned.phase == Phase::Ordered && !(assigned.since + fresh).passed(now) {
+                if assigned.phase() == Phase::Ordered && !(assigned.since + fresh).passed(now) {
                     vm.starts.push(start.clone());
-                } else if assigned.phase == Phase::Ordered {
+                } else if assigned.phase() == Phase::Ordered {
                     stale.push(start.key.clone());
                 }
             }
@@ -249,7 +255,7 @@
         let age = now.since(assigned.since);
         let age_ms = age.as_millis() as u64;
         tracing::info!(task = %key.task, run = key.run, vm = %name, ?result, age_ms, "start order answered");
-        if assigned.phase != Phase::Ordered {
+        if assigned.phase() != Phase::Ordered {
             return;
         }
         if result != OrderResult::Unsettled {
@@ -258,7 +264,7 @@
         self.schedule_due |= self.window.was_full();
         match result {
             OrderResult::Done | OrderResult::Refused(Refusal::Old) => {
-                assigned.phase = Phase::Present { after_poll: poll };
+                vm.set_phase(key, Phase::Present { after_poll: poll });
                 self.note_started(&key.task.job);
             }
             OrderResult::Unsettled => self.stop_run(now, name, key, "outcome of the start unknown"),
@@ -274,7 +280,7 @@
             OrderResult::Refused(refusal) => {
                 self.work.starts_late += u64::from(refusal == Refusal::Late);
                 vm.full_until = now + REFUSAL_PAUSE;
-                self.remove_run(name, key);
+                self.remove_run(now, name, key);
                 self.stop_gang(now, key);
             }
         }
@@ -288,25 +294,29 @@
     }
 
     fn on_stop_result(&mut self, name: &VmName, key: &RunKey, result: OrderResult, poll: u64) {
-        let Some(assigned) = self.vms.get_mut(name).and_then(|vm| vm.runs.get_mut(key)) else {
+        let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
-        if result == OrderResult::Done
-            && let Phase::Stopping { after_poll } = &mut assigned.phase
-        {
-            *after_poll = Some(poll);
+        let is_stopping = vm
+            .runs
+            .get(key)
+            .is_some_and(|assigned| matches!(assigned.phase(), Phase::Stopping { .. }));
+        if result == OrderResult::Done && is_stopping {
+            let after_poll = Some(poll);
+            vm.set_phase(key, Phase::Stopping { after_poll });
         }
     }
 
     /// Queues stop orders again that were not confirmed in time.
     pub(super) fn retry_stops(&mut self, now: Time) {
-        for vm in self.vms.values_mut() {
+        for (name, vm) in &mut self.vms {
             for (key, assigned) in &vm.runs {
                 let is_due = assigned
                     .stop_sent_at
                     .is_none_or(|at| (at + STOP_RETRY_INTERVAL).passed(now));
-                if assigned.phase == (Phase::Stopping { after_poll: None }) && is_due {
+                if assigned.phase() == (Phase::Stopping { after_poll: None }) && is_due {
                     vm.stops.insert(key.clone());
+                    self.order_vms.insert(name.clone());
                 }
             }
         }
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -6,6 +6,7 @@
 };
 
 use kernel::{Resources, ServiceName, Time, VmName};
+use place::OrderedIndex;
 
 use super::{
     Owner,
@@ -25,6 +26,9 @@
 /// Cost of a worker on which tasks take twice as long as elsewhere.
 const SLOW_WORKER_COST: f64 = 1.5;
 
+/// The most workers that are scored for one task.
+const MAX_SCORED_WORKERS: usize = 16;
+
 /// Requirements of a task on its worker.
 pub(super) struct PlacementRequest<'a> {
     pub(super) service: &'a ServiceName,
@@ -105,18 +109,112 @@
     }
 }
 
+/// Workers among which a task may have to choose: those of a service, in one rack if
+/// one is named.
+type Group = (ServiceName, Option<Arc<str>>);
+
+/// Workers that take tasks, in the order of what is free on them. Entries are updated
+/// when a VM changes, so that a choice examines a few workers, however many there are.
+#[derive(Debug, Default)]
+pub(super) struct WorkerIndex {
+    /// By CPU capacity without a reservation, in thousandths of a core.
+    by_free_cpu: OrderedIndex<Group, VmName>,
+    /// By the largest best-effort task that would run fast enough, in thousandths of a
+    /// core.
+    by_headroom: OrderedIndex<Group, VmName>,
+}
+
+impl WorkerIndex {
+    fn update(&mut self, name: &VmName, vm: Option<&Vm>) {
+        let ready = vm.filter(|vm| vm.status() == VmStatus::Ready);
+        let Some((vm, info)) = ready.and_then(|vm| Some((vm, vm.info.as_ref()?))) else {
+            self.by_free_cpu.remove(name);
+            self.by_headroom.remove(name);
+            return;
+        };
+        let rack = info.labels.get(RACK_LABEL_INDEX).cloned();
+        let groups = [
+            Some((info.service.clone(), None)),
+            rack.map(|rack| (info.service.clone(), Some(rack))),
+        ];
+        let groups: Vec<Group> = groups.into_iter().flatten().collect();
+        let free = i64::try_from(vm.available().cpu_milli).unwrap_or(i64::MAX);
+        self.by_free_cpu.set(name, &groups, free);
+        let headroom = vm.best_effort_headroom_milli(MIN_BEST_EFFORT_SPEED);
+        self.by_headroom.set(name, &groups, headroom);
+    }
+
+    /// Workers that may take the task, the most promising first.
+    fn candidates<'a>(
+        &'a self,
+        request: &PlacementRequest<'_>,
+        group: &'a Group,
+    ) -> Box<dyn Iterator<Item = &'a VmName> + 'a> {
+        let step = request.step;
+        let need = i64::try_from(step.need.cpu_milli).unwrap_or(i64::MAX);
+        if step.best_effort {
+            let least = if request.is_urgent { i64::MIN } else { need };
+            return Box::new(self.by_headroom.most_first(group, least));
+        }
+        match step.target_millis {
+            // Packs serving tasks together to leave other workers to best-effort tasks.
+            Some(_) => Box::new(self.by_free_cpu.least_first(group, need)),
+            None => Box::new(self.by_free_cpu.most_first(group, need)),
+        }
+    }
+}
+
+/// The best workers that a choice has found so far.
+#[derive(Default)]
+struct Choice {
+    best: Option<(f64, VmName)>,
+    /// Best of the workers that are to be avoided.
+    fallback: Option<(f64, VmName)>,
+    /// Number of workers that can take the task and are not to be avoided.
+    scored: usize,
+}
+
 impl Owner {
-    /// Returns the cheapest VM with free capacity. A VM to be avoided is chosen only
-    /// if there is no other.
+    /// Returns the cheapest VM with free capacity among the most promising ones. A VM to
+    /// be avoided is chosen only if there is no other.
     pub(super) fn choose_vm(
         &mut self,
         now: Time,
         request: &PlacementRequest<'_>,
     ) -> Option<VmName> {
-        let mut best: Option<(f64, VmName)> = None;
-        let mut fallback: Option<(f64, VmName)> = None;
-        self.work.workers_examined += self.vms.len() as u64;
-        for (name, vm) in &mut self.vms {
+        for name in std::mem::take(&mut self.index_vms) {
+            self.index.update(&name, self.vms.get(&name));
+        }
+        let mut choice = Choice::default();
+        let required_rack = request.required_rack.map(Arc::from);
+        if required_rack.is_none()
+            && let Some(rack) = &request.step.data_rack
+        {
+            let group = (request.service.clone(), Some(Arc::clone(rack)));
+            self.examine(now, request, &group, &mut choice);
+        }
+        let group = (request.service.clone(), required_rack);
+        self.examine(now, request, &group, &mut choice);
+        choice.best.or(choice.fallback).map(|(_, name)| name)
+    }
+
+    /// Examines the workers of a group until enough of them can take the task.
+    fn examine(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest<'_>,
+        group: &Group,
+        choice: &mut Choice,
+    ) {
+        let until = choice.scored + MAX_SCORED_WORKERS;
+        for name in self.index.candidates(request, group) {
+            if choice.scored == until {
+                return;
+            }
+            self.work.workers_examined += 1;
+            let Some(vm) = self.vms.get_mut(name) else {
+                continue;
+            };
             if !is_eligible(vm, now, request, &self.zones_out) {
                 continue;
             }
@@ -128,15 +226,16 @@
             let Some(cost) = cost(vm, now, request, self.interference.weights()) else {
                 continue;
             };
-            let candidate = match request.avoid.contains(name) {
-                true => &mut fallback,
-                false => &mut best,
+            let is_avoided = request.avoid.contains(name);
+            choice.scored += usize::from(!is_avoided);
+            let candidate = match is_avoided {
+                true => &mut choice.fallback,
+                false => &mut choice.best,
             };
             if candidate.as_ref().is_none_or(|(least, _)| cost < *least) {
                 *candidate = Some((cost, name.clone()));
             }
         }
-        best.or(fallback).map(|(_, name)| name)
     }
 
     /// Racks of all known workers of a service.
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -12,7 +12,7 @@
     schedule::count_tasks_per_vm,
     vm::{AssignedRun, Phase, VmStatus},
 };
-use crate::message::RunKey;
+use crate::message::{Role, RunKey};
 
 /// Interval between two checks of all runs.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(200);
@@ -50,7 +50,8 @@
             if vm.status() != VmStatus::Draining {
                 continue;
             }
-            let stays = |assigned: &AssignedRun| !matches!(assigned.phase, Phase::Stopping { .. });
+            let stays =
+                |assigned: &AssignedRun| !matches!(assigned.phase(), Phase::Stopping { .. });
             let mut runs = vm.runs.iter();
             let next = runs.find(|(key, assigned)| stays(assigned) && self.is_long_running(key));
             runs_to_move.extend(next.map(|(key, _)| (name.clone(), key.clone())));
@@ -71,7 +72,7 @@
         let (Some(step), Some(queue), Some(state)) = (step, queue, entry.step(&key.task)) else {
             return false;
         };
-        let tasks_per_vm = count_tasks_per_vm(state);
+        let tasks_per_vm = count_tasks_per_vm(&step, state);
         let request = PlacementRequest {
             service: &queue.service,
             step: &step,
@@ -87,16 +88,13 @@
         let mut stuck = Vec::new();
         for (name, vm) in &self.vms {
             for (key, assigned) in &vm.runs {
-                let is_present = matches!(assigned.phase, Phase::Present { .. });
-                // Long-running tasks may be idle, and a stop would interrupt service
-                // to users.
-                if self.is_long_running(key) {
-                    continue;
-                }
+                let is_present = matches!(assigned.phase(), Phase::Present { .. });
                 let is_idle = assigned
                     .idle_since
                     .is_some_and(|since| (since + STUCK_AFTER).passed(now));
-                if is_present && is_idle {
+                // Long-running tasks may be idle, and a stop would interrupt service
+                // to users.
+                if is_present && is_idle && !self.is_long_running(key) {
                     stuck.push((name.clone(), key.clone()));
                 }
             }
@@ -131,7 +129,8 @@
         let mut late = Vec::new();
         for (name, vm) in &self.vms {
             for (key, assigned) in &vm.runs {
-                if !matches!(assigned.phase, Phase::Present { .. }) {
+                let is_present = matches!(assigned.phase(), Phase::Present { .. });
+                if !is_present || assigned.role != Role::Plain {
                     continue;
                 }
                 let Some(multiple) = self.relative_duration(now, key, assigned.since) else {
@@ -173,7 +172,7 @@
         let Some(state) = entry.step(&key.task) else {
             return;
         };
-        let Some(task) = state.tasks.get(key.task.index as usize) else {
+        let Some(task) = state.tasks().get(key.task.index as usize) else {
             return;
         };
         if let Some(vm) = self.vms.get_mut(name)
@@ -181,13 +180,13 @@
         {
             vm.health.record_duration(now, multiple);
         }
-        let may_copy = step.copies && task.runs.len() == 1 && multiple >= COPY_AT_MULTIPLE;
+        let may_copy = step.copies && task.runs().len() == 1 && multiple >= COPY_AT_MULTIPLE;
         if !may_copy && (step.copies || multiple < RESTART_AT_MULTIPLE) {
             return;
         }
         let mut avoid = task.avoid.clone();
         avoid.insert(name.clone());
-        let tasks_per_vm = count_tasks_per_vm(state);
+        let tasks_per_vm = count_tasks_per_vm(&step, state);
         let request = PlacementRequest {
             service: &queue.service,
             step: &step,
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -1,7 +1,5 @@
 //! Handling of agent reports: worker incarnations, active runs and ended runs.
 
-use std::collections::BTreeSet;
-
 use kernel::{Time, VmName};
 
 use super::{
@@ -48,6 +46,7 @@
         let Some(had_answered) = self.vms.get(name).map(Vm::has_answered) else {
             return;
         };
+        self.touch_vm(name);
         self.track_agent(name, &report);
         self.track_worker(now, name, &report);
         let Some(vm) = self.vms.get_mut(name) else {
@@ -92,7 +91,7 @@
             self.schedule_due = true;
             return;
         }
-        let Some(running) = vm.listing.apply(&report) else {
+        if !vm.listing.apply(&report) {
             vm.report_version = 0;
             tracing::warn!(
                 vm = %name,
@@ -101,7 +100,7 @@
                 "report is based on one that was not applied; asking for the whole state"
             );
             return;
-        };
+        }
         if !report.has_more_ends && !vm.has_listed_ends {
             vm.has_listed_ends = true;
             self.schedule_due = true;
@@ -109,8 +108,8 @@
         for end in &report.ended {
             self.on_run_ended(now, name, end);
         }
-        self.apply_running(now, name, &running, &report);
-        self.learn_interference(now, name, &running);
+        self.apply_running(now, name, &report);
+        self.learn_interference(now, name);
         if !was_attached {
             self.schedule_due = true;
         }
@@ -128,13 +127,9 @@
         vm.agent_incarnation = report.agent_incarnation;
         vm.attached = false;
         vm.sent_weights_version = 0;
+        vm.reset_polls();
         let mut roles = Vec::new();
-        for (key, assigned) in &mut vm.runs {
-            assigned.phase = match assigned.phase {
-                Phase::Ordered => Phase::Ordered,
-                Phase::Present { .. } => Phase::Present { after_poll: 0 },
-                Phase::Stopping { .. } => Phase::Stopping { after_poll: None },
-            };
+        for (key, assigned) in &vm.runs {
             if assigned.role != Role::Plain {
                 roles.push((key.clone(), assigned.role.clone()));
             }
@@ -196,6 +191,7 @@
                 "agent is unreachable"
             );
             vm.unreachable = true;
+            self.index_vms.insert(name.clone());
             vm.unreachable_at = now;
             vm.report_version = 0;
             vm.listing.reset();
@@ -220,6 +216,7 @@
                 vm.leases_expired = true;
                 vm.attached = false;
             }
+            self.touch_vm(&name);
             self.schedule_due = true;
         }
     }
@@ -236,6 +233,7 @@
         }
         for name in &departed {
             self.vms.remove(name);
+            self.touch_vm(name);
         }
         departed
     }
@@ -248,7 +246,7 @@
         for (key, assigned) in &vm.runs {
             // A worker that answers again may still carry out a pending start order;
             // the reply to that order decides.
-            let is_ordered = assigned.phase == Phase::Ordered;
+            let is_ordered = assigned.phase() == Phase::Ordered;
             if reason != LossReason::LeasesExpired || !is_ordered {
                 keys.push(key.clone());
             }
@@ -269,41 +267,41 @@
         let assigned = self.vms.get(vm).and_then(|vm| vm.runs.get(key));
         let age_ms = assigned.map_or(0, |assigned| now.since(assigned.since).as_millis() as u64);
         tracing::info!(task = %key.task, run = key.run, %vm, why = reason, age_ms, "run lost");
-        self.remove_run(vm, key);
+        self.remove_run(now, vm, key);
     }
 
-    fn apply_running(
-        &mut self,
-        now: Time,
-        name: &VmName,
-        running: &[ActiveRun],
-        report: &AgentReport,
-    ) {
-        let mut present = BTreeSet::new();
-        for row in running {
-            present.insert(row.key.clone());
+    /// Applies the rows of a report that have changed, and compares the runs that the
+    /// worker lists with those that the owner knows.
+    fn apply_running(&mut self, now: Time, name: &VmName, report: &AgentReport) {
+        for row in &report.running {
             self.apply_active_run(now, name, row);
         }
-        // A run that is not listed may have ended, and its end may not be listed yet.
-        if report.has_more_ends {
-            return;
-        }
         let Some(vm) = self.vms.get(name) else {
             return;
         };
+        let listed = vm.listing.running();
+        let unknown = listed.keys().filter(|key| !vm.runs.contains_key(key));
+        let unknown: Vec<RunKey> = unknown.cloned().collect();
         let mut gone = Vec::new();
         for (key, assigned) in &vm.runs {
-            let after_poll = match assigned.phase {
+            // A run that is not listed may have ended, and its end may not be listed yet.
+            if report.has_more_ends {
+                break;
+            }
+            let after_poll = match assigned.phase() {
                 Phase::Present { after_poll }
                 | Phase::Stopping {
                     after_poll: Some(after_poll),
                 } => after_poll,
                 Phase::Ordered | Phase::Stopping { after_poll: None } => continue,
             };
-            if report.poll > after_poll && !present.contains(key) {
+            if report.poll > after_poll && !listed.contains_key(key) {
                 gone.push(key.clone());
             }
         }
+        for key in unknown {
+            self.adopt(now, name, &key);
+        }
         for key in gone {
             self.drop_lost_run(now, name, &key, "not listed by the worker any more");
         }
@@ -328,9 +326,7 @@
                 false => None,
             };
             self.note_started(&row.key.task.job);
-            return;
         }
-        self.adopt(now, name, &row.key);
     }
 
     /// Adopts a run that an earlier owner started, or stops it if it is no longer
@@ -350,25 +346,15 @@
             self.on_unknown_run(now, name, key, false);
             return;
         };
-        let is_wanted = !has_ended && !task.done && (task.runs.is_empty() || step.copies);
-        task.runs.push((name.clone(), key.run));
+        let is_wanted = !has_ended && !task.is_done() && (task.runs().is_empty() || step.copies);
+        entry.add_run(key, name);
         entry.started = true;
         tracing::info!(task = %key.task, run = key.run, vm = %name, is_wanted, "run adopted");
         let role = super::schedule::role_of(&step);
         if let Some(vm) = self.vms.get_mut(name) {
-            vm.add_run(
-                key.clone(),
-                AssignedRun {
-                    phase: Phase::Present { after_poll: 0 },
-                    since: now,
-                    reserved: step.reserved(),
-                    role: role.clone(),
-                    start_unanswered: false,
-                    stop_sent_at: None,
-                    baseline: None,
-                    idle_since: None,
-                },
-            );
+            let phase = Phase::Present { after_poll: 0 };
+            let assigned = AssignedRun::new(phase, now, step.reserved(), role.clone());
+            vm.add_run(key.clone(), assigned);
             if role != Role::Plain {
                 vm.roles.push((key.clone(), role));
             }
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -66,6 +66,7 @@
 }
 
 /// A task that is not done and has no run.
+#[derive(Default)]
 struct ReadyTask {
     index: usize,
     avoid: BTreeSet<VmName>,
@@ -98,11 +99,17 @@
     }
 }
 
-/// Tasks of a step that may start now.
-fn ready_tasks(now: Time, state: &StepState) -> Vec<ReadyTask> {
+/// The first tasks of a step that are not done and have no run.
+fn ready_tasks(state: &StepState, max: usize) -> Vec<ReadyTask> {
     let mut found = Vec::new();
-    for (index, task) in state.tasks.iter().enumerate() {
-        if task.done || !task.runs.is_empty() || !task.not_before.passed(now) {
+    if state.waiting() == 0 {
+        return found;
+    }
+    for (index, task) in state.tasks().iter().enumerate() {
+        if found.len() == max {
+            break;
+        }
+        if !task.is_waiting() {
             continue;
         }
         let avoid = task.avoid.clone();
@@ -167,20 +174,25 @@
                 self.window.hold_back();
                 return;
             }
+            self.work.jobs_visited += 1;
             self.schedule_job(now, wall, &rank.job, &queue, &mut pass);
+            if !self.may_have_ready_tasks(&rank.job) {
+                self.waiting_jobs.remove(&rank.job);
+            }
         }
     }
 
+    /// The jobs that may have tasks to start, in scheduling order.
     fn ranked_jobs(&self, now: Time) -> Vec<JobRank> {
         let mut ranks = Vec::new();
-        for (name, entry) in &self.jobs {
-            if entry.outcome.is_some() {
+        for name in &self.waiting_jobs {
+            let Some(entry) = self.jobs.get(name) else {
                 continue;
-            }
+            };
             let Some(queue) = self.queues.get(&entry.job.queue) else {
                 continue;
             };
-            let objective = objective(entry, queue);
+            let objective = entry.objective(queue);
             let deadline = entry.known_since + objective;
             let last = entry.known_since + objective * HOPELESS_AFTER_OBJECTIVES;
             let has_deadline = !entry.job.is_long_running() && entry.job.schedule.is_none();
@@ -200,6 +212,11 @@
         ranks
     }
 
+    fn may_have_ready_tasks(&self, name: &JobName) -> bool {
+        let entry = self.jobs.get(name);
+        entry.is_some_and(JobEntry::may_have_ready_tasks)
+    }
+
     fn schedule_job(
         &mut self,
         now: Time,
@@ -208,13 +225,9 @@
         queue: &Arc<Queue>,
         pass: &mut Pass,
     ) {
-        let Some(entry) = self.jobs.get_mut(name) else {
+        let Some(entry) = self.jobs.get(name) else {
             return;
         };
-        entry.idle_since = match entry.has_runs() {
-            true => None,
-            false => entry.idle_since.or(Some(now)),
-        };
         for occurrence in due_occurrences(entry, wall) {
             let Some(entry) = self.jobs.get_mut(name) else {
                 return;
@@ -249,16 +262,29 @@
             return;
         };
         let mut is_urgent = entry
-            .idle_since
+            .idle_since()
             .is_some_and(|since| (since + MAX_IDLE).passed(now));
         let state = ready.state(entry);
-        let mut tasks_per_vm = count_tasks_per_vm(state);
-        for task in ready_tasks(now, state) {
+        if state.waiting() == 0 {
+            return;
+        }
+        if pass.starts_left == 0 {
+            self.window.hold_back();
+            return;
+        }
+        let any_task = ReadyTask::default();
+        let no_tasks = BTreeMap::new();
+        if pass
+            .failed
+            .cover(&ready.placement_request(&any_task, &no_tasks, None, is_urgent))
+        {
+            return;
+        }
+        let tasks = ready_tasks(state, pass.starts_left);
+        let is_cut_off = tasks.len() < state.waiting();
+        let mut tasks_per_vm = count_tasks_per_vm(ready.step, state);
+        for task in tasks {
             let request = ready.placement_request(&task, &tasks_per_vm, None, is_urgent);
-            if pass.starts_left == 0 {
-                self.window.hold_back();
-                return;
-            }
             if pass.failed.cover(&request) {
                 return;
             }
@@ -273,6 +299,9 @@
             self.order_start(now, &vm, RunKey { task, run }, ready.step);
             is_urgent = false;
         }
+        if is_cut_off {
+            self.window.hold_back();
+        }
     }
 
     /// Starts all tasks of a step at once, or none of them.
@@ -281,12 +310,12 @@
             return;
         };
         let state = ready.state(entry);
-        let tasks = ready_tasks(now, state);
-        let are_all_ready = tasks.len() == state.tasks.len();
-        if tasks.is_empty() || (ready.step.gang && !are_all_ready) {
+        let are_all_ready = state.waiting() == state.tasks().len();
+        if state.waiting() == 0 || (ready.step.gang && !are_all_ready) {
             return;
         }
-        let tasks_per_vm = count_tasks_per_vm(state);
+        let tasks = ready_tasks(state, usize::MAX);
+        let tasks_per_vm = count_tasks_per_vm(ready.step, state);
         let mut racks: Vec<Option<String>> = vec![None];
         if ready.step.same_rack {
             racks = self.racks(ready.service).into_iter().map(Some).collect();
@@ -310,6 +339,8 @@
         rack: Option<&str>,
     ) -> bool {
         let mut tasks_per_vm = tasks_per_vm.clone();
+        let entry = self.jobs.get(ready.job);
+        let idle_since = entry.and_then(JobEntry::idle_since);
         let gang_run = self.next_run();
         let mut started: Vec<(VmName, RunKey)> = Vec::new();
         let was_due = self.schedule_due;
@@ -317,7 +348,10 @@
             let request = ready.placement_request(task, &tasks_per_vm, rack, true);
             let Some(vm) = self.choose_vm(now, &request) else {
                 for (vm, key) in started {
-                    self.remove_run(&vm, &key);
+                    self.remove_run(now, &vm, &key);
+                }
+                if let Some(entry) = self.jobs.get_mut(ready.job) {
+                    entry.set_idle_since(idle_since);
                 }
                 // Nothing is free that was not free before this attempt.
                 self.schedule_due = was_due;
@@ -348,15 +382,17 @@
         };
         let job = Arc::clone(&entry.job);
         let known_since = entry.known_since;
-        let Some(task) = entry.task_mut(&key.task) else {
-            return;
-        };
-        self.work.starts_ordered += 1;
-        task.runs.push((name.clone(), key.run));
-        let checkpoint = task.checkpoint.clone().filter(|_| step.checkpoints);
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
+        if !entry.add_run(&key, name) {
+            return;
+        }
+        self.work.starts_ordered += 1;
+        let checkpoint = entry
+            .task_mut(&key.task)
+            .and_then(|task| task.checkpoint.clone())
+            .filter(|_| step.checkpoints);
         tracing::info!(
             task = %key.task,
             run = key.run,
@@ -367,19 +403,8 @@
         );
         let role = role_of(step);
         vm.health.record_start(now);
-        vm.add_run(
-            key.clone(),
-            AssignedRun {
-                phase: Phase::Ordered,
-                since: now,
-                reserved: step.reserved(),
-                role: role.clone(),
-                start_unanswered: false,
-                stop_sent_at: None,
-                baseline: None,
-                idle_since: None,
-            },
-        );
+        let assigned = AssignedRun::new(Phase::Ordered, now, step.reserved(), role.clone());
+        vm.add_run(key.clone(), assigned);
         vm.starts.push(StartOrder {
             key,
             spec: Arc::clone(&job.spec),
@@ -387,6 +412,7 @@
             ticket: None,
             role,
         });
+        self.touch_vm(name);
     }
 }
 
@@ -405,17 +431,16 @@
     found
 }
 
-pub(super) fn count_tasks_per_vm(state: &StepState) -> BTreeMap<VmName, u32> {
+/// Number of tasks of a step on each VM, if the step limits it.
+pub(super) fn count_tasks_per_vm(step: &Step, state: &StepState) -> BTreeMap<VmName, u32> {
     let mut tasks_per_vm = BTreeMap::new();
-    for task in &state.tasks {
-        for (vm, _) in &task.runs {
+    if step.per_worker.is_none() {
+        return tasks_per_vm;
+    }
+    for task in state.tasks() {
+        for (vm, _) in task.runs() {
             *tasks_per_vm.entry(vm.clone()).or_default() += 1;
         }
     }
     tasks_per_vm
 }
-
-fn objective(entry: &JobEntry, queue: &Queue) -> Duration {
-    let chain = Duration::from_millis(entry.job.longest_chain_millis());
-    chain.mul_f64(queue.slack_factor.max(1.0)) + queue.target_latency
-}
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -62,7 +62,7 @@
 /// A run on a worker.
 #[derive(Clone, Debug)]
 pub(super) struct AssignedRun {
-    pub(super) phase: Phase,
+    phase: Phase,
     /// Time at which the run was ordered or first reported.
     pub(super) since: Time,
     pub(super) reserved: Resources,
@@ -79,6 +79,33 @@
     pub(super) idle_since: Option<Time>,
 }
 
+impl AssignedRun {
+    pub(super) const fn new(phase: Phase, since: Time, reserved: Resources, role: Role) -> Self {
+        Self {
+            phase,
+            since,
+            reserved,
+            role,
+            start_unanswered: false,
+            stop_sent_at: None,
+            baseline: None,
+            idle_since: None,
+        }
+    }
+
+    pub(super) const fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// CPU time that the run takes from best-effort tasks, in thousandths of a core.
+    fn expected_usage_milli(&self) -> u64 {
+        match self.role {
+            Role::Serving { .. } => self.reserved.cpu_milli / SERVING_USAGE_DIVISOR,
+            Role::Plain | Role::BestEffort { .. } => self.reserved.cpu_milli,
+        }
+    }
+}
+
 /// Status of a VM from the owner's view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -135,6 +162,15 @@
     pub(super) last_echo: Option<SentEcho>,
     pub(super) runs: BTreeMap<RunKey, AssignedRun>,
     pub(super) reserved: Resources,
+    /// Runs of serving tasks.
+    serving: BTreeSet<RunKey>,
+    /// CPU time that best-effort tasks use at full speed, by image, in thousandths of a
+    /// core.
+    best_effort: BTreeMap<Arc<str>, u64>,
+    /// Sum of the usage that is expected of the runs, in thousandths of a core.
+    expected_usage_milli: u64,
+    /// Number of start orders that are queued or have no reply yet.
+    unanswered_starts: usize,
     /// Number of the last end that the owner has handled.
     pub(super) processed_end: u64,
     /// Handled ends that the worker must still list: number of the end and number of
@@ -180,6 +216,10 @@
             last_echo: None,
             runs: BTreeMap::new(),
             reserved: Resources::NONE,
+            serving: BTreeSet::new(),
+            best_effort: BTreeMap::new(),
+            expected_usage_milli: 0,
+            unanswered_starts: 0,
             processed_end: 0,
             unrecorded_ends: VecDeque::new(),
             recorded_end: 0,
@@ -264,24 +304,93 @@
     }
 
     pub(super) fn add_run(&mut self, key: RunKey, run: AssignedRun) {
+        self.forget_run(&key);
         self.reserved = self.reserved.plus(run.reserved);
-        if let Some(replaced) = self.runs.insert(key, run) {
-            self.reserved = self.reserved.minus(replaced.reserved);
+        self.expected_usage_milli += run.expected_usage_milli();
+        self.unanswered_starts += usize::from(run.phase == Phase::Ordered);
+        match &run.role {
+            Role::Plain => {}
+            Role::Serving { .. } => {
+                self.serving.insert(key.clone());
+            }
+            Role::BestEffort { image, cpu_milli } => {
+                let demand = self.best_effort.entry(image_name(image.as_ref()));
+                *demand.or_default() += cpu_milli;
+            }
         }
+        self.runs.insert(key, run);
     }
 
     pub(super) fn remove_run(&mut self, key: &RunKey) -> Option<AssignedRun> {
-        let run = self.runs.remove(key)?;
-        self.reserved = self.reserved.minus(run.reserved);
+        let run = self.forget_run(key)?;
         self.stops.remove(key);
         self.starts.retain(|start| start.key != *key);
         Some(run)
     }
 
+    fn forget_run(&mut self, key: &RunKey) -> Option<AssignedRun> {
+        let run = self.runs.remove(key)?;
+        self.reserved = self.reserved.minus(run.reserved);
+        self.expected_usage_milli -= run.expected_usage_milli();
+        self.unanswered_starts -= usize::from(run.phase == Phase::Ordered);
+        match &run.role {
+            Role::Plain => {}
+            Role::Serving { .. } => {
+                self.serving.remove(key);
+            }
+            Role::BestEffort { image, cpu_milli } => {
+                let image = image_name(image.as_ref());
+                if let Some(demand) = self.best_effort.get_mut(&image) {
+                    *demand -= cpu_milli;
+                    if *demand == 0 {
+                        self.best_effort.remove(&image);
+                    }
+                }
+            }
+        }
+        Some(run)
+    }
+
+    pub(super) fn set_phase(&mut self, key: &RunKey, phase: Phase) {
+        if let Some(run) = self.runs.get_mut(key) {
+            self.unanswered_starts -= usize::from(run.phase == Phase::Ordered);
+            self.unanswered_starts += usize::from(phase == Phase::Ordered);
+            run.phase = phase;
+        }
+    }
+
+    /// Notes that the agent has restarted and counts its polls from zero.
+    pub(super) fn reset_polls(&mut self) {
+        for run in self.runs.values_mut() {
+            run.phase = match run.phase {
+                Phase::Ordered => Phase::Ordered,
+                Phase::Present { .. } => Phase::Present { after_poll: 0 },
+                Phase::Stopping { .. } => Phase::Stopping { after_poll: None },
+            };
+        }
+    }
+
+    /// Releases the ends for which the changes up to this one suffice; returns whether
+    /// any was released.
+    pub(super) fn advance_recorded_end(&mut self, durable_change: u64) -> bool {
+        let before = self.recorded_end;
+        while let Some(&(end, required_change)) = self.unrecorded_ends.front() {
+            if required_change > durable_change {
+                break;
+            }
+            self.recorded_end = end;
+            self.unrecorded_ends.pop_front();
+        }
+        self.recorded_end != before
+    }
+
     /// Number of start orders that are queued or have no reply yet.
-    pub(super) fn unanswered_starts(&self) -> usize {
-        let runs = self.runs.values();
-        runs.filter(|run| run.phase == Phase::Ordered).count()
+    pub(super) const fn unanswered_starts(&self) -> usize {
+        self.unanswered_starts
+    }
+
+    pub(super) fn has_serving_runs(&self) -> bool {
+        !self.serving.is_empty()
     }
 
     /// CPU capacity of the worker in thousandths of a core.
@@ -290,6 +399,14 @@
         capacity.unwrap_or_default().cpu_milli.max(1)
     }
 
+    /// CPU time that a further best-effort task could ask for and still run at
+    /// `min_speed` of its full speed, if no serving task suffers, in thousandths of a
+    /// core. Negative where the best-effort tasks already run slower.
+    pub(super) fn best_effort_headroom_milli(&self, min_speed: f64) -> i64 {
+        let free = self.best_effort_available_milli() as f64;
+        (free / min_speed) as i64 - self.best_effort_demand_milli() as i64
+    }
+
     /// Expected speed of a best-effort task on this VM.
     pub(super) fn forecast(
         &self,
@@ -298,33 +415,30 @@
         weights: &Weights,
     ) -> SpeedForecast {
         let image = image_name(image);
-        let capacity = self.capacity_milli();
-        let share = cpu_share(cpu_milli, capacity);
+        let wanted = self.best_effort_demand_milli() + cpu_milli;
+        let free = self.best_effort_available_milli();
         let mut forecast = SpeedForecast {
-            speed: 1.0,
-            bottleneck_share: 0.0,
+            speed: cpu_share(free, wanted).min(1.0),
+            bottleneck_share: cpu_share(cpu_milli, free).min(1.0),
         };
-        for run in self.runs.values() {
+        let share = cpu_share(cpu_milli, self.capacity_milli());
+        for key in &self.serving {
+            let Some(run) = self.runs.get(key) else {
+                continue;
+            };
             let Role::Serving { image: serving, .. } = &run.role else {
                 continue;
             };
             let serving = image_name(serving.as_ref());
             let full_effect = weights.get(&serving, &image) * share;
-            let headroom = self.latency_headroom(&serving, run.baseline, weights);
-            if full_effect > 0.0 {
-                forecast.speed = forecast.speed.min((headroom / full_effect).max(0.0));
-                let share_of_headroom = full_effect / headroom.max(MIN_HEADROOM);
-                forecast.bottleneck_share =
-                    forecast.bottleneck_share.max(share_of_headroom.min(1.0));
+            if full_effect <= 0.0 {
+                continue;
             }
+            let headroom = self.latency_headroom(&serving, run.baseline, weights);
+            forecast.speed = forecast.speed.min((headroom / full_effect).max(0.0));
+            let share_of_headroom = full_effect / headroom.max(MIN_HEADROOM);
+            forecast.bottleneck_share = forecast.bottleneck_share.max(share_of_headroom.min(1.0));
         }
-        let wanted = self.best_effort_demand_milli() + cpu_milli;
-        let free = self.best_effort_available_milli();
-        let available_share = cpu_share(free, wanted).min(1.0);
-        forecast.speed = forecast.speed.min(available_share);
-        forecast.bottleneck_share = forecast
-            .bottleneck_share
-            .max(cpu_share(cpu_milli, free).min(1.0));
         forecast
     }
 
@@ -338,12 +452,8 @@
     ) -> f64 {
         let mut headroom =
             TARGET_FRACTION.ln() - baseline.unwrap_or(ASSUMED_BASELINE_FRACTION.ln());
-        for run in self.runs.values() {
-            if let Role::BestEffort { image, cpu_milli } = &run.role {
-                let image = image_name(image.as_ref());
-                headroom -=
-                    weights.get(serving, &image) * cpu_share(*cpu_milli, self.capacity_milli());
-            }
+        for (image, cpu_milli) in &self.best_effort {
+            headroom -= weights.get(serving, image) * cpu_share(*cpu_milli, self.capacity_milli());
         }
         headroom
     }
@@ -351,24 +461,12 @@
     /// CPU time that the best-effort tasks here can use at full speed, in thousandths
     /// of a core.
     fn best_effort_demand_milli(&self) -> u64 {
-        let mut sum = 0;
-        for run in self.runs.values() {
-            if let Role::BestEffort { cpu_milli, .. } = &run.role {
-                sum += cpu_milli;
-            }
-        }
-        sum
+        self.best_effort.values().sum()
     }
 
     /// CPU time left for best-effort tasks, in thousandths of a core.
     fn best_effort_available_milli(&self) -> u64 {
-        let mut used = 0;
-        for run in self.runs.values() {
-            used += match run.role {
-                Role::Serving { .. } => run.reserved.cpu_milli / SERVING_USAGE_DIVISOR,
-                Role::Plain | Role::BestEffort { .. } => run.reserved.cpu_milli,
-            };
-        }
-        self.capacity_milli().saturating_sub(used)
+        self.capacity_milli()
+            .saturating_sub(self.expected_usage_milli)
     }
 }
--- a/components/steps/src/owner/work.rs
+++ b/components/steps/src/owner/work.rs
@@ -23,6 +23,8 @@
     pub passes: u64,
     /// Time spent on events that included a scheduling pass.
     pub pass_time: Duration,
+    /// Jobs visited by passes, each of which may have tasks to start.
+    pub jobs_visited: u64,
     /// Workers examined to place tasks.
     pub workers_examined: u64,
     /// Start orders given.
--- a/components/steps/tests/backlog.rs
+++ b/components/steps/tests/backlog.rs
@@ -8,6 +8,7 @@
 
 use common::{config, entry, job, step, vm, worker_info};
 use kernel::{Resources, Time};
+use rstest::rstest;
 use steps::{
     Event, Owner, Step, Timing,
     message::{
@@ -24,12 +25,16 @@
 
 /// Returns an owner with attached workers of four cores each.
 fn owner_with_workers() -> Owner {
+    owner_with(VMS)
+}
+
+fn owner_with(vms: usize) -> Owner {
     let mut owner = Owner::new(entry(1), 1, Timing::default(), START);
     owner.handle(START, START, Event::Config(config()));
-    for number in 0..VMS {
+    for number in 0..vms {
         owner.handle(START, START, Event::Vm(vm(number)));
     }
-    for number in 0..VMS {
+    for number in 0..vms {
         report(&mut owner, START, number, 1);
     }
     owner
@@ -113,6 +118,76 @@
     assert_eq!(workers_examined_with(400), workers_examined_with(40));
 }
 
+/// The kinds of tasks that are placed by different rules.
+fn steps_of_each_kind() -> Vec<Step> {
+    let serving = Step {
+        long_running: true,
+        target_millis: Some(50),
+        ..step(10, &[])
+    };
+    let best_effort = Step {
+        best_effort: true,
+        ..step(10, &[])
+    };
+    vec![step(10, &[]), serving, best_effort]
+}
+
+#[rstest]
+#[case(30)]
+#[case(300)]
+#[case(3_000)]
+fn a_start_examines_few_workers_of_a_fleet_of_any_size(#[case] vms: usize) {
+    for step in steps_of_each_kind() {
+        let mut owner = owner_with(vms);
+        submit(&mut owner, at(10), 1, step.clone());
+        let work = owner.work();
+        assert_eq!(work.starts_ordered, 10, "{step:?}");
+        assert!(work.workers_examined <= 10 * 16, "{work:?} for {step:?}");
+    }
+}
+
+#[test]
+fn a_full_fleet_is_found_full_without_a_look_at_its_workers() {
+    let mut owner = owner_with(200);
+    for number in 0..200 {
+        submit(&mut owner, at(10), number, large_step(1_000));
+    }
+    assert_eq!(owner.work().starts_ordered, 200);
+    let before = owner.work();
+    submit(&mut owner, at(20), 1_000, large_step(1_000));
+    assert_eq!(owner.work().passes, before.passes + 1);
+    assert_eq!(owner.work().workers_examined, before.workers_examined);
+}
+
+#[test]
+fn a_pass_visits_no_job_whose_tasks_all_run() {
+    let mut owner = owner_with(300);
+    for number in 0..80 {
+        submit(&mut owner, at(10), number, step(3, &[]));
+    }
+    assert_eq!(owner.work().starts_ordered, 240);
+    let before = owner.work();
+    owner.handle(at(400), at(400), Event::Tick);
+    submit(&mut owner, at(800), 1_000, step(1, &[]));
+    let after = owner.work();
+    assert_eq!(after.passes, before.passes + 2);
+    assert_eq!(after.jobs_visited, before.jobs_visited + 1);
+}
+
+/// What is free is counted again when a run ends, so the job that waits for it starts.
+#[test]
+fn a_job_that_waited_for_room_starts_once_a_run_has_ended() {
+    let mut owner = owner_with(1);
+    submit(&mut owner, at(10), 1, large_step(1_000));
+    submit(&mut owner, at(10), 2, large_step(1_000));
+    assert_eq!(owner.work().starts_ordered, 1);
+    let sent = take_all_orders(&mut owner, at(10));
+    let refused = OrderResult::Refused(Refusal::Room);
+    answer(&mut owner, at(20), sent, refused);
+    owner.handle(at(400), at(400), Event::Tick);
+    assert_eq!(owner.work().starts_ordered, 2);
+}
+
 #[test]
 fn a_task_that_fits_starts_behind_tasks_that_do_not() {
     let mut owner = owner_with_workers();
