Log lines that have gathered are written in one call

Cause: the writing thread made a call and woke for each line, and the owner of a large site writes some 1,450 lines a second. Natively the lines cost 5.9 of the 12.9 us that the owner's decisions take for each start (example owner_cost with and without a subscriber, 240 workers).

Change: lines gather for 20 ms and are written together. At most these are lost when a process is killed.

--- a/components/observe/src/logs.rs
+++ b/components/observe/src/logs.rs
@@ -1,9 +1,14 @@
 //! Logs as JSON lines on standard output.
 //!
 //! A thread writes the lines from a bounded queue, so that a slow reader of the output
-//! never blocks the daemon. Lines that find the queue full are dropped and counted.
+//! never blocks the daemon. Lines that find the queue full are dropped and counted. The
+//! thread writes the lines that have gathered in one call, since a call and a wake-up for
+//! each line cost a busy daemon more than the lines themselves.
 
-use std::{io, time::Duration};
+use std::{
+    io::{self, BufWriter, Write},
+    time::Duration,
+};
 
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -12,6 +17,10 @@
 pub const FILTER_VARIABLE: &str = "HEMLOCKMOOR_LOG";
 /// Capacity of the queue, about 2 MB of lines.
 const QUEUE_LINES: usize = 4_096;
+/// How long lines gather. At most this much of the log is lost if the process is killed.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+/// Bytes that are written in one call.
+const BUFFER_BYTES: usize = 64 * 1024;
 /// Interval between two reports of dropped lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -62,7 +71,7 @@
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(QUEUE_LINES)
-        .finish(output);
+        .finish(GatheringWriter::new(output));
     let dropped = writer.error_counter();
     let _ = tracing_subscriber::fmt()
         .json()
@@ -75,3 +84,31 @@
         dropped,
     }
 }
+
+/// Writes the lines that have gathered, and then waits for further ones. The thread that
+/// owns the writer flushes it whenever the queue is empty.
+#[derive(Debug)]
+pub struct GatheringWriter<W: Write> {
+    output: BufWriter<W>,
+}
+
+impl<W: Write> GatheringWriter<W> {
+    /// Returns a writer to this output.
+    pub fn new(output: W) -> Self {
+        Self {
+            output: BufWriter::with_capacity(BUFFER_BYTES, output),
+        }
+    }
+}
+
+impl<W: Write> Write for GatheringWriter<W> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.output.write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.output.flush()?;
+        std::thread::sleep(GATHER_TIME);
+        Ok(())
+    }
+}
