An owner that stops early passes on the wait for a lost VM

Ruled out: capacity (the log shows no start refused for room) and the store (each term loads its jobs within 30 ms).

Change: a note holds each VM that has not answered in the term, with the wait taken over.

Test: a_stopping_owner_passes_on_the_wait_that_it_took_over, failed before.

--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -41,7 +41,8 @@
     pub fn handover(&self, now: Time) -> Handover {
         let mut unreachable = Vec::new();
         for (name, vm) in &self.vms {
-            if !vm.unreachable {
+            // This owner may not have noticed yet that an agent is unreachable.
+            if !vm.unreachable && vm.has_answered() {
                 continue;
             }
             let time_left = match vm.leases_expired {
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -364,6 +364,41 @@
     assert_eq!(session.take_starts(expired_at, 0).len(), 1);
 }
 
+/// An owner took over and stopped again within the time in which a poll of a lost VM times
+/// out. Its note left the VM out, so the next owner waited for leases there from its own
+/// start on (day machines-stopped, Brenes seed 2559395759, Diagne seed 348422196943).
+#[test]
+fn a_stopping_owner_passes_on_the_wait_that_it_took_over() {
+    let mut before = Session::new(2);
+    before.report(at(0), 0, |_| ());
+    before.report(at(0), 1, |_| ());
+    before.handle(at(100), Event::Unreachable(vm(1), PollFailure::default()));
+    let handover = before.owner.handover(at(3_000));
+
+    let between = Session::with_handover(handover, EPOCH + 1, at(3_100));
+    let handover = between.owner.handover(at(4_100));
+
+    let term_start = at(4_200);
+    let mut session = Session::with_handover(handover, EPOCH + 2, term_start);
+    session.handle(
+        term_start,
+        Event::Unreachable(vm(1), PollFailure::default()),
+    );
+    session.report(at(4_300), 0, |report: &mut AgentReport| {
+        report.epoch = EPOCH + 2;
+        report.confirmed_epoch = EPOCH + 2;
+    });
+    assert_eq!(
+        session.take_starts(at(4_300), 0),
+        [],
+        "a task may still run on the VM"
+    );
+    // The time between two terms is added to the wait each time.
+    let expired_at = at(310) + Timing::default().unreachable_agent_timeout();
+    session.handle(expired_at, Event::Tick);
+    assert_eq!(session.take_starts(expired_at, 0).len(), 1);
+}
+
 #[test]
 fn a_handover_note_of_an_earlier_term_is_ignored() {
     let mut before = Session::new(1);
