A stopping agent outlasts the leases of a worker that does not answer

The worker was taken away at 21.4 s, its agent stopped at 24.2 s, the owner lost at 23.9 s. Leases there ended at 25.7 s at the latest, but only the agent could know. The next owner waited until 35.6 s, and each later one added the time between two terms.

Change: an agent that is told to stop and whose worker does not answer waits until the leases have expired (4.4 s at most, within the 6 s that users give) and removes its key, so no owner waits for the VM.

Test: a_stopping_agent_waits_until_nothing_can_run_on_its_vm.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -50,12 +50,24 @@
     pub timing: Timing,
 }
 
+/// How long a stopping agent waits for the leases of an unresponsive worker. They last
+/// 4.4 s at most, and users kill a process after 6 s.
+const STOP_TIMEOUT: Duration = Duration::from_millis(5_200);
+/// How often a stopping agent checks whether it still has to wait.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// An agent that runs in this process.
-#[derive(Debug)]
 pub struct Agent {
+    shared: Arc<Shared>,
     running: Vec<Task<()>>,
 }
 
+impl std::fmt::Debug for Agent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Agent").finish_non_exhaustive()
+    }
+}
+
 /// State that the tasks of an agent share.
 pub(crate) struct Shared {
     settings: AgentSettings,
@@ -151,19 +163,50 @@
         smol::spawn(serve_owners),
         smol::spawn(polls::run(Arc::clone(&shared))),
     ];
-    Ok(Agent { running })
+    Ok(Agent { shared, running })
 }
 
 impl Agent {
     /// Stops the agent. Its runs continue until their leases expire; an agent that starts
     /// before that takes them over.
+    ///
+    /// If the worker does not answer, its VM may be about to disappear, and then no owner
+    /// can learn any more when the leases there expire. The agent therefore waits for that
+    /// and removes its key.
     pub async fn stop(self) {
+        let withdrawn = async {
+            while self.has_to_wait() {
+                smol::Timer::after(STOP_CHECK_INTERVAL).await;
+            }
+        };
+        let timed_out = async {
+            smol::Timer::after(STOP_TIMEOUT).await;
+            tracing::warn!("stopping before all leases of the worker have expired");
+        };
+        withdrawn.or(timed_out).await;
         for task in self.running {
             task.cancel().await;
         }
     }
 }
 
+impl Agent {
+    /// Whether the agent must not stop yet. Starts the removal of the key once nothing can
+    /// run on the VM.
+    fn has_to_wait(&self) -> bool {
+        let shared = &self.shared;
+        if shared.agent_state().awaits_lease_expiry() {
+            return true;
+        }
+        let mut registration = shared.registration();
+        if shared.agent_state().has_lost_worker() {
+            registration.worker_left();
+            shared.registration_changed.notify(1);
+        }
+        registration.is_urgent()
+    }
+}
+
 fn worker_report_setup(
     shared: &Arc<Shared>,
 ) -> ServerSetup<
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -609,6 +609,22 @@
         }
     }
 
+    /// Whether the worker does not answer and may still run tasks.
+    #[must_use]
+    pub const fn awaits_lease_expiry(&self) -> bool {
+        self.worker.is_some()
+            && self.unanswered_polls >= UNRESPONSIVE_AFTER_POLLS
+            && !self.leases_expired
+    }
+
+    /// Whether the worker does not answer and all of its leases have expired.
+    #[must_use]
+    pub const fn has_lost_worker(&self) -> bool {
+        self.worker.is_some()
+            && self.unanswered_polls >= UNRESPONSIVE_AFTER_POLLS
+            && self.leases_expired
+    }
+
     /// Checks whether a start order may be sent to the worker now. Returns the lease
     /// to send with it. Until the outcome is known, reports list the run as unsettled.
     ///
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -203,6 +203,37 @@
     assert!(agent.report(at(clock)).leases_expired);
 }
 
+/// A worker was taken away with its VM, whose agent was stopped before the leases had
+/// expired, so each new owner waited for them from its own start on (day
+/// machines-stopped, Brenes seed 2559395759).
+#[test]
+fn a_stopping_agent_waits_until_nothing_can_run_on_its_vm() {
+    let mut agent = agent();
+    assert!(!agent.awaits_lease_expiry(), "the worker answers");
+    agent.accept_header(at(0), &header(5, Some(10_000)));
+    next_poll(&mut agent, at(0));
+    let mut waited = Vec::new();
+    for clock in (200..6_000).step_by(200) {
+        let poll = next_poll(&mut agent, at(clock));
+        agent.apply_error(at(clock), &poll, PollError::Unresponsive);
+        if agent.awaits_lease_expiry() {
+            waited.push(clock);
+        }
+        let is_lost = agent.has_lost_worker();
+        assert_eq!(is_lost, agent.report(at(clock)).leases_expired);
+    }
+    assert!(agent.has_lost_worker());
+    assert_eq!(waited.first(), Some(&400), "a second poll is unanswered");
+    let lease = Timing::default().lease + Timing::default().kill_slack;
+    assert!(
+        waited
+            .last()
+            .is_some_and(|last| at(*last) >= at(0) + lease - Duration::from_millis(400))
+    );
+    answer_poll(&mut agent, at(6_000), 16_000);
+    assert!(!agent.has_lost_worker(), "the worker answers again");
+}
+
 /// Guards against a run that no owner accounts for: a start order arrived after the
 /// agent had reported all leases as expired (`explore`, seed 10559).
 #[test]
