--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod owner;
 pub mod pace;
 pub mod progress;
-pub mod ranking;
 pub mod registration;
 pub mod timing;
 
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -309,27 +309,6 @@
         self.idle_since
     }
 
-    /// Shortest time in which the job can still be done, by the estimates of its steps: the
-    /// longest chain through those that are not done. A step whose tasks have all started
-    /// counts half, since they started at different times.
-    pub(super) fn remaining_chain(&self) -> Duration {
-        let Some(steps) = self.occurrences.get(&0) else {
-            return self.longest_chain;
-        };
-        let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-        for (step, state) in self.job.steps.iter().zip(steps) {
-            let begins = step.after.iter().filter_map(|&n| ends.get(usize::from(n)));
-            let begin = begins.copied().max().unwrap_or_default();
-            let left = match state {
-                state if state.is_done() => 0,
-                state if state.waiting == 0 => step.estimate_millis / 2,
-                _ => step.estimate_millis,
-            };
-            ends.push(begin.saturating_add(left));
-        }
-        Duration::from_millis(ends.into_iter().max().unwrap_or_default())
-    }
-
     /// Takes back the changes that starts which were not sent made to the idle time.
     pub(super) const fn set_idle_since(&mut self, idle_since: Option<Time>) {
         self.idle_since = idle_since;
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -17,9 +17,10 @@
 use crate::{
     Queue, Step, TaskKey,
     message::{Role, RunKey, StartOrder},
-    ranking::{Rank, WaitingJob},
 };
 
+/// A job later than this many times its objective ranks last.
+const HOPELESS_AFTER_OBJECTIVES: u32 = 3;
 /// Delay after an occurrence's due time, since the clocks of machines differ and no
 /// occurrence may start early.
 const CLOCK_MARGIN: Duration = Duration::from_millis(40);
@@ -30,6 +31,24 @@
 /// from term to term without a record.
 const RUNS_PER_TERM: u64 = 1 << 24;
 
+/// Whether a job can still meet its objective, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timeliness {
+    OnTime,
+    Late,
+    Hopeless,
+}
+
+/// Scheduling order of jobs. Late jobs yield to those that can still be on time: under
+/// overload, ordering by deadline alone would make all jobs late.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct JobRank {
+    priority: u32,
+    timeliness: Timeliness,
+    deadline: Time,
+    job: JobName,
+}
+
 /// State of one scheduling pass.
 struct Pass {
     /// Number of starts that may still be ordered.
@@ -141,8 +160,8 @@
             starts_left: self.window.limit().saturating_sub(unanswered),
             failed: FailedPlacements::default(),
         };
-        for (_, name) in self.ranked_jobs(now) {
-            let Some(entry) = self.jobs.get(&name) else {
+        for rank in self.ranked_jobs(now) {
+            let Some(entry) = self.jobs.get(&rank.job) else {
                 continue;
             };
             if is_recovering && entry.known_since < earlier_owner_over {
@@ -156,15 +175,15 @@
                 return;
             }
             self.work.jobs_visited += 1;
-            self.schedule_job(now, wall, &name, &queue, &mut pass);
-            if !self.may_have_ready_tasks(&name) {
-                self.waiting_jobs.remove(&name);
+            self.schedule_job(now, wall, &rank.job, &queue, &mut pass);
+            if !self.may_have_ready_tasks(&rank.job) {
+                self.waiting_jobs.remove(&rank.job);
             }
         }
     }
 
     /// The jobs that may have tasks to start, in scheduling order.
-    fn ranked_jobs(&self, now: Time) -> Vec<(Rank, JobName)> {
+    fn ranked_jobs(&self, now: Time) -> Vec<JobRank> {
         let mut ranks = Vec::new();
         for name in &self.waiting_jobs {
             let Some(entry) = self.jobs.get(name) else {
@@ -173,14 +192,21 @@
             let Some(queue) = self.queues.get(&entry.job.queue) else {
                 continue;
             };
-            let waiting = WaitingJob {
-                priority: queue.priority,
-                since: entry.known_since,
-                objective: entry.objective(queue),
-                remaining: entry.remaining_chain(),
-                has_deadline: !entry.job.is_long_running() && entry.job.schedule.is_none(),
+            let objective = entry.objective(queue);
+            let deadline = entry.known_since + objective;
+            let last = entry.known_since + objective * HOPELESS_AFTER_OBJECTIVES;
+            let has_deadline = !entry.job.is_long_running() && entry.job.schedule.is_none();
+            let timeliness = match has_deadline {
+                true if last.passed(now) => Timeliness::Hopeless,
+                true if deadline.passed(now) => Timeliness::Late,
+                _ => Timeliness::OnTime,
             };
-            ranks.push((waiting.rank(now), name.clone()));
+            ranks.push(JobRank {
+                priority: queue.priority,
+                timeliness,
+                deadline,
+                job: name.clone(),
+            });
         }
         ranks.sort_unstable();
         ranks
