A restarted agent is open for tasks again at the same owner

Change: 'leaving' holds for the incarnation that announced it, as in routing.

Test: an_agent_that_left_gets_tasks_after_its_restart_but_not_before, failed before.

--- a/components/cell/src/owner/beat.rs
+++ b/components/cell/src/owner/beat.rs
@@ -44,6 +44,7 @@
             if let Some(worker) = self.workers.get_mut(&beat.vm) {
                 worker.sequence = 0;
                 worker.follows_term = false;
+                worker.leaving = false;
             }
         } else if let Some(info) = &beat.info {
             self.update_info(now, info);
--- a/components/cell/tests/common/session.rs
+++ b/components/cell/tests/common/session.rs
@@ -23,6 +23,8 @@
     pub(crate) in_flight: Option<Group>,
     /// The endpoint loads that every heartbeat reports.
     pub(crate) load: Vec<EndpointLoad>,
+    /// Whether every heartbeat announces that its agent is leaving.
+    pub(crate) leaving: bool,
     sequence: u64,
     revision: u64,
     objects: Arc<ObjectSet>,
@@ -39,6 +41,7 @@
             commits_immediately: true,
             in_flight: None,
             load: Vec::new(),
+            leaving: false,
             sequence: 0,
             revision: 0,
             objects: objects.clone(),
@@ -151,7 +154,7 @@
             info: Some(info.clone()),
             epoch: Epoch(epoch),
             revision: Revision::default(),
-            leaving: false,
+            leaving: self.leaving,
             load: self.load.clone(),
             tasks_unknown: false,
             tasks,
--- a/components/cell/tests/owner.rs
+++ b/components/cell/tests/owner.rs
@@ -7,7 +7,11 @@
 use std::time::Duration;
 
 use cell::{Event, InboxItem, MovedTask, TaskRange};
-use common::{job, objects, run, session::Session, urgent, vm_info};
+use common::{
+    job, objects, run,
+    session::{Session, restarted},
+    urgent, vm_info,
+};
 use kernel::{
     Cause, EndpointInfo, EndpointLoad, EventKind, Resources, TaskRun, TaskState, Time, VmInfo,
     object::ZoneState,
@@ -239,6 +243,33 @@
     assert_eq!(answer, cell::Answer::default());
 }
 
+/// An agent that was stopped in an orderly way and started again in place got no tasks
+/// from the same owner, so a rolling restart stalled with tasks waiting.
+#[test]
+fn an_agent_that_left_gets_tasks_after_its_restart_but_not_before() {
+    let mut session = Session::start(both_zones_in());
+    let vm = vm_info("vm-1", "plateau", "plateau", 4);
+    session.heartbeat(&vm, 0, &[]);
+    session.heartbeat(&vm, 1, &[]);
+    session.leaving = true;
+    session.heartbeat(&vm, 1, &[]);
+    session.leaving = false;
+    session.submit(job("night", 1, 2));
+    session.advance(SECOND);
+    let late = session.heartbeat(&vm, 1, &[]);
+    assert_eq!(started_runs(&late.orders), Vec::<String>::new());
+
+    let vm = restarted(&vm);
+    session.heartbeat(&vm, 0, &[]);
+    session.heartbeat(&vm, 1, &[]);
+    session.advance(SECOND);
+    let answer = session.heartbeat(&vm, 1, &[]);
+    assert_eq!(
+        started_runs(&answer.orders),
+        [run("night", 0, 1).to_string()]
+    );
+}
+
 #[test]
 fn late_end_of_an_older_attempt_is_ignored() {
     let mut session = Session::start(both_zones_in());
