--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -28,6 +28,7 @@
     SteadyClock,
     edge::{Codec, HttpResponse, WorkerApi, WorkerCall},
     http1::{self, DEFAULT_LIMITS, ReceivedRequest, ServerSetup},
+    metrics::{self, AgentMetrics},
     secret,
 };
 
@@ -48,6 +49,8 @@
     pub internal_address: SocketAddr,
     /// The durations on which owners and agents must agree.
     pub timing: Timing,
+    /// The address of the metrics; `None` if none are served.
+    pub metrics_address: Option<SocketAddr>,
 }
 
 /// How long a stopping agent waits for the leases of an unresponsive worker. They last
@@ -82,6 +85,7 @@
     registration: Mutex<Registration>,
     /// Notified when the key of the agent may have to be written or deleted.
     registration_changed: Event,
+    metrics: AgentMetrics,
 }
 
 impl Shared {
@@ -140,6 +144,7 @@
         poll_wanted: Event::new(),
         registration: Mutex::default(),
         registration_changed: Event::new(),
+        metrics: AgentMetrics::default(),
     });
     let report_server = http1::serve(
         worker_reports,
@@ -162,6 +167,10 @@
         smol::spawn(report_server),
         smol::spawn(serve_owners),
         smol::spawn(polls::run(Arc::clone(&shared))),
+        smol::spawn(metrics::serve(
+            shared.settings.metrics_address,
+            shared.metrics.registry(),
+        )),
     ];
     Ok(Agent { shared, running })
 }
@@ -355,6 +364,8 @@
         }
     };
     let result = shared.api.start(&orders.incarnation, start, grant).await;
+    let took = shared.clock.now().since(now);
+    shared.metrics.record_order("start", result, took);
     shared.agent_state().settle_start(&start.key, result);
     if result == OrderResult::Done {
         let percent = shared.agent_state().record_start(start);
@@ -385,7 +396,10 @@
     key: &RunKey,
     epoch: u64,
 ) -> OrderResult {
+    let sent_at = shared.clock.now();
     let result = shared.api.stop(incarnation, key, epoch).await;
+    let took = shared.clock.now().since(sent_at);
+    shared.metrics.record_order("stop", result, took);
     shared.agent_state().settle_stop(key, result);
     if result != OrderResult::Done {
         tracing::info!(task = %key.task, run = key.run, ?result, "stop not confirmed by the worker");
--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -35,6 +35,7 @@
 mod submit;
 mod term;
 
+use crate::metrics::{self, EntryMetrics};
 use index::Index;
 use term::Term;
 
@@ -57,6 +58,8 @@
     pub cpu_milli: Option<u64>,
     /// The durations on which owners and agents must agree.
     pub timing: Timing,
+    /// The address of the metrics; `None` if none are served.
+    pub metrics_address: Option<SocketAddr>,
 }
 
 /// How long the load balancer may take to notice that an entry is not ready: it checks
@@ -103,6 +106,7 @@
     secrets: Mutex<Option<Secrets>>,
     /// Notified when the owner may have changed or the entry stops.
     owner_changed: Event,
+    metrics: EntryMetrics,
 }
 
 impl Shared {
@@ -122,6 +126,7 @@
     }
 
     fn set_term(&self, term: Option<Arc<Term>>) {
+        self.metrics.set_owner(term.is_some());
         *self.term.lock().unwrap_or_else(PoisonError::into_inner) = term;
     }
 
@@ -188,6 +193,7 @@
         stopping: AtomicBool::new(false),
         secrets: Mutex::new(None),
         owner_changed: Event::new(),
+        metrics: EntryMetrics::default(),
     });
     let (stop_clients, stop) = async_channel::bounded::<()>(1);
     let for_clients = Arc::clone(&shared);
@@ -224,6 +230,10 @@
         smol::spawn(balancer),
         smol::spawn(follow::operator_items(Arc::clone(&shared))),
         smol::spawn(follow::own_keys(Arc::clone(&shared))),
+        smol::spawn(metrics::serve(
+            shared.settings.metrics_address,
+            shared.metrics.registry(),
+        )),
     ];
     Ok(Entry {
         shared,
--- a/components/stepd/src/entry/calls.rs
+++ b/components/stepd/src/entry/calls.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::StatusCode;
+use http::{Method, StatusCode};
 use kernel::JobName;
 use steps::JobState;
 
@@ -18,8 +18,11 @@
 
 /// Handles a call of a client.
 pub(super) async fn answer(shared: Arc<Shared>, arrived: ReceivedRequest) -> HttpResponse {
+    let arrived_at = shared.clock.now();
+    let mut method = Method::default();
     let reply = match arrived {
         ReceivedRequest::Complete(head, body) => {
+            method = head.method.clone();
             let reply = handle_call(&shared, &head, &body).await;
             if let ClientReply::Unavailable { reason, .. } | ClientReply::OutcomeUnknown(reason) =
                 &reply
@@ -36,7 +39,10 @@
         ReceivedRequest::TooLarge => ClientReply::TooLarge,
         ReceivedRequest::Incomplete => ClientReply::Malformed("the body did not arrive".to_owned()),
     };
-    shared.codec.encode_client_reply(&reply)
+    let resp = shared.codec.encode_client_reply(&reply);
+    let took = shared.clock.now().since(arrived_at);
+    shared.metrics.record_call(&method, resp.status(), took);
+    resp
 }
 
 /// Answers the readiness check of the load balancer.
--- a/components/stepd/src/entry/load.rs
+++ b/components/stepd/src/entry/load.rs
@@ -5,6 +5,8 @@
 
 use steps::{Owner, owner::WorkCounts};
 
+use crate::metrics::EntryMetrics;
+
 /// The interval between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -27,13 +29,14 @@
     }
 
     /// Records by how much a timer was late, and logs the load once in a while.
-    pub(super) fn tick(&mut self, late_by: Duration, owner: &Owner) {
+    pub(super) fn tick(&mut self, late_by: Duration, owner: &Owner, metrics: &EntryMetrics) {
         self.max_delay = self.max_delay.max(late_by);
         let span = self.reported_at.elapsed();
         if span < REPORT_INTERVAL {
             return;
         }
         let (before, work, backlog) = (self.reported_work, owner.work(), owner.backlog());
+        metrics.record_owner(work, &backlog);
         tracing::info!(
             epoch = owner.epoch(),
             span_ms = millis(span),
@@ -41,6 +44,7 @@
             events_ms = millis(work.event_time - before.event_time),
             passes = work.passes - before.passes,
             passes_ms = millis(work.pass_time - before.pass_time),
+            jobs_visited = work.jobs_visited - before.jobs_visited,
             workers_examined = work.workers_examined - before.workers_examined,
             starts_ordered = work.starts_ordered - before.starts_ordered,
             starts_late = work.starts_late - before.starts_late,
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -115,7 +115,7 @@
     let serving = async {
         load_jobs(shared, &term).await;
         let journal = smol::spawn(journal::run(Arc::clone(&term)));
-        let ticking = smol::spawn(tick(Arc::clone(&term)));
+        let ticking = smol::spawn(tick(Arc::clone(shared), Arc::clone(&term)));
         let passing = smol::spawn(run_delayed_passes(Arc::clone(&term)));
         let comparing = smol::spawn(candidacy::step_down_when_smaller(
             Arc::clone(shared),
@@ -249,14 +249,14 @@
     Ok(kvs)
 }
 
-async fn tick(term: Arc<Term>) {
+async fn tick(shared: Arc<Shared>, term: Arc<Term>) {
     let mut load = LoadMeter::new();
     loop {
         let due_at = Instant::now() + TICK_INTERVAL;
         smol::Timer::at(due_at).await;
         let late_by = due_at.elapsed();
         term.handle(Event::Tick);
-        load.tick(late_by, &term.owner());
+        load.tick(late_by, &term.owner(), &shared.metrics);
         let departed = term.owner().take_departed();
         for vm in departed {
             term.remove_agent(&vm);
--- a/components/stepd/src/lib.rs
+++ b/components/stepd/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod http1;
 pub mod keys;
+mod metrics;
 mod secret;
 mod time;
 
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -227,6 +227,14 @@
         self.epoch
     }
 
+    /// Number of runs that the worker has listed last, and whether it answers polls.
+    #[must_use]
+    pub const fn worker_state(&self) -> (usize, bool) {
+        let is_responsive =
+            self.worker.is_some() && self.unanswered_polls < UNRESPONSIVE_AFTER_POLLS;
+        (self.running.len(), is_responsive)
+    }
+
     /// Whether there are run ends whose records are not known to be durable.
     #[must_use]
     pub fn has_unrecorded_ends(&self) -> bool {
@@ -759,8 +767,7 @@
             epoch: self.epoch,
             confirmed_epoch: self.confirmed_epoch,
             worker: self.worker.clone(),
-            worker_responsive: self.worker.is_some()
-                && self.unanswered_polls < UNRESPONSIVE_AFTER_POLLS,
+            worker_responsive: self.worker_state().1,
             leases_expired,
             clock_reading,
             poll: self.last_applied_poll,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -63,14 +63,32 @@
             "Run jobs of steps on the users' platform, with the settings that it provides",
         )
     };
+    let metrics_port = || {
+        Arg::new("metrics-port")
+            .long("metrics-port")
+            .value_name("PORT")
+            .value_parser(clap::value_parser!(u16).range(1..))
+            .requires("platform")
+            .help(
+                "Serve metrics at /metrics on this port; without --platform the settings say where",
+            )
+    };
     [
         Command::new("entry")
             .about("Run an entry: callers' and operators' HTTP, routing, placement")
-            .args([settings("The settings of the entry"), platform()])
+            .args([
+                settings("The settings of the entry"),
+                platform(),
+                metrics_port(),
+            ])
             .after_help("Example:\n  hemlockmoor entry --settings /etc/hemlockmoor/entry.toml"),
         Command::new("agent")
             .about("Run an agent on the same VM as an endpoint or a worker")
-            .args([settings("The settings of the agent"), platform()])
+            .args([
+                settings("The settings of the agent"),
+                platform(),
+                metrics_port(),
+            ])
             .after_help("Example:\n  hemlockmoor agent --settings /etc/hemlockmoor/agent.toml"),
         Command::new("dev")
             .about("Run the whole system in one process, with stand-ins for the platform")
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -10,7 +10,7 @@
 
 pub(super) fn run(matches: &ArgMatches) -> Result<(), CommandError> {
     if matches.get_flag("platform") {
-        return platform::run_agent();
+        return platform::run_agent(matches.get_one("metrics-port").copied());
     }
     let settings = load_agent(daemon_settings(matches)?)?;
     let secrets = read_secrets(&settings.secret_file)?;
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -12,7 +12,7 @@
 
 pub(super) fn run(matches: &ArgMatches) -> Result<(), CommandError> {
     if matches.get_flag("platform") {
-        return platform::run_entry();
+        return platform::run_entry(matches.get_one("metrics-port").copied());
     }
     let settings = load_entry(daemon_settings(matches)?)?;
     let secrets = EntrySecrets {
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -11,16 +11,16 @@
 
 use crate::failure::CommandError;
 
-pub(super) fn run_entry() -> Result<(), CommandError> {
+pub(super) fn run_entry(metrics_port: Option<u16>) -> Result<(), CommandError> {
     let settings = settings::load().map_err(CommandError::not_run)?;
     let logs = observe::logs::init();
-    smol::block_on(serve_entry(settings).or(report_dropped_lines(&logs)))
+    smol::block_on(serve_entry(settings, metrics_port).or(report_dropped_lines(&logs)))
 }
 
-pub(super) fn run_agent() -> Result<(), CommandError> {
+pub(super) fn run_agent(metrics_port: Option<u16>) -> Result<(), CommandError> {
     let settings = settings::load().map_err(CommandError::not_run)?;
     let logs = observe::logs::init();
-    smol::block_on(serve_agent(settings).or(report_dropped_lines(&logs)))
+    smol::block_on(serve_agent(settings, metrics_port).or(report_dropped_lines(&logs)))
 }
 
 async fn report_dropped_lines(logs: &observe::logs::LogGuard) -> Result<(), CommandError> {
@@ -28,8 +28,13 @@
     Ok(())
 }
 
-async fn serve_entry(settings: PlatformSettings) -> Result<(), CommandError> {
-    let entry_settings = settings.entry().map_err(CommandError::not_run)?;
+async fn serve_entry(
+    settings: PlatformSettings,
+    metrics_port: Option<u16>,
+) -> Result<(), CommandError> {
+    let entry_settings = settings
+        .entry(metrics_port)
+        .map_err(CommandError::not_run)?;
     tracing::info!(
         entry = %entry_settings.name,
         clients = %entry_settings.client_address,
@@ -45,8 +50,13 @@
     Ok(())
 }
 
-async fn serve_agent(settings: PlatformSettings) -> Result<(), CommandError> {
-    let agent_settings = settings.agent().map_err(CommandError::not_run)?;
+async fn serve_agent(
+    settings: PlatformSettings,
+    metrics_port: Option<u16>,
+) -> Result<(), CommandError> {
+    let agent_settings = settings
+        .agent(metrics_port)
+        .map_err(CommandError::not_run)?;
     let worker = settings.worker().map_err(CommandError::not_run)?;
     tracing::info!(vm = %agent_settings.vm, %worker, version = VERSION, "starting");
     let agent = stepd::agent::start(
