A restarted owner releases the key of its earlier process

Change: an entry that starts and finds the key of its own name and address revokes its lease and campaigns at once, with a new epoch. It listens on the ports of that process, so that process is gone; late writes compare the epoch, late orders are settled as after any other owner.

--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -23,8 +23,12 @@
     let secrets = secret::obtain(&*shared.store).await;
     shared.set_secrets(secrets.clone());
     let serving = smol::spawn(serve_entries(Arc::clone(&shared), secrets.clone()));
+    let mut is_first = true;
     while !shared.is_stopping() {
-        wait_for_vacancy(&shared).await;
+        let releases_own_key = std::mem::take(&mut is_first) && release_own_key(&shared).await;
+        if !releases_own_key {
+            wait_for_vacancy(&shared).await;
+        }
         if shared.is_stopping() {
             break;
         }
@@ -47,6 +51,53 @@
     }
 }
 
+/// Releases the key of the owner if the earlier process of this entry wrote it, and returns
+/// whether it did. That process is gone, since this one listens on its ports, so nobody has
+/// to wait until the key expires. What it ordered is settled as after any other owner.
+async fn release_own_key(shared: &Shared) -> bool {
+    loop {
+        let changed = shared.owner_changed.listen();
+        if shared.is_stopping() {
+            return false;
+        }
+        if shared.index().is_loaded && shared.config.load().is_some() {
+            break;
+        }
+        let timer = async {
+            smol::Timer::after(CHECK_INTERVAL).await;
+        };
+        changed.or(timer).await;
+    }
+    let found = match shared.store.range(KeyRange::one(keys::OWNER), 1).await {
+        Ok(found) => found.kvs.into_iter().next(),
+        Err(error) => {
+            tracing::info!(%error, "can't read whether an earlier process of this entry owned the jobs");
+            return false;
+        }
+    };
+    let Some(kv) = found else {
+        return false;
+    };
+    let record: Option<OwnerRecord> = serde_json::from_slice(&kv.value).ok();
+    let settings = &shared.settings;
+    let is_own = record.is_some_and(|record| {
+        record.entry == settings.name && record.address == settings.internal_address
+    });
+    let Some(lease) = kv.lease.filter(|_| is_own) else {
+        return false;
+    };
+    match shared.store.revoke(lease).await {
+        Ok(()) => {
+            tracing::info!("key of this entry's earlier process released; it owned the jobs");
+            true
+        }
+        Err(error) => {
+            tracing::info!(%error, "can't release the key of this entry's earlier process; it lasts until it expires");
+            false
+        }
+    }
+}
+
 async fn wait_for_vacancy(shared: &Shared) {
     loop {
         let changed = shared.owner_changed.listen();
