--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -12,10 +12,10 @@
 use arc_swap::ArcSwapOption;
 use event_listener::Event;
 use futures_lite::{FutureExt, future::zip};
-use kernel::{EntryName, Time, secret::Secrets};
+use kernel::{EntryName, secret::Secrets};
 use observe::{ListenError, listen};
 use smol::Task;
-use steps::{Candidacy, Config, Timing};
+use steps::{Candidacy, Config, Timing, contact::StoreContact};
 use store::Store;
 
 use crate::{
@@ -65,9 +65,6 @@
 /// How long the load balancer may take to notice that an entry is not ready: it checks
 /// once a second and acts on the second result.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_300);
-/// The entry is not ready after this time without a reply of the store, so that the
-/// load balancer sends clients to other entries.
-const STORE_UNREACHABLE_AFTER: Duration = Duration::from_millis(2_500);
 /// The maximum number of open connections from the load balancer.
 const MAX_READINESS_CONNECTIONS: usize = 64;
 
@@ -99,8 +96,7 @@
     candidacy: Mutex<Candidacy>,
     /// The current term; `None` while this entry does not own the jobs.
     term: Mutex<Option<Arc<Term>>>,
-    /// Time of the last reply of the store to a follower.
-    last_store_reply: Mutex<Time>,
+    store_contact: Mutex<StoreContact>,
     stopping: AtomicBool,
     /// The secret of all entries and agents; `None` until it has been read from the store.
     secrets: Mutex<Option<Secrets>>,
@@ -141,19 +137,18 @@
 
     fn record_store_reply(&self) {
         let now = self.clock.now();
-        *self
-            .last_store_reply
+        let mut contact = self
+            .store_contact
             .lock()
-            .unwrap_or_else(PoisonError::into_inner) = now;
+            .unwrap_or_else(PoisonError::into_inner);
+        contact.record_reply(now);
     }
 
-    /// Returns whether the store has replied within [`STORE_UNREACHABLE_AFTER`].
-    fn is_store_reachable(&self) -> bool {
-        let last_reply = *self
-            .last_store_reply
+    fn store_contact(&self) -> StoreContact {
+        *self
+            .store_contact
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        !(last_reply + STORE_UNREACHABLE_AFTER).passed(self.clock.now())
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn is_stopping(&self) -> bool {
@@ -162,7 +157,9 @@
 
     /// Returns whether the load balancer should send clients to this entry.
     fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.config.load().is_some() && self.is_store_reachable()
+        !self.is_stopping()
+            && self.config.load().is_some()
+            && self.store_contact().is_reachable(self.clock.now())
     }
 }
 
@@ -189,7 +186,7 @@
         index: Mutex::default(),
         candidacy: Mutex::new(candidacy),
         term: Mutex::new(None),
-        last_store_reply: Mutex::new(Time::ZERO),
+        store_contact: Mutex::default(),
         stopping: AtomicBool::new(false),
         secrets: Mutex::new(None),
         owner_changed: Event::new(),
--- a/components/stepd/src/entry/submit.rs
+++ b/components/stepd/src/entry/submit.rs
@@ -125,6 +125,7 @@
     shared: &Shared,
     name: &JobName,
 ) -> Result<Option<JobState>, StoreError> {
+    check_contact(shared)?;
     let mut kvs = Vec::new();
     // One transaction deletes the key of a job and creates the record of its end, so
     // reading in this order finds at least one of them.
@@ -143,6 +144,17 @@
     Ok(job.map(super::index::IndexedJob::state))
 }
 
+/// Refuses a call at once if the store has been silent for too long to be tried.
+fn check_contact(shared: &Shared) -> Result<(), StoreError> {
+    match shared.store_contact().silence(shared.clock.now()) {
+        None => Ok(()),
+        Some(silence) => Err(StoreError::not_run(format!(
+            "the store has not replied for {} ms; another entry may reach it",
+            silence.as_millis()
+        ))),
+    }
+}
+
 /// Creates a key unless it or one of `others` exists. If an answer is lost, sends the same
 /// transaction again: it only creates the key, so it takes effect at most once.
 async fn create(
@@ -152,6 +164,9 @@
     value: Vec<u8>,
     deadline: Option<Duration>,
 ) -> CreateOutcome {
+    if let Err(error) = check_contact(shared) {
+        return CreateOutcome::NotCreated(error);
+    }
     let give_up_at =
         shared.clock.now() + deadline.unwrap_or(DEFAULT_DEADLINE).mul_f64(WRITE_FRACTION);
     let mut txn = Txn {
@@ -167,8 +182,12 @@
     let mut may_have_run = false;
     loop {
         let error = match shared.store.txn(txn.clone()).await {
-            Ok(reply) if reply.succeeded => return CreateOutcome::Created,
+            Ok(reply) if reply.succeeded => {
+                shared.record_store_reply();
+                return CreateOutcome::Created;
+            }
             Ok(reply) => {
+                shared.record_store_reply();
                 if reply.otherwise.iter().any(|kvs| !kvs.is_empty()) {
                     return CreateOutcome::AlreadyExisted;
                 }
--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod agent;
 pub mod candidacy;
 pub mod config;
+pub mod contact;
 pub mod interference;
 pub mod job;
 pub mod listing;
