--- a/components/agent/src/proxy_metrics.rs
+++ b/components/agent/src/proxy_metrics.rs
@@ -3,23 +3,14 @@
 use std::time::Duration;
 
 use kernel::{EndpointLoad, ServiceName};
+use observe::latency_histogram;
 use prometheus_client::{
     encoding::EncodeLabelSet,
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
-    },
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
 use proto::messages::{ForwardOutcome, Refusal};
 
-/// The upper edge of the first latency bucket, in seconds.
-const FIRST_BUCKET_SECONDS: f64 = 0.001;
-/// The number of latency buckets, each twice as wide as the one before.
-const LATENCY_BUCKETS: u16 = 14;
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabels {
     service: String,
@@ -52,14 +43,6 @@
     }
 }
 
-fn latency_histogram() -> Histogram {
-    Histogram::new(exponential_buckets(
-        FIRST_BUCKET_SECONDS,
-        2.0,
-        LATENCY_BUCKETS,
-    ))
-}
-
 fn labels(service: &ServiceName) -> ServiceLabels {
     ServiceLabels {
         service: service.to_string(),
--- a/components/entry/src/caller_accounts.rs
+++ b/components/entry/src/caller_accounts.rs
@@ -11,25 +11,17 @@
 use kernel::{
     Amount, AvailabilityZoneName, Cause, DurationClass, Event, EventKind, Party, ServiceName, Time,
 };
+use observe::latency_histogram;
 use prometheus_client::{
     encoding::EncodeLabelSet,
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
-    },
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
 use route::{Tally, TallyKind};
 
 use crate::caller::InForce;
 
-/// The upper edge of the first latency bucket, in seconds.
-const FIRST_BUCKET_SECONDS: f64 = 0.001;
 const MICROS_PER_MILLI: u64 = 1000;
-/// The number of latency buckets, each twice as wide as the one before.
-const LATENCY_BUCKETS: u16 = 14;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct SumKey {
@@ -76,14 +68,6 @@
     }
 }
 
-fn latency_histogram() -> Histogram {
-    Histogram::new(exponential_buckets(
-        FIRST_BUCKET_SECONDS,
-        2.0,
-        LATENCY_BUCKETS,
-    ))
-}
-
 impl RequestAccounts {
     pub(crate) fn new(sink: Arc<dyn Fn(Event) + Send + Sync>, registry: &mut Registry) -> Self {
         let accounts = Self {
--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -78,11 +78,14 @@
     let Some(kv) = found else {
         return false;
     };
-    let record: Option<OwnerRecord> = serde_json::from_slice(&kv.value).ok();
     let settings = &shared.settings;
-    let is_own = record.is_some_and(|record| {
-        record.entry == settings.name && record.address == settings.internal_address
-    });
+    let is_own = match serde_json::from_slice::<OwnerRecord>(&kv.value) {
+        Ok(record) => record.entry == settings.name && record.address == settings.internal_address,
+        Err(error) => {
+            tracing::error!(%error, "can't decode the key of the owner; waiting until it expires");
+            false
+        }
+    };
     let Some(lease) = kv.lease.filter(|_| is_own) else {
         return false;
     };
--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -15,15 +15,10 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
-use observe::listen;
+use observe::{latency_histogram, listen};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
-    },
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
 use steps::{
@@ -42,10 +37,6 @@
 const PREFIX: &str = "hemlockmoor_steps";
 /// Content type of the OpenMetrics text format.
 const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-/// The upper edge of the first latency bucket, in seconds.
-const FIRST_BUCKET_SECONDS: f64 = 0.001;
-/// The number of latency buckets, each twice as wide as the one before.
-const LATENCY_BUCKETS: u16 = 13;
 /// The maximum number of open connections: a few collectors.
 const MAX_CONNECTIONS: usize = 8;
 
@@ -71,14 +62,6 @@
     order: &'static str,
 }
 
-fn latency_histogram() -> Histogram {
-    Histogram::new(exponential_buckets(
-        FIRST_BUCKET_SECONDS,
-        2.0,
-        LATENCY_BUCKETS,
-    ))
-}
-
 /// The metrics of an entry.
 #[derive(Clone, Debug)]
 pub(crate) struct EntryMetrics {
