Gathered log lines are written in calls that a pipe takes as a whole

Ruled out: the writer itself; natively, through a pipe, all 25,943 lines of the example arrive whole.

Change: a call holds whole lines of at most 4,096 bytes together (a longer line goes alone).

--- a/components/observe/src/logs.rs
+++ b/components/observe/src/logs.rs
@@ -19,8 +19,9 @@
 const QUEUE_LINES: usize = 4_096;
 /// How long lines gather. At most this much of the log is lost if the process is killed.
 const GATHER_TIME: Duration = Duration::from_millis(20);
-/// Bytes that are written in one call.
-const BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes that are written in one call at most, but for a longer line: a pipe takes as many
+/// as a whole, and what reads it may take less of a larger call.
+const CALL_BYTES: usize = 4_096;
 /// Interval between two reports of dropped lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -96,7 +97,7 @@
     /// Returns a writer to this output.
     pub fn new(output: W) -> Self {
         Self {
-            output: BufWriter::with_capacity(BUFFER_BYTES, output),
+            output: BufWriter::with_capacity(CALL_BYTES, output),
         }
     }
 }
