Read again: a listed run isn't stopped, time to stop from the settings, tests that need the fix

- Cause: an owner stopped runs that were listed as unsettled before it adopted those that are listed as running, so a run whose start was being sent again was given up.
Change: runs are adopted first.
Test: a_run_that_is_listed_goes_on_though_a_repeat_of_its_start_is_ unsettled, failed before.
The loop that decided and acted at once is split.
- Tables for the registration of metrics; two accessors instead of a pair of values.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -49,13 +49,12 @@
     pub internal_address: SocketAddr,
     /// The durations on which owners and agents must agree.
     pub timing: Timing,
+    /// The maximum duration of a graceful stop.
+    pub stop_timeout: Duration,
     /// The address of the metrics; `None` if none are served.
     pub metrics_address: Option<SocketAddr>,
 }
 
-/// How long a stopping agent waits for the leases of an unresponsive worker. They last
-/// 4.4 s at most, and users kill a process after 6 s.
-const STOP_TIMEOUT: Duration = Duration::from_millis(5_200);
 /// How often a stopping agent checks whether it still has to wait.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -184,13 +183,17 @@
     /// and removes its key.
     pub async fn stop(self) {
         let withdrawn = async {
-            while self.has_to_wait() {
+            while self.shared.agent_state().awaits_lease_expiry() {
                 smol::Timer::after(STOP_CHECK_INTERVAL).await;
             }
+            self.withdraw_if_worker_lost().await;
         };
         let timed_out = async {
-            smol::Timer::after(STOP_TIMEOUT).await;
-            tracing::warn!("stopping before all leases of the worker have expired");
+            smol::Timer::after(self.shared.settings.stop_timeout).await;
+            tracing::warn!(
+                vm = %self.shared.settings.vm,
+                "stopping before the key of the agent was removed; the next owner waits for this VM"
+            );
         };
         withdrawn.or(timed_out).await;
         for task in self.running {
@@ -200,19 +203,16 @@
 }
 
 impl Agent {
-    /// Whether the agent must not stop yet. Starts the removal of the key once nothing can
-    /// run on the VM.
-    fn has_to_wait(&self) -> bool {
-        let shared = &self.shared;
-        if shared.agent_state().awaits_lease_expiry() {
-            return true;
+    /// Removes the key of the agent if nothing can run on the VM, and waits until a removal
+    /// that is under way is confirmed.
+    async fn withdraw_if_worker_lost(&self) {
+        if self.shared.agent_state().has_lost_worker() {
+            self.shared.registration().worker_left();
+            self.shared.registration_changed.notify(1);
         }
-        let mut registration = shared.registration();
-        if shared.agent_state().has_lost_worker() {
-            registration.worker_left();
-            shared.registration_changed.notify(1);
+        while self.shared.registration().is_urgent() {
+            smol::Timer::after(STOP_CHECK_INTERVAL).await;
         }
-        registration.is_urgent()
     }
 }
 
--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -108,8 +108,7 @@
             }
         }
     };
-    let (runs, is_responsive) = shared.agent_state().worker_state();
-    shared.metrics.record_worker(runs, is_responsive);
+    shared.metrics.record_worker(&shared.agent_state());
     if shared.agent_state().version() != version_before {
         shared.report_changed.notify(usize::MAX);
     }
--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -25,8 +25,8 @@
     let serving = smol::spawn(serve_entries(Arc::clone(&shared), secrets.clone()));
     let mut is_first = true;
     while !shared.is_stopping() {
-        let releases_own_key = std::mem::take(&mut is_first) && release_own_key(&shared).await;
-        if !releases_own_key {
+        let is_vacated = std::mem::take(&mut is_first) && release_own_key(&shared).await;
+        if !is_vacated {
             wait_for_vacancy(&shared).await;
         }
         if shared.is_stopping() {
--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -6,10 +6,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicI64, AtomicU64},
-    },
+    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -22,6 +19,7 @@
     registry::{Registry, Unit},
 };
 use steps::{
+    AgentState,
     message::OrderResult,
     owner::{Backlog, WorkCounts},
 };
@@ -131,23 +129,26 @@
     pub(crate) fn record_owner(&self, work: WorkCounts, backlog: &Backlog) {
         let counters = &self.owner_work;
         let before = std::mem::replace(&mut *counters.lock(), work);
-        counters.events.inc_by(work.events - before.events);
-        counters.passes.inc_by(work.passes - before.passes);
-        counters
-            .jobs_visited
-            .inc_by(work.jobs_visited - before.jobs_visited);
-        counters
-            .workers_examined
-            .inc_by(work.workers_examined - before.workers_examined);
-        counters
-            .starts
-            .inc_by(work.starts_ordered - before.starts_ordered);
-        counters
-            .late_starts
-            .inc_by(work.starts_late - before.starts_late);
-        counters
-            .lapsed_runs
-            .inc_by(work.runs_lapsed - before.runs_lapsed);
+        let counts = [
+            (&counters.events, work.events, before.events),
+            (&counters.passes, work.passes, before.passes),
+            (
+                &counters.jobs_visited,
+                work.jobs_visited,
+                before.jobs_visited,
+            ),
+            (
+                &counters.workers_examined,
+                work.workers_examined,
+                before.workers_examined,
+            ),
+            (&counters.starts, work.starts_ordered, before.starts_ordered),
+            (&counters.late_starts, work.starts_late, before.starts_late),
+            (&counters.lapsed_runs, work.runs_lapsed, before.runs_lapsed),
+        ];
+        for (counter, now, before) in counts {
+            counter.inc_by(now - before);
+        }
         let spent = |now: Duration, before: Duration| now.saturating_sub(before).as_secs_f64();
         counters
             .event_time
@@ -159,9 +160,6 @@
     }
 
     fn set_backlog(&self, backlog: &Backlog) {
-        let set = |gauge: &Gauge<i64, AtomicI64>, value: usize| {
-            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
-        };
         set(&self.open_jobs, backlog.open_jobs);
         set(&self.unanswered_starts, backlog.unanswered_starts);
         set(&self.start_window, backlog.start_window);
@@ -179,58 +177,71 @@
             Unit::Seconds,
             self.call_latency.clone(),
         );
-        registry.register("owner", "Owns the jobs", self.owns_jobs.clone());
-        registry.register("owner_open_jobs", "Open jobs", self.open_jobs.clone());
-        registry.register(
-            "owner_unanswered_starts",
-            "Start orders without a reply",
-            self.unanswered_starts.clone(),
-        );
-        registry.register(
-            "owner_start_window",
-            "Limit of the start orders without a reply",
-            self.start_window.clone(),
-        );
-        registry.register(
-            "owner_unreachable_vms",
-            "VMs whose agents do not answer",
-            self.unreachable_vms.clone(),
-        );
-        registry.register("owner_events", "Events handled", work.events.clone());
-        registry.register("owner_passes", "Scheduling passes", work.passes.clone());
-        registry.register(
-            "owner_jobs_visited",
-            "Jobs visited by scheduling passes",
-            work.jobs_visited.clone(),
-        );
-        registry.register(
-            "owner_workers_examined",
-            "Workers examined to place tasks",
-            work.workers_examined.clone(),
-        );
-        registry.register("owner_starts", "Start orders given", work.starts.clone());
-        registry.register(
-            "owner_late_starts",
-            "Start orders that reached an agent after their deadline",
-            work.late_starts.clone(),
-        );
-        registry.register(
-            "owner_lapsed_runs",
-            "Runs whose lease expired on a worker that the owner could reach",
-            work.lapsed_runs.clone(),
-        );
-        registry.register_with_unit(
-            "owner_event_time",
-            "Time spent on events, without scheduling passes",
-            Unit::Seconds,
-            work.event_time.clone(),
-        );
-        registry.register_with_unit(
-            "owner_pass_time",
-            "Time spent on scheduling passes",
-            Unit::Seconds,
-            work.pass_time.clone(),
-        );
+        let gauges = [
+            ("owner", "Owns the jobs", &self.owns_jobs),
+            ("owner_open_jobs", "Open jobs", &self.open_jobs),
+            (
+                "owner_unanswered_starts",
+                "Start orders without a reply",
+                &self.unanswered_starts,
+            ),
+            (
+                "owner_start_window",
+                "Limit of the start orders without a reply",
+                &self.start_window,
+            ),
+            (
+                "owner_unreachable_vms",
+                "VMs whose agents do not answer",
+                &self.unreachable_vms,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        let counters = [
+            ("owner_events", "Events handled", &work.events),
+            ("owner_passes", "Scheduling passes", &work.passes),
+            (
+                "owner_jobs_visited",
+                "Jobs visited by scheduling passes",
+                &work.jobs_visited,
+            ),
+            (
+                "owner_workers_examined",
+                "Workers examined to place tasks",
+                &work.workers_examined,
+            ),
+            ("owner_starts", "Start orders given", &work.starts),
+            (
+                "owner_late_starts",
+                "Start orders that reached an agent after their deadline",
+                &work.late_starts,
+            ),
+            (
+                "owner_lapsed_runs",
+                "Runs whose lease expired on a worker that the owner could reach",
+                &work.lapsed_runs,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        let times = [
+            (
+                "owner_event_time",
+                "Time spent on events, without scheduling passes",
+                &work.event_time,
+            ),
+            (
+                "owner_pass_time",
+                "Time spent on scheduling passes",
+                &work.pass_time,
+            ),
+        ];
+        for (name, help, time) in times {
+            registry.register_with_unit(name, help, Unit::Seconds, time.clone());
+        }
         registry
     }
 }
@@ -278,9 +289,10 @@
     }
 
     /// Records what a poll of the worker has shown.
-    pub(crate) fn record_worker(&self, runs: usize, is_responsive: bool) {
-        self.runs.set(i64::try_from(runs).unwrap_or(i64::MAX));
-        self.is_worker_responsive.set(i64::from(is_responsive));
+    pub(crate) fn record_worker(&self, agent_state: &AgentState) {
+        set(&self.runs, agent_state.run_count());
+        let is_responsive = i64::from(agent_state.is_worker_responsive());
+        self.is_worker_responsive.set(is_responsive);
     }
 
     /// Returns a registry with all metrics.
@@ -303,6 +315,10 @@
     }
 }
 
+fn set(gauge: &Gauge, value: usize) {
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+}
+
 fn known_method(method: &Method) -> &'static str {
     match *method {
         Method::GET => "GET",
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -227,12 +227,16 @@
         self.epoch
     }
 
-    /// Number of runs that the worker has listed last, and whether it answers polls.
+    /// Number of runs that the worker has listed last.
     #[must_use]
-    pub const fn worker_state(&self) -> (usize, bool) {
-        let is_responsive =
-            self.worker.is_some() && self.unanswered_polls < UNRESPONSIVE_AFTER_POLLS;
-        (self.running.len(), is_responsive)
+    pub const fn run_count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Whether there is a worker and it answers polls.
+    #[must_use]
+    pub const fn is_worker_responsive(&self) -> bool {
+        self.worker.is_some() && self.unanswered_polls < UNRESPONSIVE_AFTER_POLLS
     }
 
     /// Whether there are run ends whose records are not known to be durable.
@@ -620,17 +624,13 @@
     /// Whether the worker does not answer and may still run tasks.
     #[must_use]
     pub const fn awaits_lease_expiry(&self) -> bool {
-        self.worker.is_some()
-            && self.unanswered_polls >= UNRESPONSIVE_AFTER_POLLS
-            && !self.leases_expired
+        self.worker.is_some() && !self.is_worker_responsive() && !self.leases_expired
     }
 
     /// Whether the worker does not answer and all of its leases have expired.
     #[must_use]
     pub const fn has_lost_worker(&self) -> bool {
-        self.worker.is_some()
-            && self.unanswered_polls >= UNRESPONSIVE_AFTER_POLLS
-            && self.leases_expired
+        self.worker.is_some() && !self.is_worker_responsive() && self.leases_expired
     }
 
     /// Checks whether a start order may be sent to the worker now. Returns the lease
@@ -767,7 +767,7 @@
             epoch: self.epoch,
             confirmed_epoch: self.confirmed_epoch,
             worker: self.worker.clone(),
-            worker_responsive: self.worker_state().1,
+            worker_responsive: self.is_worker_responsive(),
             leases_expired,
             clock_reading,
             poll: self.last_applied_poll,
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -92,7 +92,7 @@
         true
     }
 
-    pub(super) fn record_duration(&mut self, millis: u64) {
+    fn record_duration(&mut self, millis: u64) {
         let place = self
             .durations_millis
             .partition_point(|&known| known <= millis);
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -279,9 +279,6 @@
         for row in &report.running {
             self.apply_active_run(now, name, row);
         }
-        for key in &report.unsettled {
-            self.stop_unsettled(now, name, key);
-        }
         let Some(vm) = self.vms.get(name) else {
             return;
         };
@@ -308,6 +305,10 @@
         for key in unknown {
             self.adopt(now, name, &key);
         }
+        // A start that was sent again may be listed as running, and is adopted then.
+        for key in &report.unsettled {
+            self.stop_unsettled(now, name, key);
+        }
         for key in gone {
             self.drop_lost_run(now, name, &key, "not listed by the worker any more");
         }
--- a/components/steps/tests/backlog.rs
+++ b/components/steps/tests/backlog.rs
@@ -12,7 +12,8 @@
 use steps::{
     Event, Owner, Step, Timing,
     message::{
-        AgentReport, ClockReading, OrderResult, Orders, OrdersReply, Refusal, RunKey, StartOrder,
+        AgentReport, ClockReading, EndedRun, OrderResult, Orders, OrdersReply, Refusal, RunEnd,
+        RunKey, StartOrder,
     },
 };
 
@@ -41,6 +42,10 @@
 }
 
 fn report(owner: &mut Owner, now: Time, number: usize, version: u64) {
+    report_with(owner, now, number, version, Vec::new());
+}
+
+fn report_with(owner: &mut Owner, now: Time, number: usize, version: u64, ended: Vec<EndedRun>) {
     let worker = worker_info(&format!("w-{number}"), 1);
     let report = Box::new(AgentReport {
         agent_incarnation: 1,
@@ -53,6 +58,7 @@
         }),
         worker: Some(worker),
         worker_responsive: true,
+        ended,
         ..AgentReport::default()
     });
     let vm = vm(number);
@@ -182,9 +188,21 @@
     submit(&mut owner, at(10), 2, large_step(1_000));
     assert_eq!(owner.work().starts_ordered, 1);
     let sent = take_all_orders(&mut owner, at(10));
-    let refused = OrderResult::Refused(Refusal::Room);
-    answer(&mut owner, at(20), sent, refused);
+    let key = starts_of(&sent).remove(0).key;
+    answer(&mut owner, at(20), sent, OrderResult::Done);
     owner.handle(at(400), at(400), Event::Tick);
+    assert_eq!(
+        owner.work().starts_ordered,
+        1,
+        "the first run still holds the room"
+    );
+    let ended = EndedRun {
+        number: 1,
+        key,
+        how: RunEnd::Done,
+        checkpoint: None,
+    };
+    report_with(&mut owner, at(800), 0, 2, vec![ended]);
     assert_eq!(owner.work().starts_ordered, 2);
 }
 
--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -192,6 +192,19 @@
     session.handle(Event::Unreachable(vm(0), failure));
     assert_eq!(polled(&mut session, 0), published, "the poll may be lost");
 
+    session.now = session.now + Duration::from_millis(600);
+    session.report(0, &[run(LIGHT, 0, 0, 1)]);
+    session.report(1, &[]);
+    assert_eq!(
+        polled(&mut session, 0),
+        1,
+        "only the light image has changed"
+    );
+    let failure = PollFailure::default();
+    session.handle(Event::Unreachable(vm(0), failure));
+    let published = polled(&mut session, 0);
+    assert_eq!(published, 2, "both images have a weight");
+
     session.handle(Event::Vm(vm(2)));
     session.handle(Event::Report {
         vm: vm(2),
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -364,6 +364,26 @@
     assert_eq!(session.take_starts(expired_at, 0).len(), 1);
 }
 
+/// A start is sent again because the answer to the first one was lost, though the run is
+/// there and listed; the next owner hears of it as running and as unsettled.
+#[test]
+fn a_run_that_is_listed_goes_on_though_a_repeat_of_its_start_is_unsettled() {
+    let mut session = Session::new(1);
+    session.submit(at(0), JOB, 1);
+    let key = run(JOB, 0, 0, 7);
+    session.report(at(10), 0, |report| {
+        report.running = vec![ActiveRun {
+            key: key.clone(),
+            checkpoint: None,
+            progress_percent: 0,
+            measurement: 500,
+        }];
+        report.unsettled = vec![key.clone()];
+    });
+    assert_eq!(session.owner.take_orders(at(20), &vm(0)), None);
+    assert_eq!(session.owner.runs_of(&job_name(JOB)), [(vm(0), key)]);
+}
+
 /// An owner took over and stopped again within the time in which a poll of a lost VM times
 /// out. Its note left the VM out, so the next owner waited for leases there from its own
 /// start on (day machines-stopped, Brenes seed 2559395759, Diagne seed 348422196943).
