Metrics can't end a process; one way to answer as an agent process in the owner's tests

Cause: counts of the owner are differences of two records; a record of an ended term that comes after the next term has begun would make one negative, which ends a debug build and wraps in a release. Only possible with more than one thread for tasks; seen by reading. Change: the difference is at least zero.

--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -125,7 +125,8 @@
         }
     }
 
-    /// Records the work of the owner since the start of its term, and its backlog.
+    /// Records the work of the owner since the start of its term, and its backlog. A late
+    /// record of an ended term may make a count wrong, never the process fail.
     pub(crate) fn record_owner(&self, work: WorkCounts, backlog: &Backlog) {
         let counters = &self.owner_work;
         let before = std::mem::replace(&mut *counters.lock(), work);
@@ -147,7 +148,7 @@
             (&counters.lapsed_runs, work.runs_lapsed, before.runs_lapsed),
         ];
         for (counter, now, before) in counts {
-            counter.inc_by(now - before);
+            counter.inc_by(now.saturating_sub(before));
         }
         let spent = |now: Duration, before: Duration| now.saturating_sub(before).as_secs_f64();
         counters
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -97,6 +97,19 @@
         starts.into_iter().map(|start| start.key).collect()
     }
 
+    /// Answers orders for VM 0 as an agent process whose last poll has this number.
+    fn answer_from(&mut self, now: Time, agent_incarnation: u64, orders: Orders, poll: u64) {
+        let reply = Some(OrdersReply {
+            agent_incarnation,
+            epoch: EPOCH,
+            poll,
+            starts: vec![OrderResult::Done; orders.starts.len()],
+            stops: vec![OrderResult::Done; orders.stops.len()],
+        });
+        let (vm, orders) = (vm(0), Box::new(orders));
+        self.handle(now, Event::OrdersAnswered { vm, orders, reply });
+    }
+
     /// Ends a call with orders.
     fn answer(&mut self, now: Time, number: usize, orders: Orders, is_answered: bool) {
         let reply = is_answered.then(|| OrdersReply {
@@ -396,20 +409,7 @@
     session.report(at(10), 0, |_| ());
     let orders = session.owner.take_orders(at(20), &vm(0)).unwrap();
     let key = orders.starts[0].key.clone();
-    let reply = Some(OrdersReply {
-        agent_incarnation: 2,
-        epoch: EPOCH,
-        poll: 5,
-        starts: vec![OrderResult::Done],
-        stops: Vec::new(),
-    });
-    let (name, orders) = (vm(0), Box::new(orders));
-    let answered = Event::OrdersAnswered {
-        vm: name,
-        orders,
-        reply,
-    };
-    session.handle(at(30), answered);
+    session.answer_from(at(30), 2, orders, 5);
     let report_poll = |session: &mut Session, now: Time, poll: u64| {
         session.report(now, 0, |report| {
             report.agent_incarnation = 2;
@@ -435,20 +435,7 @@
         report.agent_incarnation = 3;
         report.poll = 1;
     });
-    let reply = Some(OrdersReply {
-        agent_incarnation: 2,
-        epoch: EPOCH,
-        poll: 500,
-        starts: vec![OrderResult::Done],
-        stops: Vec::new(),
-    });
-    let (name, orders) = (vm(0), Box::new(orders));
-    let answered = Event::OrdersAnswered {
-        vm: name,
-        orders,
-        reply,
-    };
-    session.handle(at(40), answered);
+    session.answer_from(at(40), 2, orders, 500);
     session.report(at(50), 0, |report| {
         report.agent_incarnation = 3;
         report.poll = 2;
