Owners replaced one after the other, in virtual time

The simulation of overload.rs moves to tests/common/processor.rs and gets a store, changes of owner with and without a note, loading that costs time, agents that are cut off or lose replies, and a check that no task runs twice. overload.rs checks what it checked: a report handled after its timeout now counts in `late_reports`, which must be 0, instead of ending the run; a poll that is handled late is waited for as long again, as in the product. A call without orders left after stale starts were taken back is skipped, as in the daemon.

takeover.rs: 50 VMs, 20 jobs a second, 60 long-running tasks, 8 changes of owner.

--- a/components/steps/tests/common/mod.rs
+++ b/components/steps/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Shared jobs, configurations and simulations for tests.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod processor;
 pub(crate) mod simulation;
 pub(crate) mod worker;
 
