Log lines: how long a term loads and how long its end goes unserved

Cause: after the fact nothing told how long an owner held its key without calling an agent: the load of the jobs, the last records and the release of the key had no duration, and a slow stop could not be put down to the hand-over or to open calls of clients. Change: `jobs loaded by the new owner` is written after the load, with epoch, failed reads and durations; `giving up ...` has the time of the last records; `this entry no longer owns the jobs` has the time since the last call to agents and whether the jobs were loaded; a new line at the end of a stop has its two parts.

--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -6,7 +6,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
@@ -246,15 +246,23 @@
     /// Stops gracefully: hands the jobs over, waits until the load balancer has noticed,
     /// then accepts no new connections and answers the open requests.
     pub async fn stop(self) {
+        let stop_called_at = Instant::now();
         let stop_timeout = self.shared.settings.stop_timeout;
         self.shared.stopping.store(true, Ordering::Relaxed);
         let graceful = async {
             self.shared.owner_changed.notify(usize::MAX);
             let balancer_noticed = smol::Timer::after(BALANCER_DELAY);
             zip(self.announcing, self.campaign).await;
+            let hand_over_ms = stop_called_at.elapsed().as_millis() as u64;
             balancer_noticed.await;
+            let closed_at = Instant::now();
             let _ = self.stop_clients.send(()).await;
             self.serving.await;
+            tracing::info!(
+                hand_over_ms,
+                open_calls_ms = closed_at.elapsed().as_millis() as u64,
+                "open calls of clients answered"
+            );
         };
         let timed_out = async {
             smol::Timer::after(stop_timeout).await;
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -93,11 +93,12 @@
     let (epoch, timing) = (claim.record.epoch, shared.settings.timing);
     tracing::info!(epoch, "this entry owns the jobs");
     let name = shared.settings.name.clone();
+    let started_at = shared.clock.now();
     let term = Arc::new(Term {
         clock: shared.clock,
         store: Arc::clone(&shared.store),
         secrets,
-        owner: Mutex::new(Owner::new(name, epoch, timing, shared.clock.now())),
+        owner: Mutex::new(Owner::new(name, epoch, timing, started_at)),
         early_updates: Mutex::new(Some(Vec::new())),
         agents: Mutex::default(),
         proved_at: Mutex::new(claim.proved_at),
@@ -132,6 +133,7 @@
     // Without updates the term gets no new agents, so it sends no orders after the note.
     shared.set_term(None);
     term.agents().clear();
+    let last_served = Instant::now();
     let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
     let hands_over = (shared.is_stopping() || is_stepping_down) && !term.is_over();
     if hands_over {
@@ -147,7 +149,14 @@
         shared.candidacy().finish_hand_over(shared.clock.now());
     }
     term.end();
-    tracing::info!(epoch, "this entry no longer owns the jobs");
+    tracing::info!(
+        epoch,
+        hands_over,
+        is_loaded = term.is_loaded(),
+        term_ms = shared.clock.now().since(started_at).as_millis() as u64,
+        unserved_ms = last_served.elapsed().as_millis() as u64,
+        "this entry no longer owns the jobs"
+    );
 }
 
 async fn wait_for_term_end(shared: &Shared, term: &Term) {
@@ -172,13 +181,16 @@
         smol::Timer::after(FINAL_FLUSH_TIMEOUT).await;
         false
     };
+    let started_at = Instant::now();
     let is_flushed = flushed.or(timed_out).await;
+    let flush_ms = started_at.elapsed().as_millis() as u64;
     if let Err(error) = write_handover(term).await {
         tracing::info!(%error, "can't write the handover for the next owner");
     }
     tracing::info!(
         epoch = term.claim.record.epoch,
         is_flushed,
+        flush_ms,
         "giving up the ownership of the jobs to the next owner"
     );
 }
@@ -211,6 +223,7 @@
 
 /// Loads all jobs, then applies the updates received meanwhile.
 async fn load_jobs(shared: &Shared, term: &Arc<Term>) {
+    let started_at = Instant::now();
     let mut backoff = store::backoff::Backoff::with_random_seed();
     let kvs = loop {
         match read_all(shared).await {
@@ -230,15 +243,20 @@
     term.handle(Event::ZonesOut(zones_out));
     apply_handover(term, &kvs);
     let updates = jobs_first(&kvs);
+    let read_ms = started_at.elapsed().as_millis() as u64;
+    term.apply(&updates);
+    let early_updates = term.early_updates().take().unwrap_or_default();
+    term.apply(&early_updates);
+    term.handle(Event::JobsLoaded);
     tracing::info!(
+        epoch = term.claim.record.epoch,
         items = kvs.len(),
         facts = updates.len(),
+        failed_reads = backoff.failures(),
+        read_ms,
+        load_ms = started_at.elapsed().as_millis() as u64,
         "jobs loaded by the new owner"
     );
-    term.apply(&updates);
-    let early_updates = term.early_updates().take().unwrap_or_default();
-    term.apply(&early_updates);
-    term.handle(Event::JobsLoaded);
 }
 
 async fn read_all(shared: &Shared) -> Result<Vec<KeyValue>, StoreError> {
@@ -364,6 +382,11 @@
         lock(&self.agents)
     }
 
+    /// Whether the jobs are loaded; before that no agent is called.
+    fn is_loaded(&self) -> bool {
+        self.early_updates().is_none()
+    }
+
     fn early_updates(&self) -> MutexGuard<'_, Option<Vec<KeyUpdate>>> {
         lock(&self.early_updates)
     }
