An owner that wrote its key again without an answer doesn't take it for another's

Cause: after its lease had expired, an owner wrote its key on a new lease. If the answer was lost, the next attempt found that key, took it for another owner's and ended the term; the key stayed for its 3 s, without an owner and without a note for the next one. Change: a write without an answer, or refused, is followed by the revocation of its lease, as in a campaign. The revocation no longer needs the whole state of the entry. Open: if the revocation fails as well, the term still ends.

--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::FutureExt;
 use kernel::Time;
-use store::{Compare, KeyRange, KeyValue, LeaseId, Op, StoreError, StoreRevision, Txn};
+use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn};
 
 use super::{
     Shared, candidacy,
@@ -156,12 +156,12 @@
     match write_owner(shared, &record, lease, previous.as_ref()).await {
         Ok(Some(revision)) => Ok(Some(claim(record, lease, revision, sent_at))),
         Ok(None) => {
-            revoke(shared, lease).await;
+            revoke(&*shared.store, lease).await;
             Ok(None)
         }
         Err(error) => {
             // Without the lease a delayed transaction can't take effect.
-            revoke(shared, lease).await;
+            revoke(&*shared.store, lease).await;
             Err(error)
         }
     }
@@ -210,8 +210,8 @@
 }
 
 /// Revokes a lease that is not needed; if this fails, the lease expires.
-pub(super) async fn revoke(shared: &Shared, lease: LeaseId) {
-    if let Err(error) = shared.store.revoke(lease).await {
+pub(super) async fn revoke(store: &dyn Store, lease: LeaseId) {
+    if let Err(error) = store.revoke(lease).await {
         tracing::info!(%error, "can't revoke an unneeded lease; it lasts until it expires");
     }
 }
--- a/components/stepd/src/entry/candidacy.rs
+++ b/components/stepd/src/entry/candidacy.rs
@@ -64,7 +64,7 @@
         timer.or(wait_for_stop(&shared)).await;
     }
     if let Some(lease) = lease {
-        campaign::revoke(&shared, lease).await;
+        campaign::revoke(&*shared.store, lease).await;
     }
 }
 
@@ -107,7 +107,7 @@
         Ok(_) => Ok(lease),
         Err(error) => {
             // Without the lease a delayed write can't outlast this entry's next one.
-            campaign::revoke(shared, lease).await;
+            campaign::revoke(&*shared.store, lease).await;
             Err(error)
         }
     }
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -143,7 +143,7 @@
     renewing.cancel().await;
     if hands_over {
         let lease = *lock(&term.lease);
-        campaign::revoke(shared, lease).await;
+        campaign::revoke(&*shared.store, lease).await;
     }
     if is_stepping_down {
         shared.candidacy().finish_hand_over(shared.clock.now());
@@ -363,8 +363,16 @@
         ops: vec![campaign::put_owner(&claim.record, lease)?],
         otherwise: Vec::new(),
     };
-    let reply = term.store.txn(txn).await?;
+    let reply = match term.store.txn(txn).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            // Without the lease the next attempt can't find a key that this one wrote.
+            campaign::revoke(&*term.store, lease).await;
+            return Err(error);
+        }
+    };
     if !reply.succeeded {
+        campaign::revoke(&*term.store, lease).await;
         return Ok(false);
     }
     tracing::info!("lease of the owner had expired; key written again");
