An entry that is told to stop doesn't become the owner

Cause: a campaign looked at the stop only before its three calls to the store. A stop during them began a term that was over at once: one more change of owner for all agents to follow. Change: the stop is looked at once more, before the key is written. Result: `an_entry_that_is_told_to_stop_does_not_become_the_owner` failed and passes.

--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -141,13 +141,17 @@
     smol::Timer::after(delay.wait).await;
 }
 
-/// Tries to become the owner; returns `None` if another entry was faster.
+/// Tries to become the owner; returns `None` if another entry was faster or this one stops.
 async fn try_acquire(shared: &Shared) -> Result<Option<Claim>, StoreError> {
     let read = shared.store.range(KeyRange::one(keys::EPOCH), 1).await?;
     let previous = read.kvs.into_iter().next();
     let epoch = previous.as_ref().map_or(0, parse_epoch) + 1;
     let sent_at = shared.clock.now();
     let lease = shared.store.grant(shared.settings.timing.owner_key).await?;
+    if shared.is_stopping() {
+        revoke(&*shared.store, lease).await;
+        return Ok(None);
+    }
     let record = OwnerRecord {
         entry: shared.settings.name.clone(),
         address: shared.settings.internal_address,
