A planned change of owner finishes the records under way and keeps calling agents meanwhile

Agents were no longer called from the beginning of that flush, which takes up to 1 s with a slow store. The line `last records of this owner` has the duration. No test shows the calls during the flush.

--- a/components/stepd/src/entry/journal.rs
+++ b/components/stepd/src/entry/journal.rs
@@ -1,6 +1,9 @@
 //! Writes the records of jobs to the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use futures_lite::FutureExt;
 use kernel::{JobName, Verdict};
@@ -24,26 +27,34 @@
 /// notice soon that the store is available again.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
-/// Writes records until the task is cancelled at the end of the term.
+/// Writes records until the term finishes or the task is cancelled.
 pub(super) async fn run(term: Arc<Term>) {
     loop {
         let records_changed = term.records_changed.listen();
-        if !term.owner().has_changes() {
+        if !term.owner().has_changes() && !is_finishing(&term) {
             records_changed.await;
         }
         wait_for_batch(&term).await;
+        let is_last = is_finishing(&term);
         flush(&term).await;
         term.dispatch();
+        if is_last {
+            return;
+        }
     }
 }
 
+fn is_finishing(term: &Term) -> bool {
+    term.is_finishing.load(Ordering::Relaxed)
+}
+
 /// Waits until the batch delay has passed or an urgent record is due.
 async fn wait_for_batch(term: &Term) {
     let until = term.now() + BATCH_DELAY;
     loop {
         let records_changed = term.records_changed.listen();
         let now = term.now();
-        if until.passed(now) || term.owner().has_urgent_changes() {
+        if until.passed(now) || term.owner().has_urgent_changes() || is_finishing(term) {
             return;
         }
         let timer = async {
@@ -54,7 +65,7 @@
 }
 
 /// Writes all records that are due.
-pub(super) async fn flush(term: &Term) {
+async fn flush(term: &Term) {
     let (last_change, changes) = {
         let mut owner = term.owner();
         (owner.last_change(), owner.take_changes())
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -43,7 +43,7 @@
 const ORDERS_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// The delay after a failed call to an agent.
 const AGENT_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// The maximum time to write the last records when a term ends.
+/// The maximum time to write the last records when a term ends in the orderly way.
 const FINAL_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The key in the store that makes this entry the owner.
@@ -75,6 +75,8 @@
     /// Whether this owner hands the jobs over to a larger entry.
     is_stepping_down: AtomicBool,
     over_signal: Signal,
+    /// Whether the journal stops after the records that are due now.
+    pub(super) is_finishing: AtomicBool,
     /// Notified when records have to be written.
     pub(super) records_changed: Signal,
     /// Notified when a scheduling pass is due later.
@@ -105,6 +107,7 @@
         is_over: AtomicBool::new(false),
         is_stepping_down: AtomicBool::new(false),
         over_signal: Signal::new(),
+        is_finishing: AtomicBool::new(false),
         records_changed: Signal::new(),
         pass_delayed: Signal::new(),
         lease: Mutex::new(claim.lease),
@@ -113,9 +116,9 @@
     shared.set_term(Some(Arc::clone(&term)));
     shared.candidacy().start_term(shared.clock.now());
     let renewing = smol::spawn(renew(Arc::clone(&term), timing.owner_key, timing.ownership));
+    let journal = smol::spawn(journal::run(Arc::clone(&term)));
     let serving = async {
         load_jobs(shared, &term).await;
-        let journal = smol::spawn(journal::run(Arc::clone(&term)));
         let ticking = smol::spawn(tick(Arc::clone(shared), Arc::clone(&term)));
         let passing = smol::spawn(run_delayed_passes(Arc::clone(&term)));
         let comparing = smol::spawn(candidacy::step_down_when_smaller(
@@ -126,16 +129,21 @@
         comparing.cancel().await;
         ticking.cancel().await;
         passing.cancel().await;
-        journal.cancel().await;
     };
     let ended = async { wait_for_term_end(shared, &term).await };
     serving.or(ended).await;
+    let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
+    let is_orderly = shared.is_stopping() || is_stepping_down;
+    // Agents are called meanwhile, so that leases are renewed.
+    match is_orderly {
+        true => write_last_records(&term, journal).await,
+        false => drop(journal),
+    }
     // Without updates the term gets no new agents, so it sends no orders after the note.
     shared.set_term(None);
     term.agents().clear();
     let last_served = Instant::now();
-    let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
-    let hands_over = (shared.is_stopping() || is_stepping_down) && !term.is_over();
+    let hands_over = is_orderly && !term.is_over();
     if hands_over {
         hand_over(&term).await;
     }
@@ -171,26 +179,35 @@
     }
 }
 
-/// Writes the last records and the handover, so that the next owner can start at once.
-async fn hand_over(term: &Term) {
-    let flushed = async {
-        journal::flush(term).await;
+/// Lets the journal write the last records, for a limited time.
+async fn write_last_records(term: &Term, journal: Task<()>) {
+    let started_at = Instant::now();
+    term.is_finishing.store(true, Ordering::Relaxed);
+    term.records_changed.notify(usize::MAX);
+    let finished = async {
+        journal.await;
         true
     };
     let timed_out = async {
         smol::Timer::after(FINAL_FLUSH_TIMEOUT).await;
         false
     };
-    let started_at = Instant::now();
-    let is_flushed = flushed.or(timed_out).await;
-    let flush_ms = started_at.elapsed().as_millis() as u64;
+    let is_flushed = finished.or(timed_out).await;
+    tracing::info!(
+        epoch = term.claim.record.epoch,
+        is_flushed,
+        flush_ms = started_at.elapsed().as_millis() as u64,
+        "last records of this owner"
+    );
+}
+
+/// Writes the handover, so that the next owner can start at once.
+async fn hand_over(term: &Term) {
     if let Err(error) = write_handover(term).await {
         tracing::info!(%error, "can't write the handover for the next owner");
     }
     tracing::info!(
         epoch = term.claim.record.epoch,
-        is_flushed,
-        flush_ms,
         "giving up the ownership of the jobs to the next owner"
     );
 }
