An owner that stops removes its key with its note, and tries again

Cause: the note for the next owner and the release of the key were two calls, each made once. Change: one transaction, on the condition of the term's epoch, writes the note and removes the key; it is repeated until the key would have expired. The renewals end before it. That is one call to the store less for each planned change. `is_released` in the line of the term's end.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -143,16 +143,10 @@
     shared.set_term(None);
     term.agents().clear();
     let last_served = Instant::now();
-    let hands_over = is_orderly && !term.is_over();
-    if hands_over {
-        hand_over(&term).await;
-    }
-    // A renewal that finds the lease revoked would write the key of the owner again.
+    // A renewal that finds no key would write it again.
     renewing.cancel().await;
-    if hands_over {
-        let lease = *lock(&term.lease);
-        campaign::revoke(&*shared.store, lease).await;
-    }
+    let hands_over = is_orderly && !term.is_over();
+    let is_released = hands_over && hand_over(&term, timing.owner_key).await;
     if is_stepping_down {
         shared.candidacy().finish_hand_over(shared.clock.now());
     }
@@ -160,6 +154,7 @@
     tracing::info!(
         epoch,
         hands_over,
+        is_released,
         is_loaded = term.is_loaded(),
         term_ms = shared.clock.now().since(started_at).as_millis() as u64,
         unserved_ms = last_served.elapsed().as_millis() as u64,
@@ -201,27 +196,45 @@
     );
 }
 
-/// Writes the handover, so that the next owner can start at once.
-async fn hand_over(term: &Term) {
-    if let Err(error) = write_handover(term).await {
-        tracing::info!(%error, "can't write the handover for the next owner");
-    }
+/// Writes the note for the next owner and deletes the key of this one, so that it can start
+/// at once; tries again until the key would have expired. Returns whether the key is deleted.
+async fn hand_over(term: &Term, owner_key: Duration) -> bool {
     tracing::info!(
         epoch = term.claim.record.epoch,
         "giving up the ownership of the jobs to the next owner"
     );
+    let give_up_at = term.now() + owner_key;
+    let mut backoff = store::backoff::Backoff::with_random_seed();
+    loop {
+        let Err(error) = try_hand_over(term).await else {
+            return true;
+        };
+        if backoff.failures() == 0 {
+            tracing::warn!(%error, "can't hand the jobs over to the next owner; trying again");
+        }
+        let delay = backoff.next_delay().min(RENEWAL_RETRY_DELAY);
+        if (give_up_at - delay).passed(term.now()) {
+            tracing::warn!(%error, "jobs not handed over; the next owner waits until the key has expired");
+            return false;
+        }
+        smol::Timer::after(delay).await;
+    }
 }
 
-/// Writes for the next owner which VMs do not answer. The write is refused if a later
-/// term has started.
-async fn write_handover(term: &Term) -> Result<(), StoreError> {
-    let handover = term.owner().handover(term.now());
+/// Makes one attempt, which is refused if a later term has started.
+async fn try_hand_over(term: &Term) -> Result<(), StoreError> {
+    let note = term.owner().handover(term.now());
     let value =
-        serde_json::to_vec(&handover).map_err(|error| StoreError::not_run(error.to_string()))?;
-    let epoch = keys::EPOCH.to_owned();
+        serde_json::to_vec(&note).map_err(|error| StoreError::not_run(error.to_string()))?;
     let txn = Txn {
-        compares: vec![Compare::ModifiedAt(epoch, term.claim.epoch_revision)],
-        ops: vec![Op::put(keys::HANDOVER, value)],
+        compares: vec![Compare::ModifiedAt(
+            keys::EPOCH.to_owned(),
+            term.claim.epoch_revision,
+        )],
+        ops: vec![
+            Op::put(keys::HANDOVER, value),
+            Op::Delete(KeyRange::one(keys::OWNER)),
+        ],
         otherwise: Vec::new(),
     };
     term.store.txn(txn).await.map(|_| ())
