An owner that has called no agent passes on the note that it was left

Cause: an owner that was stopped before it had loaded the jobs knew no VM and wrote that every VM answers. After an owner that had stopped in the orderly way this lost the waits of its note; after one that was killed the next owner took it for an orderly stop and waited 7.5 s from its own start instead of 9 s, so a task on a VM without an answer could start elsewhere while its lease still ran. Change: such an owner passes on the note that was for it, under its own epoch, or writes none.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -19,7 +19,7 @@
 use steps::{
     Event, Owner,
     message::{Orders, OrdersCall, ReportPollCall},
-    owner::PollFailure,
+    owner::{Handover, PollFailure},
 };
 use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn};
 
@@ -223,31 +223,47 @@
 
 /// Makes one attempt, which is refused if a later term has started.
 async fn try_hand_over(term: &Term) -> Result<(), StoreError> {
-    let note = term.owner().handover(term.now());
-    let value =
-        serde_json::to_vec(&note).map_err(|error| StoreError::not_run(error.to_string()))?;
+    let mut ops = vec![Op::Delete(KeyRange::one(keys::OWNER))];
+    if let Some(note) = note(term).await? {
+        let value =
+            serde_json::to_vec(&note).map_err(|error| StoreError::not_run(error.to_string()))?;
+        ops.push(Op::put(keys::HANDOVER, value));
+    }
+    let epoch = keys::EPOCH.to_owned();
     let txn = Txn {
-        compares: vec![Compare::ModifiedAt(
-            keys::EPOCH.to_owned(),
-            term.claim.epoch_revision,
-        )],
-        ops: vec![
-            Op::put(keys::HANDOVER, value),
-            Op::Delete(KeyRange::one(keys::OWNER)),
-        ],
+        compares: vec![Compare::ModifiedAt(epoch, term.claim.epoch_revision)],
+        ops,
         otherwise: Vec::new(),
     };
     term.store.txn(txn).await.map(|_| ())
 }
 
+/// Returns the note for the next owner. An owner that has not loaded the jobs knows no VM, so
+/// it passes on the note that it was left; `None` if there is none.
+async fn note(term: &Term) -> Result<Option<Handover>, StoreError> {
+    if term.is_loaded() {
+        return Ok(Some(term.owner().handover(term.now())));
+    }
+    let found = term.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
+    let note = read_handover(&found.kvs);
+    Ok(note.and_then(|note| note.passed_on(term.claim.record.epoch)))
+}
+
 /// Applies the handover of the previous owner, if there is one.
 fn apply_handover(term: &Term, kvs: &[KeyValue]) {
-    let Some(kv) = kvs.iter().find(|kv| kv.key == keys::HANDOVER) else {
-        return;
-    };
+    if let Some(handover) = read_handover(kvs) {
+        term.apply_event(Event::HandedOver(handover));
+    }
+}
+
+fn read_handover(kvs: &[KeyValue]) -> Option<Handover> {
+    let kv = kvs.iter().find(|kv| kv.key == keys::HANDOVER)?;
     match serde_json::from_slice(&kv.value) {
-        Ok(handover) => term.apply_event(Event::HandedOver(handover)),
-        Err(error) => tracing::error!(%error, "can't decode the handover of the previous owner"),
+        Ok(handover) => Some(handover),
+        Err(error) => {
+            tracing::error!(%error, "can't decode the handover of the previous owner");
+            None
+        }
     }
 }
 
--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -35,6 +35,16 @@
     pub unreachable: Vec<UnreachableVm>,
 }
 
+impl Handover {
+    /// Returns this note for the owner after the one of `epoch`, which has called no agent;
+    /// `None` if the note was for an earlier owner.
+    #[must_use]
+    pub fn passed_on(self, epoch: u64) -> Option<Self> {
+        let is_for_that_owner = self.epoch + 1 == epoch;
+        is_for_that_owner.then_some(Self { epoch, ..self })
+    }
+}
+
 impl Owner {
     /// Returns the note for the next owner. This owner must send no orders afterwards.
     #[must_use]
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -478,6 +478,17 @@
     assert_eq!(session.take_starts(expired_at, 0).len(), 1);
 }
 
+/// A note passed on by a later owner would shorten the wait after an owner that was killed.
+#[test]
+fn only_the_owner_that_a_note_is_for_passes_it_on() {
+    let before = Session::new(1);
+    let left = before.owner.handover(at(3_000));
+    let passed_on = left.clone().passed_on(EPOCH + 1).unwrap();
+    assert_eq!(passed_on.epoch, EPOCH + 1);
+    assert_eq!(passed_on.unreachable, left.unreachable);
+    assert_eq!(left.passed_on(EPOCH + 2), None);
+}
+
 #[test]
 fn a_handover_note_of_an_earlier_term_is_ignored() {
     let mut before = Session::new(1);
