An owner that stops keeps the jobs while no other entry is there

Cause: an owner that was told to stop gave up the jobs at once, also if every other entry had been stopped before it, and then waited 2.3 s for the load balancer without owning anything. Change: while no other entry is announced it goes on for up to 2 s, at most half of the time for a stop, and hands over as soon as an entry announces itself.

--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -2,17 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
     time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
 use event_listener::Event;
 use futures_lite::{FutureExt, future::zip};
-use kernel::{EntryName, secret::Secrets};
+use kernel::{EntryName, Time, secret::Secrets};
 use observe::{ListenError, listen};
 use smol::Task;
 use steps::{Candidacy, Config, Timing, contact::StoreContact};
@@ -65,6 +62,9 @@
 /// How long the load balancer may take to notice that an entry is not ready: it checks
 /// once a second and acts on the second result.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_300);
+/// How long an owner that stops keeps the jobs if no other entry is there: less than
+/// [`BALANCER_DELAY`], so that the stop takes no longer.
+const SUCCESSOR_WAIT: Duration = Duration::from_secs(2);
 /// The maximum number of open connections from the load balancer.
 const MAX_READINESS_CONNECTIONS: usize = 64;
 
@@ -97,7 +97,8 @@
     /// The current term; `None` while this entry does not own the jobs.
     term: Mutex<Option<Arc<Term>>>,
     store_contact: Mutex<StoreContact>,
-    stopping: AtomicBool,
+    /// When this entry was told to stop.
+    stopping_since: OnceLock<Time>,
     /// The secret of all entries and agents; `None` until it has been read from the store.
     secrets: Mutex<Option<Secrets>>,
     /// Notified when the owner may have changed or the entry stops.
@@ -152,7 +153,19 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping_since.get().is_some()
+    }
+
+    /// Returns until when this entry may keep the jobs; `None` if it is not told to stop.
+    ///
+    /// A stopping entry hands the jobs over at once if another entry is there, and otherwise
+    /// while it waits for the load balancer.
+    fn keeps_jobs_until(&self) -> Option<Time> {
+        let since = *self.stopping_since.get()?;
+        if self.index().has_other_entry(&self.settings.name) {
+            return Some(since);
+        }
+        Some(since + SUCCESSOR_WAIT.min(self.settings.stop_timeout / 2))
     }
 
     /// Returns whether the load balancer should send clients to this entry.
@@ -187,7 +200,7 @@
         candidacy: Mutex::new(candidacy),
         term: Mutex::new(None),
         store_contact: Mutex::default(),
-        stopping: AtomicBool::new(false),
+        stopping_since: OnceLock::new(),
         secrets: Mutex::new(None),
         owner_changed: Event::new(),
         metrics: EntryMetrics::default(),
@@ -248,7 +261,7 @@
     pub async fn stop(self) {
         let stop_called_at = Instant::now();
         let stop_timeout = self.shared.settings.stop_timeout;
-        self.shared.stopping.store(true, Ordering::Relaxed);
+        let _ = self.shared.stopping_since.set(self.shared.clock.now());
         let graceful = async {
             self.shared.owner_changed.notify(usize::MAX);
             let balancer_noticed = smol::Timer::after(BALANCER_DELAY);
--- a/components/stepd/src/entry/follow.rs
+++ b/components/stepd/src/entry/follow.rs
@@ -141,7 +141,8 @@
                 None => tracing::info!("no entry owns the jobs"),
             }
         }
-        if has_owner_update || owner_before != owner_now || owner_now.is_none() {
+        let has_candidate_update = has_owner_update || has_entry_update;
+        if has_candidate_update || owner_before != owner_now || owner_now.is_none() {
             shared.owner_changed.notify(usize::MAX);
         }
     }
--- a/components/stepd/src/entry/index.rs
+++ b/components/stepd/src/entry/index.rs
@@ -132,6 +132,11 @@
         self.entries.get(name).map(|(record, _)| *record)
     }
 
+    /// Returns whether an entry other than this one is announced.
+    pub(super) fn has_other_entry(&self, own: &EntryName) -> bool {
+        self.entries.keys().any(|name| name != own)
+    }
+
     /// Returns the announcements of all entries.
     pub(super) fn announcements(&self) -> BTreeMap<EntryName, Announcement> {
         let announcement = |(record, revision): &(EntryRecord, StoreRevision)| Announcement {
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -165,12 +165,24 @@
 async fn wait_for_term_end(shared: &Shared, term: &Term) {
     loop {
         let over_signal = term.over_signal.listen();
-        let stopping = shared.owner_changed.listen();
+        let changed = shared.owner_changed.listen();
         let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
-        if term.is_over() || shared.is_stopping() || is_stepping_down {
+        if term.is_over() || is_stepping_down {
             return;
         }
-        over_signal.or(stopping).await;
+        let signal = over_signal.or(changed);
+        let Some(until) = shared.keeps_jobs_until() else {
+            signal.await;
+            continue;
+        };
+        let now = shared.clock.now();
+        if until.passed(now) {
+            return;
+        }
+        let timer = async {
+            smol::Timer::after(until.remaining(now)).await;
+        };
+        signal.or(timer).await;
     }
 }
 
