--- a/components/proto/src/lib.rs
+++ b/components/proto/src/lib.rs
@@ -26,6 +26,6 @@
 pub mod etcd;
 
 pub use channel::{Channel, ChannelError};
-pub use peer::{Peer, RpcError};
+pub use peer::{Peer, RpcError, expire};
 pub use rpc::{Method, methods};
 pub use server::{Router, serve, serve_service};
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -121,7 +121,7 @@
 
 /// Completes when `timeout` has passed. If this process was late to notice, it gets the
 /// same time once more, since a reply may have arrived that it has not read yet.
-async fn expire(timeout: Duration) {
+pub async fn expire(timeout: Duration) {
     let due_at = Instant::now() + timeout;
     smol::Timer::at(due_at).await;
     let late_by = due_at.elapsed();
