--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -4,7 +4,10 @@
 
 use futures_lite::FutureExt;
 use kernel::Time;
-use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn};
+use store::{
+    Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn,
+    backoff::Backoff,
+};
 
 use super::{
     Shared, candidacy,
@@ -68,15 +71,26 @@
         };
         changed.or(timer).await;
     }
-    let found = match shared.store.range(KeyRange::one(keys::OWNER), 1).await {
-        Ok(found) => found.kvs.into_iter().next(),
-        Err(error) => {
-            tracing::info!(%error, "can't read whether an earlier process of this entry owned the jobs");
+    let give_up_at = shared.clock.now() + shared.settings.timing.owner_key;
+    let mut backoff = Backoff::with_random_seed();
+    loop {
+        let error = match try_release_own_key(shared).await {
+            Ok(is_released) => return is_released,
+            Err(error) => error,
+        };
+        let delay = backoff.next_delay();
+        if shared.is_stopping() || (give_up_at - delay).passed(shared.clock.now()) {
+            tracing::info!(%error, "can't release the key of this entry's earlier process; it lasts until it expires");
             return false;
         }
-    };
-    let Some(kv) = found else {
-        return false;
+        smol::Timer::after(delay).await;
+    }
+}
+
+async fn try_release_own_key(shared: &Shared) -> Result<bool, StoreError> {
+    let found = shared.store.range(KeyRange::one(keys::OWNER), 1).await?;
+    let Some(kv) = found.kvs.into_iter().next() else {
+        return Ok(false);
     };
     let settings = &shared.settings;
     let is_own = match serde_json::from_slice::<OwnerRecord>(&kv.value) {
@@ -87,18 +101,11 @@
         }
     };
     let Some(lease) = kv.lease.filter(|_| is_own) else {
-        return false;
+        return Ok(false);
     };
-    match shared.store.revoke(lease).await {
-        Ok(()) => {
-            tracing::info!("key of this entry's earlier process released; it owned the jobs");
-            true
-        }
-        Err(error) => {
-            tracing::info!(%error, "can't release the key of this entry's earlier process; it lasts until it expires");
-            false
-        }
-    }
+    shared.store.revoke(lease).await?;
+    tracing::info!("key of this entry's earlier process released; it owned the jobs");
+    Ok(true)
 }
 
 async fn wait_for_vacancy(shared: &Shared) {
