--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -19,7 +19,7 @@
 use steps::{
     Event, Owner,
     message::{Orders, OrdersCall, ReportPollCall},
-    owner::PollFailure,
+    owner::{Handover, PollFailure},
 };
 use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn};
 
@@ -43,7 +43,7 @@
 const ORDERS_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// The delay after a failed call to an agent.
 const AGENT_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// The maximum time to write the last records when a term ends.
+/// The maximum time to write the last records when a term ends in the orderly way.
 const FINAL_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The key in the store that makes this entry the owner.
@@ -75,6 +75,8 @@
     /// Whether this owner hands the jobs over to a larger entry.
     is_stepping_down: AtomicBool,
     over_signal: Signal,
+    /// Whether the journal stops after the records that are due now.
+    pub(super) is_finishing: AtomicBool,
     /// Notified when records have to be written.
     pub(super) records_changed: Signal,
     /// Notified when a scheduling pass is due later.
@@ -93,17 +95,19 @@
     let (epoch, timing) = (claim.record.epoch, shared.settings.timing);
     tracing::info!(epoch, "this entry owns the jobs");
     let name = shared.settings.name.clone();
+    let started_at = shared.clock.now();
     let term = Arc::new(Term {
         clock: shared.clock,
         store: Arc::clone(&shared.store),
         secrets,
-        owner: Mutex::new(Owner::new(name, epoch, timing, shared.clock.now())),
+        owner: Mutex::new(Owner::new(name, epoch, timing, started_at)),
         early_updates: Mutex::new(Some(Vec::new())),
         agents: Mutex::default(),
         proved_at: Mutex::new(claim.proved_at),
         is_over: AtomicBool::new(false),
         is_stepping_down: AtomicBool::new(false),
         over_signal: Signal::new(),
+        is_finishing: AtomicBool::new(false),
         records_changed: Signal::new(),
         pass_delayed: Signal::new(),
         lease: Mutex::new(claim.lease),
@@ -112,9 +116,9 @@
     shared.set_term(Some(Arc::clone(&term)));
     shared.candidacy().start_term(shared.clock.now());
     let renewing = smol::spawn(renew(Arc::clone(&term), timing.owner_key, timing.ownership));
+    let journal = smol::spawn(journal::run(Arc::clone(&term)));
     let serving = async {
         load_jobs(shared, &term).await;
-        let journal = smol::spawn(journal::run(Arc::clone(&term)));
         let ticking = smol::spawn(tick(Arc::clone(shared), Arc::clone(&term)));
         let passing = smol::spawn(run_delayed_passes(Arc::clone(&term)));
         let comparing = smol::spawn(candidacy::step_down_when_smaller(
@@ -125,92 +129,159 @@
         comparing.cancel().await;
         ticking.cancel().await;
         passing.cancel().await;
-        journal.cancel().await;
     };
     let ended = async { wait_for_term_end(shared, &term).await };
     serving.or(ended).await;
+    let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
+    let is_orderly = shared.is_stopping() || is_stepping_down;
+    // Agents are called meanwhile, so that leases are renewed.
+    match is_orderly {
+        true => write_last_records(&term, journal).await,
+        false => drop(journal),
+    }
     // Without updates the term gets no new agents, so it sends no orders after the note.
     shared.set_term(None);
     term.agents().clear();
-    let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
-    let hands_over = (shared.is_stopping() || is_stepping_down) && !term.is_over();
-    if hands_over {
-        hand_over(&term).await;
-    }
-    // A renewal that finds the lease revoked would write the key of the owner again.
+    let last_served = Instant::now();
+    // A renewal that finds no key would write it again.
     renewing.cancel().await;
-    if hands_over {
-        let lease = *lock(&term.lease);
-        campaign::revoke(shared, lease).await;
-    }
+    let hands_over = is_orderly && !term.is_over();
+    let is_released = hands_over && hand_over(&term, timing.owner_key).await;
     if is_stepping_down {
         shared.candidacy().finish_hand_over(shared.clock.now());
     }
     term.end();
-    tracing::info!(epoch, "this entry no longer owns the jobs");
+    tracing::info!(
+        epoch,
+        hands_over,
+        is_released,
+        is_loaded = term.is_loaded(),
+        term_ms = shared.clock.now().since(started_at).as_millis() as u64,
+        unserved_ms = last_served.elapsed().as_millis() as u64,
+        "this entry no longer owns the jobs"
+    );
 }
 
 async fn wait_for_term_end(shared: &Shared, term: &Term) {
     loop {
         let over_signal = term.over_signal.listen();
-        let stopping = shared.owner_changed.listen();
+        let changed = shared.owner_changed.listen();
         let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
-        if term.is_over() || shared.is_stopping() || is_stepping_down {
+        if term.is_over() || is_stepping_down {
+            return;
+        }
+        let signal = over_signal.or(changed);
+        let Some(until) = shared.keeps_jobs_until() else {
+            signal.await;
+            continue;
+        };
+        let now = shared.clock.now();
+        if until.passed(now) {
             return;
         }
-        over_signal.or(stopping).await;
+        let timer = async {
+            smol::Timer::after(until.remaining(now)).await;
+        };
+        signal.or(timer).await;
     }
 }
 
-/// Writes the last records and the handover, so that the next owner can start at once.
-async fn hand_over(term: &Term) {
-    let flushed = async {
-        journal::flush(term).await;
+/// Lets the journal write the last records, for a limited time.
+async fn write_last_records(term: &Term, journal: Task<()>) {
+    let started_at = Instant::now();
+    term.is_finishing.store(true, Ordering::Relaxed);
+    term.records_changed.notify(usize::MAX);
+    let finished = async {
+        journal.await;
         true
     };
     let timed_out = async {
         smol::Timer::after(FINAL_FLUSH_TIMEOUT).await;
         false
     };
-    let is_flushed = flushed.or(timed_out).await;
-    if let Err(error) = write_handover(term).await {
-        tracing::info!(%error, "can't write the handover for the next owner");
-    }
+    let is_flushed = finished.or(timed_out).await;
     tracing::info!(
         epoch = term.claim.record.epoch,
         is_flushed,
+        flush_ms = started_at.elapsed().as_millis() as u64,
+        "last records of this owner"
+    );
+}
+
+/// Writes the note for the next owner and deletes the key of this one, so that it can start
+/// at once; tries again until the key would have expired. Returns whether the key is deleted.
+async fn hand_over(term: &Term, owner_key: Duration) -> bool {
+    tracing::info!(
+        epoch = term.claim.record.epoch,
         "giving up the ownership of the jobs to the next owner"
     );
+    let give_up_at = term.now() + owner_key;
+    let mut backoff = store::backoff::Backoff::with_random_seed();
+    loop {
+        let Err(error) = try_hand_over(term).await else {
+            return true;
+        };
+        if backoff.failures() == 0 {
+            tracing::warn!(%error, "can't hand the jobs over to the next owner; trying again");
+        }
+        let delay = backoff.next_delay().min(RENEWAL_RETRY_DELAY);
+        if (give_up_at - delay).passed(term.now()) {
+            tracing::warn!(%error, "jobs not handed over; the next owner waits until the key has expired");
+            return false;
+        }
+        smol::Timer::after(delay).await;
+    }
 }
 
-/// Writes for the next owner which VMs do not answer. The write is refused if a later
-/// term has started.
-async fn write_handover(term: &Term) -> Result<(), StoreError> {
-    let handover = term.owner().handover(term.now());
-    let value =
-        serde_json::to_vec(&handover).map_err(|error| StoreError::not_run(error.to_string()))?;
+/// Makes one attempt, which is refused if a later term has started.
+async fn try_hand_over(term: &Term) -> Result<(), StoreError> {
+    let mut ops = vec![Op::Delete(KeyRange::one(keys::OWNER))];
+    if let Some(note) = note(term).await? {
+        let value =
+            serde_json::to_vec(&note).map_err(|error| StoreError::not_run(error.to_string()))?;
+        ops.push(Op::put(keys::HANDOVER, value));
+    }
     let epoch = keys::EPOCH.to_owned();
     let txn = Txn {
         compares: vec![Compare::ModifiedAt(epoch, term.claim.epoch_revision)],
-        ops: vec![Op::put(keys::HANDOVER, value)],
+        ops,
         otherwise: Vec::new(),
     };
     term.store.txn(txn).await.map(|_| ())
 }
 
+/// Returns the note for the next owner. An owner that has not loaded the jobs knows no VM, so
+/// it passes on the note that it was left; `None` if there is none.
+async fn note(term: &Term) -> Result<Option<Handover>, StoreError> {
+    if term.is_loaded() {
+        return Ok(Some(term.owner().handover(term.now())));
+    }
+    let found = term.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
+    let note = read_handover(&found.kvs);
+    Ok(note.and_then(|note| note.passed_on(term.claim.record.epoch)))
+}
+
 /// Applies the handover of the previous owner, if there is one.
 fn apply_handover(term: &Term, kvs: &[KeyValue]) {
-    let Some(kv) = kvs.iter().find(|kv| kv.key == keys::HANDOVER) else {
-        return;
-    };
+    if let Some(handover) = read_handover(kvs) {
+        term.apply_event(Event::HandedOver(handover));
+    }
+}
+
+fn read_handover(kvs: &[KeyValue]) -> Option<Handover> {
+    let kv = kvs.iter().find(|kv| kv.key == keys::HANDOVER)?;
     match serde_json::from_slice(&kv.value) {
-        Ok(handover) => term.apply_event(Event::HandedOver(handover)),
-        Err(error) => tracing::error!(%error, "can't decode the handover of the previous owner"),
+        Ok(handover) => Some(handover),
+        Err(error) => {
+            tracing::error!(%error, "can't decode the handover of the previous owner");
+            None
+        }
     }
 }
 
 /// Loads all jobs, then applies the updates received meanwhile.
 async fn load_jobs(shared: &Shared, term: &Arc<Term>) {
+    let started_at = Instant::now();
     let mut backoff = store::backoff::Backoff::with_random_seed();
     let kvs = loop {
         match read_all(shared).await {
@@ -230,15 +301,20 @@
     term.handle(Event::ZonesOut(zones_out));
     apply_handover(term, &kvs);
     let updates = jobs_first(&kvs);
+    let read_ms = started_at.elapsed().as_millis() as u64;
+    term.apply(&updates);
+    let early_updates = term.early_updates().take().unwrap_or_default();
+    term.apply(&early_updates);
+    term.handle(Event::JobsLoaded);
     tracing::info!(
+        epoch = term.claim.record.epoch,
         items = kvs.len(),
         facts = updates.len(),
+        failed_reads = backoff.failures(),
+        read_ms,
+        load_ms = started_at.elapsed().as_millis() as u64,
         "jobs loaded by the new owner"
     );
-    term.apply(&updates);
-    let early_updates = term.early_updates().take().unwrap_or_default();
-    term.apply(&early_updates);
-    term.handle(Event::JobsLoaded);
 }
 
 async fn read_all(shared: &Shared) -> Result<Vec<KeyValue>, StoreError> {
@@ -345,8 +421,16 @@
         ops: vec![campaign::put_owner(&claim.record, lease)?],
         otherwise: Vec::new(),
     };
-    let reply = term.store.txn(txn).await?;
+    let reply = match term.store.txn(txn).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            // Without the lease the next attempt can't find a key that this one wrote.
+            campaign::revoke(&*term.store, lease).await;
+            return Err(error);
+        }
+    };
     if !reply.succeeded {
+        campaign::revoke(&*term.store, lease).await;
         return Ok(false);
     }
     tracing::info!("lease of the owner had expired; key written again");
@@ -364,6 +448,11 @@
         lock(&self.agents)
     }
 
+    /// Whether the jobs are loaded; before that no agent is called.
+    fn is_loaded(&self) -> bool {
+        self.early_updates().is_none()
+    }
+
     fn early_updates(&self) -> MutexGuard<'_, Option<Vec<KeyUpdate>>> {
         lock(&self.early_updates)
     }
