Test: other starts that fill the window keep a long-running task down

A long-running task of a queue with a lower priority fails on its worker. The owner has room for it, but jobs that rank before it use all starts that the window allows, in each pass, since their orders are refused as late. The task is down for 3 s and is never ordered.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -760,3 +760,67 @@
     session.report(at(9_600), 0, |_| ());
     assert_eq!(session.take_starts(at(9_600), 0).len(), 1);
 }
+
+/// A step whose tasks run until their job is cancelled.
+fn long_running_step(count: u32) -> steps::Step {
+    steps::Step {
+        long_running: true,
+        ..step(count, &[])
+    }
+}
+
+/// Returns whether a start of the job is among the orders; refuses all other starts as late.
+fn is_started_while_others_are_late(session: &mut Session, now: Time, vms: usize) -> bool {
+    let take = |owner: &mut Owner, number| Some((number, owner.take_orders(now, &vm(number))?));
+    let orders = (0..vms).filter_map(|number| take(&mut session.owner, number));
+    let orders: Vec<(usize, Orders)> = orders.collect();
+    let mut starts = orders.iter().flat_map(|(_, orders)| &orders.starts);
+    if starts.any(|start| start.key.task.job == job_name(JOB)) {
+        return true;
+    }
+    for (number, orders) in orders {
+        let reply = Some(OrdersReply {
+            agent_incarnation: 1,
+            epoch: EPOCH,
+            poll: 1,
+            starts: vec![OrderResult::Refused(Refusal::Late); orders.starts.len()],
+            stops: Vec::new(),
+        });
+        let (vm, orders) = (vm(number), Box::new(orders));
+        let event = Event::OrdersAnswered { vm, orders, reply };
+        session.handle(now + Duration::from_millis(600), event);
+    }
+    false
+}
+
+/// Guards against a long-running task that stays down while other starts fill the window.
+#[test]
+fn starts_of_other_jobs_do_not_keep_a_long_running_task_down() {
+    const VMS: usize = 100;
+    let mut session = Session::new(VMS);
+    for number in 0..VMS {
+        session.report(at(0), number, |_| ());
+    }
+    let (job, progress) = (job(JOB, "bulk", vec![long_running_step(2)]), None);
+    session.handle(at(0), Event::Job { job, progress });
+    let runs = session.owner.runs_of(&job_name(JOB));
+    for (name, _) in &runs {
+        let number = (0..VMS).find(|&number| vm(number) == *name).unwrap();
+        if let Some(orders) = session.owner.take_orders(at(0), name) {
+            session.answer(at(10), number, orders, true);
+        }
+    }
+    for number in 1..=150 {
+        session.submit(at(1_000), &format!("{number:016x}"), 2);
+    }
+    let (name, key) = &runs[0];
+    let number = (0..VMS).find(|&number| vm(number) == *name).unwrap();
+    session.report(at(1_000), number, |report| {
+        report.ended = vec![ended(1, key, RunEnd::Failed)];
+    });
+    let mut times = (1_000..4_000).step_by(600);
+    assert!(
+        times.any(|millis| is_started_while_others_are_late(&mut session, at(millis), VMS)),
+        "the task is down for 3 s"
+    );
+}
