Long-running tasks that are down use a reserve of the start window

Cause: a pass ends once the window of unanswered starts is full. Jobs are ranked by priority and deadline, so jobs that rank higher take the whole window in each pass, and a long-running task that is down is never ordered while they do.

Up to eight such starts may be without a reply at a time, so the window still bounds what the owner has to follow up. Order of jobs and use of room are unchanged. The time counts from the last run's end, not from refused starts in between; a new owner counts from when it learned of the job.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     Config, Job, Outcome, Progress, Queue, Timing,
-    message::{AgentReport, Orders, OrdersReply},
+    message::{AgentReport, Orders, OrdersReply, RunKey},
 };
 
 mod ends;
@@ -164,6 +164,8 @@
     next_pass: Time,
     next_recovery: Time,
     window: window::StartWindow,
+    /// Starts without a reply that used the reserve of the window.
+    reserve_starts: Vec<(VmName, RunKey)>,
     work: WorkCounts,
     /// Whether the last event included a scheduling pass.
     ran_pass: bool,
@@ -205,6 +207,7 @@
             next_pass: now,
             next_recovery: now,
             window: window::StartWindow::new(timing.start_within, now),
+            reserve_starts: Vec::new(),
             work: WorkCounts::default(),
             ran_pass: false,
         }
--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -83,6 +83,7 @@
         };
         entry.started = true;
         let has_ended = entry.outcome.is_some();
+        entry.note_interruption(now, key);
         if entry.remove_run(now, &end.key) {
             self.waiting_jobs.insert(key.job.clone());
         }
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -28,6 +28,9 @@
     pub(super) checkpoint: Option<Arc<str>>,
     /// VMs on which the task failed, was stuck or ran too slowly.
     pub(super) avoid: BTreeSet<VmName>,
+    /// When the last run of the task ended or was lost; `None` if there was none in this
+    /// term. A start that was refused is no run.
+    interrupted_at: Option<Time>,
 }
 
 impl Task {
@@ -304,6 +307,18 @@
         false
     }
 
+    /// Notes that a run of the task has ended or was lost.
+    pub(super) fn note_interruption(&mut self, now: Time, key: &TaskKey) {
+        if let Some(task) = self.task_mut(key) {
+            task.interrupted_at = Some(now);
+        }
+    }
+
+    /// Since when a task without a run has been waiting.
+    pub(super) fn waiting_since(&self, task: &Task) -> Time {
+        task.interrupted_at.unwrap_or(self.known_since)
+    }
+
     /// Since when the job has had no runs; `None` while it has runs.
     pub(super) const fn idle_since(&self) -> Option<Time> {
         self.idle_since
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -270,6 +270,12 @@
         let assigned = self.vms.get(vm).and_then(|vm| vm.runs.get(key));
         let age_ms = assigned.map_or(0, |assigned| now.since(assigned.since).as_millis() as u64);
         tracing::info!(task = %key.task, run = key.run, %vm, why = reason, age_ms, "run lost");
+        // A start without an answer may never have been carried out.
+        if assigned.is_some_and(|assigned| !assigned.start_unanswered)
+            && let Some(entry) = self.jobs.get_mut(&key.task.job)
+        {
+            entry.note_interruption(now, &key.task);
+        }
         self.remove_run(now, vm, key);
     }
 
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -13,6 +13,7 @@
     entry::{JobEntry, StepState, task_key},
     place::{FailedPlacements, PlacementRequest},
     vm::{AssignedRun, Phase},
+    window::StartRoom,
 };
 use crate::{
     Queue, Step, TaskKey,
@@ -51,8 +52,7 @@
 
 /// State of one scheduling pass.
 struct Pass {
-    /// Number of starts that may still be ordered.
-    starts_left: usize,
+    room: StartRoom,
     failed: FailedPlacements,
 }
 
@@ -70,6 +70,8 @@
 struct ReadyTask {
     index: usize,
     avoid: BTreeSet<VmName>,
+    /// Whether the task is long-running and has been down for too long.
+    is_overdue: bool,
 }
 
 impl ReadyStep<'_> {
@@ -99,22 +101,30 @@
     }
 }
 
-/// The first tasks of a step that are not done and have no run.
-fn ready_tasks(state: &StepState, max: usize) -> Vec<ReadyTask> {
+/// Up to `max` tasks of a step that are not done and have no run, overdue ones first.
+fn ready_tasks(now: Time, entry: &JobEntry, ready: &ReadyStep<'_>, max: usize) -> Vec<ReadyTask> {
+    let state = ready.state(entry);
     let mut found = Vec::new();
     if state.waiting() == 0 {
         return found;
     }
+    let is_long_running = ready.step.long_running;
     for (index, task) in state.tasks().iter().enumerate() {
-        if found.len() == max {
+        if found.len() == max && !is_long_running {
             break;
         }
         if !task.is_waiting() {
             continue;
         }
-        let avoid = task.avoid.clone();
-        found.push(ReadyTask { index, avoid });
+        let waiting_since = entry.waiting_since(task);
+        found.push(ReadyTask {
+            index,
+            avoid: task.avoid.clone(),
+            is_overdue: is_long_running && (waiting_since + MAX_IDLE).passed(now),
+        });
     }
+    found.sort_by_key(|task| !task.is_overdue);
+    found.truncate(max);
     found
 }
 
@@ -156,8 +166,13 @@
         let is_recovering = self.is_recovering(now);
         let earlier_owner_over = self.term_start + self.timing.ownership;
         let unanswered = self.unanswered_starts();
+        let vms = &self.vms;
+        self.reserve_starts.retain(|(vm, key)| {
+            let run = vms.get(vm).and_then(|vm| vm.runs.get(key));
+            run.is_some_and(|run| run.phase() == Phase::Ordered)
+        });
         let mut pass = Pass {
-            starts_left: self.window.limit().saturating_sub(unanswered),
+            room: self.window.room(unanswered, self.reserve_starts.len()),
             failed: FailedPlacements::default(),
         };
         for rank in self.ranked_jobs(now) {
@@ -167,13 +182,14 @@
             if is_recovering && entry.known_since < earlier_owner_over {
                 continue;
             }
+            let may_use_reserve = entry.job.is_long_running();
+            if !pass.room.admits(may_use_reserve) {
+                self.window.hold_back();
+                continue;
+            }
             let Some(queue) = self.queues.get(&entry.job.queue).cloned() else {
                 continue;
             };
-            if pass.starts_left == 0 {
-                self.window.hold_back();
-                return;
-            }
             self.work.jobs_visited += 1;
             self.schedule_job(now, wall, &rank.job, &queue, &mut pass);
             if !self.may_have_ready_tasks(&rank.job) {
@@ -268,10 +284,6 @@
         if state.waiting() == 0 {
             return;
         }
-        if pass.starts_left == 0 {
-            self.window.hold_back();
-            return;
-        }
         let any_task = ReadyTask::default();
         let no_tasks = BTreeMap::new();
         if pass
@@ -280,10 +292,14 @@
         {
             return;
         }
-        let tasks = ready_tasks(state, pass.starts_left);
+        let tasks = ready_tasks(now, entry, ready, pass.room.most());
         let is_cut_off = tasks.len() < state.waiting();
         let mut tasks_per_vm = count_tasks_per_vm(ready.step, state);
         for task in tasks {
+            if !pass.room.admits(task.is_overdue) {
+                self.window.hold_back();
+                return;
+            }
             let request = ready.placement_request(&task, &tasks_per_vm, None, is_urgent);
             if pass.failed.cover(&request) {
                 return;
@@ -292,11 +308,15 @@
                 pass.failed.record(&request);
                 return;
             };
-            pass.starts_left -= 1;
             *tasks_per_vm.entry(vm.clone()).or_default() += 1;
             let run = self.next_run();
             let task = ready.task(task.index);
-            self.order_start(now, &vm, RunKey { task, run }, ready.step);
+            let key = RunKey { task, run };
+            self.order_start(now, &vm, key.clone(), ready.step);
+            if pass.room.is_full() {
+                self.reserve_starts.push((vm, key));
+            }
+            pass.room.take(1);
             is_urgent = false;
         }
         if is_cut_off {
@@ -314,7 +334,11 @@
         if state.waiting() == 0 || (ready.step.gang && !are_all_ready) {
             return;
         }
-        let tasks = ready_tasks(state, usize::MAX);
+        let tasks = ready_tasks(now, entry, ready, usize::MAX);
+        if !pass.room.admits(tasks.iter().any(|task| task.is_overdue)) {
+            self.window.hold_back();
+            return;
+        }
         let tasks_per_vm = count_tasks_per_vm(ready.step, state);
         let mut racks: Vec<Option<String>> = vec![None];
         if ready.step.same_rack {
@@ -324,7 +348,7 @@
         }
         for rack in racks {
             if self.try_start_all(now, ready, &tasks, &tasks_per_vm, rack.as_deref()) {
-                pass.starts_left = pass.starts_left.saturating_sub(tasks.len());
+                pass.room.take(tasks.len());
                 return;
             }
         }
--- a/components/steps/src/owner/window.rs
+++ b/components/steps/src/owner/window.rs
@@ -17,9 +17,45 @@
 const MIN: usize = 8;
 /// The largest window.
 const MAX: usize = 16_384;
+/// Starts beyond the limit that are kept for long-running tasks which have been down for too
+/// long.
+const RESERVED: usize = 8;
 /// The window shrinks on replies of at least this fraction of the agents.
 const MIN_AGENTS_DIVISOR: usize = 4;
 
+/// Number of starts that a scheduling pass may still order.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StartRoom {
+    /// Starts of any tasks.
+    left: usize,
+    /// Further starts of long-running tasks that have been down for too long.
+    reserve: usize,
+}
+
+impl StartRoom {
+    pub(super) const fn most(self) -> usize {
+        self.left + self.reserve
+    }
+
+    /// Whether only the reserve is left.
+    pub(super) const fn is_full(self) -> bool {
+        self.left == 0
+    }
+
+    /// Whether a task may start; `is_overdue` if it may use the reserve.
+    pub(super) const fn admits(self, is_overdue: bool) -> bool {
+        self.left > 0 || (is_overdue && self.reserve > 0)
+    }
+
+    /// Takes the room of starts that were admitted.
+    pub(super) const fn take(&mut self, count: usize) {
+        match self.is_full() {
+            true => self.reserve = self.reserve.saturating_sub(count),
+            false => self.left = self.left.saturating_sub(count),
+        }
+    }
+}
+
 /// Limit of the start orders without a reply.
 #[derive(Clone, Debug)]
 pub(super) struct StartWindow {
@@ -52,6 +88,15 @@
         self.limit
     }
 
+    /// Room for starts while `unanswered` ones have no reply, `reserved` of which used the
+    /// reserve.
+    pub(super) const fn room(&self, unanswered: usize, reserved: usize) -> StartRoom {
+        StartRoom {
+            left: self.limit.saturating_sub(unanswered),
+            reserve: RESERVED.saturating_sub(reserved),
+        }
+    }
+
     /// Notes that the limit has held back a start.
     pub(super) const fn hold_back(&mut self) {
         self.was_full = true;
