Test: a job that is loaded late must wait for silent VMs

A new owner loads the jobs 6.5 s after the start of its term, while one VM is silent. It takes the job for one that no earlier owner has known and starts a task that may still run there.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -824,3 +824,17 @@
         "the task is down for 3 s"
     );
 }
+
+/// Guards against two runs of a task: its job was loaded more than 6 s after the start of the
+/// term and was taken for one that no earlier owner had known.
+#[test]
+fn a_job_that_is_loaded_late_waits_for_silent_vms() {
+    let mut session = Session::new(2);
+    session.report(at(10), 0, |_| ());
+    session.handle(at(1_900), Event::Unreachable(vm(1), PollFailure::default()));
+    session.submit(at(6_500), JOB, 1);
+    session.handle(at(6_500), Event::JobsLoaded);
+    assert_eq!(session.take_starts(at(6_500), 0), []);
+    session.handle(at(9_000), Event::Tick);
+    assert_eq!(session.take_starts(at(9_000), 0).len(), 1);
+}
