A job that is loaded late is not taken for a new one

Cause: while a VM may hold runs that nobody has reported, an owner holds back the jobs that an earlier owner may have started. It told them by when it learned of the job: within the 6 s for which an earlier owner may go on. When loading takes longer, since the store is away or the entry is slow, all jobs pass for new ones, and their tasks start a second time beside runs on silent VMs.

Change: a job that is known before all jobs are loaded is always held back. The simulation tells its owners that the jobs are loaded, as the daemon does.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -281,7 +281,10 @@
         if self.jobs.contains_key(&job.name) || self.ended_jobs.contains_key(&job.name) {
             return;
         }
-        let entry = JobEntry::new(job, progress, now);
+        let mut entry = JobEntry::new(job, progress, now);
+        // Loading the jobs may take longer than an earlier owner goes on.
+        let is_earlier_owner_over = (self.term_start + self.timing.ownership).passed(now);
+        entry.may_have_earlier_runs = !self.are_jobs_loaded || !is_earlier_owner_over;
         if entry.outcome.is_none() {
             self.waiting_jobs.insert(entry.job.name.clone());
         }
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -118,6 +118,8 @@
     pub(super) job: Arc<Job>,
     /// Time at which this owner learned of the job.
     pub(super) known_since: Time,
+    /// Whether an earlier owner may have known the job and started its tasks.
+    pub(super) may_have_earlier_runs: bool,
     /// Store revision of the durable record; `None` if no record has been written.
     pub(super) record_revision: Option<i64>,
     pub(super) outcome: Option<Outcome>,
@@ -141,6 +143,7 @@
     pub(super) fn new(job: Arc<Job>, progress: Option<(Progress, i64)>, now: Time) -> Self {
         let mut entry = Self {
             known_since: now,
+            may_have_earlier_runs: true,
             record_revision: None,
             outcome: None,
             ended_at: None,
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -164,7 +164,6 @@
     pub(super) fn schedule(&mut self, now: Time, wall: Time) {
         self.work.passes += 1;
         let is_recovering = self.is_recovering(now);
-        let earlier_owner_over = self.term_start + self.timing.ownership;
         let unanswered = self.unanswered_starts();
         let vms = &self.vms;
         self.reserve_starts.retain(|(vm, key)| {
@@ -179,7 +178,7 @@
             let Some(entry) = self.jobs.get(&rank.job) else {
                 continue;
             };
-            if is_recovering && entry.known_since < earlier_owner_over {
+            if is_recovering && entry.may_have_earlier_runs {
                 continue;
             }
             let may_use_reserve = entry.job.is_long_running();
--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -323,6 +323,7 @@
         for name in self.machines.keys() {
             owner.handle(now, now, Event::Vm(name.clone()));
         }
+        owner.handle(now, now, Event::JobsLoaded);
         self.owner = Some(owner);
     }
 
