Test: a best-effort task stays down because another task of its job runs

Both tasks of a long-running best-effort step wait on a worker whose processor is taken. The first starts after 1.5 s, the second never, since its job is not idle any more.

Fails on this commit: 1 run, expected 2.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -838,3 +838,22 @@
     session.handle(at(9_000), Event::Tick);
     assert_eq!(session.take_starts(at(9_000), 0).len(), 1);
 }
+
+/// Guards against best-effort tasks that stay down because another task of their job runs.
+#[test]
+fn each_long_running_best_effort_task_takes_any_worker_once_it_waits_too_long() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    session.submit(at(0), "00000000000000b1", 4);
+    session.take_starts(at(0), 0);
+    let fills = steps::Step {
+        best_effort: true,
+        ..long_running_step(2)
+    };
+    let (job, progress) = (job(JOB, "quick", vec![fills]), None);
+    session.handle(at(100), Event::Job { job, progress });
+    for millis in (200..3_000).step_by(200) {
+        session.handle(at(millis), Event::Tick);
+    }
+    assert_eq!(session.owner.runs_of(&job_name(JOB)).len(), 2);
+}
