Each long-running task that is down for long takes any worker

Cause: a best-effort task may be placed on a slow worker only once its job has had no runs for 1.5 s. A task of a long-running step that is down while others run never reaches that. The owner stops such a task on a draining worker if any worker could take it, and then doesn't start it there.

Change: the time counts for each task of a long-running step.

--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Owner,
-    entry::{JobEntry, StepState, task_key},
+    entry::{JobEntry, StepState, Task, task_key},
     place::{FailedPlacements, PlacementRequest},
     vm::{AssignedRun, Phase},
     window::StartRoom,
@@ -25,8 +25,8 @@
 /// Delay after an occurrence's due time, since the clocks of machines differ and no
 /// occurrence may start early.
 const CLOCK_MARGIN: Duration = Duration::from_millis(40);
-/// Time after which a job without runs takes any worker for a ready task. Users
-/// consider a job lost after 3 s without progress.
+/// Time after which a job without runs takes any worker for a ready task, and a long-running
+/// step for each task that is down. Users consider a job or such a task lost after 3 s.
 const MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// Run numbers of a term start at its epoch times this number, so that they increase
 /// from term to term without a record.
@@ -101,6 +101,11 @@
     }
 }
 
+/// Whether a task without a run is long-running and has been down for too long.
+fn is_overdue(now: Time, entry: &JobEntry, step: &Step, task: &Task) -> bool {
+    step.long_running && (entry.waiting_since(task) + MAX_IDLE).passed(now)
+}
+
 /// Up to `max` tasks of a step that are not done and have no run, overdue ones first.
 fn ready_tasks(now: Time, entry: &JobEntry, ready: &ReadyStep<'_>, max: usize) -> Vec<ReadyTask> {
     let state = ready.state(entry);
@@ -116,11 +121,10 @@
         if !task.is_waiting() {
             continue;
         }
-        let waiting_since = entry.waiting_since(task);
         found.push(ReadyTask {
             index,
             avoid: task.avoid.clone(),
-            is_overdue: is_long_running && (waiting_since + MAX_IDLE).passed(now),
+            is_overdue: is_overdue(now, entry, ready.step, task),
         });
     }
     found.sort_by_key(|task| !task.is_overdue);
@@ -276,15 +280,19 @@
         let Some(entry) = self.jobs.get(ready.job) else {
             return;
         };
-        let mut is_urgent = entry
+        let mut is_idle = entry
             .idle_since()
             .is_some_and(|since| (since + MAX_IDLE).passed(now));
         let state = ready.state(entry);
         if state.waiting() == 0 {
             return;
         }
+        let mut waiting = state.tasks().iter().filter(|task| task.is_waiting());
+        let has_overdue =
+            ready.step.long_running && waiting.any(|task| is_overdue(now, entry, ready.step, task));
         let any_task = ReadyTask::default();
         let no_tasks = BTreeMap::new();
+        let is_urgent = is_idle || has_overdue;
         if pass
             .failed
             .cover(&ready.placement_request(&any_task, &no_tasks, None, is_urgent))
@@ -299,6 +307,7 @@
                 self.window.hold_back();
                 return;
             }
+            let is_urgent = is_idle || task.is_overdue;
             let request = ready.placement_request(&task, &tasks_per_vm, None, is_urgent);
             if pass.failed.cover(&request) {
                 return;
@@ -316,7 +325,7 @@
                 self.reserve_starts.push((vm, key));
             }
             pass.room.take(1);
-            is_urgent = false;
+            is_idle = false;
         }
         if is_cut_off {
             self.window.hold_back();
