Test: a worker that has not listed all ends holds up all long-running tasks

A new owner has attached both workers, one of which has more ends than it lists at a time. A long-running task, whose ends don't matter, does not start on either of them.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -857,3 +857,18 @@
     }
     assert_eq!(session.owner.runs_of(&job_name(JOB)).len(), 2);
 }
+
+/// Guards against one worker with many unrecorded ends that holds up the tasks of all others.
+#[test]
+fn long_running_tasks_do_not_wait_for_the_ends_of_earlier_runs() {
+    let mut session = Session::new(2);
+    session.report(at(10), 0, |_| ());
+    let (job, progress) = (job(JOB, "quick", vec![long_running_step(1)]), None);
+    session.handle(at(10), Event::Job { job, progress });
+    session.submit(at(10), "00000000000000b1", 1);
+    session.report(at(20), 1, |report| report.has_more_ends = true);
+    let mut starts = session.take_starts(at(20), 0);
+    starts.extend(session.take_starts(at(20), 1));
+    let started: Vec<_> = starts.into_iter().map(|key| key.task.job).collect();
+    assert_eq!(started, [job_name(JOB)]);
+}
