Long-running tasks do not wait until all ends are listed

Cause: a new owner starts nothing that an earlier one may have started while any worker has ends that it has not listed. That wait has no limit: a worker lists more only once the records of the first ends are durable. But only a task that may be done has to wait for ends; a long-running one starts again however it ends.

Change: for long-running steps only VMs with unreported runs count.

--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -101,6 +101,10 @@
             );
             return;
         }
+        if !vm.has_listed_runs {
+            vm.has_listed_runs = true;
+            self.schedule_due = true;
+        }
         if !report.has_more_ends && !vm.has_listed_ends {
             vm.has_listed_ends = true;
             self.schedule_due = true;
@@ -166,6 +170,7 @@
         vm.info = Some(info.clone());
         vm.processed_end = 0;
         vm.recorded_end = 0;
+        vm.has_listed_runs = false;
         vm.has_listed_ends = false;
         vm.acknowledged_end = 0;
         vm.unrecorded_ends.clear();
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -12,7 +12,7 @@
     Owner,
     entry::{JobEntry, StepState, Task, task_key},
     place::{FailedPlacements, PlacementRequest},
-    vm::{AssignedRun, Phase},
+    vm::{AssignedRun, Phase, Vm},
     window::StartRoom,
 };
 use crate::{
@@ -53,6 +53,11 @@
 /// State of one scheduling pass.
 struct Pass {
     room: StartRoom,
+    /// Whether ends of runs of an earlier owner, or such runs, may exist that no worker has
+    /// reported.
+    is_recovering: bool,
+    /// VMs on which such runs may exist.
+    unlisted_vms: BTreeSet<VmName>,
     failed: FailedPlacements,
 }
 
@@ -74,6 +79,13 @@
     is_overdue: bool,
 }
 
+impl Pass {
+    /// Whether tasks of the job may run or have ended without a report.
+    const fn is_recovering_job(&self, entry: &JobEntry) -> bool {
+        self.is_recovering && entry.may_have_earlier_runs
+    }
+}
+
 impl ReadyStep<'_> {
     fn state<'a>(&self, entry: &'a JobEntry) -> &'a StepState {
         &entry.occurrences[&self.occurrence][self.number]
@@ -157,17 +169,24 @@
     /// reported.
     #[must_use]
     pub fn is_recovering(&self, now: Time) -> bool {
+        let has_unlisted_ends = |vm: &Vm| vm.attached && !vm.has_listed_ends;
+        self.vms.values().any(has_unlisted_ends) || !self.unlisted_vms(now).is_empty()
+    }
+
+    /// VMs on which runs of an earlier owner may exist that no worker has reported.
+    fn unlisted_vms(&self, now: Time) -> BTreeSet<VmName> {
         let have_expired = self.earlier_runs_expire_at().passed(now);
-        self.vms.values().any(|vm| match vm.attached {
-            true => !vm.has_listed_ends,
+        let may_have_runs = |vm: &Vm| match vm.attached {
+            true => !vm.has_listed_runs,
             false => !vm.leases_expired && !have_expired,
-        })
+        };
+        let unlisted = self.vms.iter().filter(|(_, vm)| may_have_runs(vm));
+        unlisted.map(|(name, _)| name.clone()).collect()
     }
 
     /// Starts all tasks that may start and for which there is a suitable worker.
     pub(super) fn schedule(&mut self, now: Time, wall: Time) {
         self.work.passes += 1;
-        let is_recovering = self.is_recovering(now);
         let unanswered = self.unanswered_starts();
         let vms = &self.vms;
         self.reserve_starts.retain(|(vm, key)| {
@@ -176,13 +195,15 @@
         });
         let mut pass = Pass {
             room: self.window.room(unanswered, self.reserve_starts.len()),
+            is_recovering: self.is_recovering(now),
+            unlisted_vms: self.unlisted_vms(now),
             failed: FailedPlacements::default(),
         };
         for rank in self.ranked_jobs(now) {
             let Some(entry) = self.jobs.get(&rank.job) else {
                 continue;
             };
-            if is_recovering && entry.may_have_earlier_runs {
+            if pass.is_recovering_job(entry) && !entry.job.is_long_running() {
                 continue;
             }
             let may_use_reserve = entry.job.is_long_running();
@@ -260,6 +281,12 @@
                 if !entry.may_start(occurrence, number) {
                     continue;
                 }
+                // The ends of long-running tasks change nothing, so only their runs count.
+                if pass.is_recovering_job(entry)
+                    && (!step.long_running || !pass.unlisted_vms.is_empty())
+                {
+                    continue;
+                }
                 let ready = ReadyStep {
                     job: name,
                     occurrence,
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -185,6 +185,8 @@
     pub(super) roles: Vec<(RunKey, Role)>,
     /// Version of the interference weights that were last sent to the agent.
     pub(super) sent_weights_version: u64,
+    /// Whether the worker has listed its active runs in this term.
+    pub(super) has_listed_runs: bool,
     /// Whether the worker has listed all of its ended runs in this term.
     pub(super) has_listed_ends: bool,
     /// Calls with orders that have no reply yet.
@@ -228,6 +230,7 @@
             stops: BTreeSet::new(),
             roles: Vec::new(),
             sent_weights_version: 0,
+            has_listed_runs: false,
             has_listed_ends: false,
             open_calls: 0,
             health: Health::default(),
