Test: a task known to be down waits for a silent VM after a hand-over

An owner stops in an orderly way while a long-running task is down. The next owner could start it at once, but waits for a VM that does not answer, for 7.5 s after each change of owner.

Fails on this commit: no starts, expected task 4.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -872,3 +872,59 @@
     let started: Vec<_> = starts.into_iter().map(|key| key.task.job).collect();
     assert_eq!(started, [job_name(JOB)]);
 }
+
+/// A long-running task runs on VM 0 and a second one is down when the owner, which has three
+/// VMs, stops. Returns its note and the run.
+fn note_on_long_running_tasks() -> (Handover, RunKey) {
+    let mut before = Session::new(3);
+    before.report(at(0), 0, |_| ());
+    for number in 1..3 {
+        before.report(at(0), number, |report| {
+            report.worker.as_mut().unwrap().draining = true;
+        });
+    }
+    before.handle(at(0), Event::JobsLoaded);
+    let (job, progress) = (job(JOB, "quick", vec![long_running_step(5)]), None);
+    before.handle(at(0), Event::Job { job, progress });
+    let orders = before.owner.take_orders(at(0), &vm(0)).unwrap();
+    assert_eq!(orders.starts.len(), 4, "one task is down");
+    let key = orders.starts[0].key.clone();
+    before.answer(at(10), 0, orders, true);
+    (before.owner.handover(at(1_000)), key)
+}
+
+/// Returns an owner that takes over with this note and knows the job and three VMs.
+fn session_after(note: Handover, epoch: u64) -> Session {
+    let owner = Owner::new(entry(2), epoch, Timing::default(), at(1_000));
+    let mut session = Session { owner, version: 0 };
+    session.handle(at(1_000), Event::Config(config()));
+    session.handle(at(1_000), Event::HandedOver(note));
+    let (job, progress) = (job(JOB, "quick", vec![long_running_step(5)]), None);
+    session.handle(at(1_000), Event::Job { job, progress });
+    for number in 0..3 {
+        session.handle(at(1_000), Event::Vm(vm(number)));
+    }
+    session.handle(at(1_000), Event::JobsLoaded);
+    session
+}
+
+fn report_in(session: &mut Session, epoch: u64, number: usize, ended: Vec<EndedRun>) {
+    session.report(at(1_100), number, |report| {
+        (report.epoch, report.confirmed_epoch) = (epoch, epoch);
+        report.ended = ended;
+    });
+}
+
+/// Guards against tasks known to be down that wait for a silent VM after each hand-over.
+#[test]
+fn a_long_running_task_that_was_down_at_the_hand_over_waits_for_no_silent_vm() {
+    let (note, _) = note_on_long_running_tasks();
+    let mut session = session_after(note, EPOCH + 1);
+    report_in(&mut session, EPOCH + 1, 1, Vec::new());
+    let starts = session.take_starts(at(1_100), 1);
+    let indexes: Vec<u32> = starts.iter().map(|key| key.task.index).collect();
+    assert_eq!(indexes, [4], "the others may run on VM 0");
+    report_in(&mut session, EPOCH + 1, 0, Vec::new());
+    let starts = session.take_starts(at(1_100), 0).len() + session.take_starts(at(1_100), 1).len();
+    assert_eq!(starts, 4, "VM 2 is silent");
+}
