Name in the hand-over note where long-running tasks may run

Cause: after each change of owner, all tasks that an earlier owner may have started wait for each VM that has not answered, for 7.5 s from the start of the term even if the previous owner stopped in an orderly way and knew that a task was down. When entries are stopped in turn, each term begins that wait anew, and a task that went down before is not started meanwhile.

Change: the note names the VMs on which each long-running task may run, if the owner knows, and an owner that is still waiting itself passes on what it was told. A task that is on none of the VMs which the next owner waits for starts at once. Tasks of other kinds wait as before, since they may have been done on a silent VM. Notes name at most 1,000 tasks.

Safe since an owner sends no order after its note, the note counts only for the next epoch, and it names each run that exists or may exist: active, ordered, stopping, unsettled, and runs of unknown jobs. An owner that stops before it has loaded the jobs names nothing.

--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -6,13 +6,24 @@
 //! time already, so the note holds the remaining wait for each such VM. The note gives
 //! durations rather than times because the clocks of two machines differ; the next
 //! owner counts them from the start of its own term, which is later.
+//!
+//! A task that was down when the previous owner stopped need not wait for VMs that do not
+//! answer, since nobody has started it. The note therefore names the VMs on which
+//! long-running tasks may run. A task of another kind may also have been done there.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use kernel::{Time, VmName};
 use serde::{Deserialize, Serialize};
 
 use super::{Owner, vm::Vm};
+use crate::TaskKey;
+
+/// The most long-running tasks that a note names, which bounds its size.
+const MAX_TASKS: usize = 1_000;
 
 /// A VM whose agent does not answer, with the time for which tasks may still run
 /// there.
@@ -33,6 +44,10 @@
     /// VMs whose agents did not answer.
     #[serde(rename = "silent")]
     pub unreachable: Vec<UnreachableVm>,
+    /// VMs on which each long-running task may run; a task that is not named is down.
+    /// `None` if the owner did not know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub long_running: Option<BTreeMap<TaskKey, BTreeSet<VmName>>>,
 }
 
 impl Owner {
@@ -57,7 +72,59 @@
         Handover {
             epoch: self.epoch,
             unreachable,
+            long_running: self.long_running_placements(now),
+        }
+    }
+
+    /// VMs on which each long-running task may run; `None` if this owner does not know.
+    fn long_running_placements(&self, now: Time) -> Option<BTreeMap<TaskKey, BTreeSet<VmName>>> {
+        if !self.are_jobs_loaded {
+            return None;
+        }
+        let mut placements: BTreeMap<TaskKey, BTreeSet<VmName>> = BTreeMap::new();
+        let unlisted = self.unlisted_vms(now);
+        if !unlisted.is_empty() {
+            let earlier = self.handover.as_ref()?.long_running.as_ref()?;
+            for (task, vms) in earlier {
+                let vms: BTreeSet<VmName> = vms.intersection(&unlisted).cloned().collect();
+                if !vms.is_empty() {
+                    placements.insert(task.clone(), vms);
+                }
+            }
+        }
+        for (name, vm) in &self.vms {
+            let keys = vm
+                .runs
+                .keys()
+                .chain(vm.unknown_runs.keys())
+                .chain(&vm.stops);
+            for key in keys.filter(|key| self.may_be_long_running(&key.task)) {
+                let vms = placements.entry(key.task.clone()).or_default();
+                vms.insert(name.clone());
+            }
+        }
+        (placements.len() <= MAX_TASKS).then_some(placements)
+    }
+
+    fn may_be_long_running(&self, task: &TaskKey) -> bool {
+        let entry = self.jobs.get(&task.job);
+        let step = entry.and_then(|entry| entry.job.steps.get(usize::from(task.step)));
+        step.is_none_or(|step| step.long_running)
+    }
+
+    /// Whether a long-running task may run on one of the VMs, on which runs may exist that
+    /// no worker has reported.
+    pub(super) fn may_run_on(&self, task: &TaskKey, unlisted: &BTreeSet<VmName>) -> bool {
+        if unlisted.is_empty() {
+            return false;
         }
+        let note = self.handover.as_ref().filter(|_| self.are_jobs_loaded);
+        let Some(placements) = note.and_then(|note| note.long_running.as_ref()) else {
+            return true;
+        };
+        placements
+            .get(task)
+            .is_some_and(|vms| !vms.is_disjoint(unlisted))
     }
 
     pub(super) fn on_handover(&mut self, handover: Handover) {
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -174,7 +174,7 @@
     }
 
     /// VMs on which runs of an earlier owner may exist that no worker has reported.
-    fn unlisted_vms(&self, now: Time) -> BTreeSet<VmName> {
+    pub(super) fn unlisted_vms(&self, now: Time) -> BTreeSet<VmName> {
         let have_expired = self.earlier_runs_expire_at().passed(now);
         let may_have_runs = |vm: &Vm| match vm.attached {
             true => !vm.has_listed_runs,
@@ -282,9 +282,7 @@
                     continue;
                 }
                 // The ends of long-running tasks change nothing, so only their runs count.
-                if pass.is_recovering_job(entry)
-                    && (!step.long_running || !pass.unlisted_vms.is_empty())
-                {
+                if pass.is_recovering_job(entry) && !step.long_running {
                     continue;
                 }
                 let ready = ReadyStep {
@@ -326,8 +324,16 @@
         {
             return;
         }
-        let tasks = ready_tasks(now, entry, ready, pass.room.most());
-        let is_cut_off = tasks.len() < state.waiting();
+        let is_held_back = pass.is_recovering_job(entry);
+        let most = match is_held_back {
+            true => usize::MAX,
+            false => pass.room.most(),
+        };
+        let mut tasks = ready_tasks(now, entry, ready, most);
+        if is_held_back {
+            tasks.retain(|task| !self.may_run_on(&ready.task(task.index), &pass.unlisted_vms));
+        }
+        let is_cut_off = !is_held_back && tasks.len() < state.waiting();
         let mut tasks_per_vm = count_tasks_per_vm(ready.step, state);
         for task in tasks {
             if !pass.room.admits(task.is_overdue) {
@@ -370,6 +376,11 @@
             return;
         }
         let tasks = ready_tasks(now, entry, ready, usize::MAX);
+        let may_run =
+            |task: &ReadyTask| self.may_run_on(&ready.task(task.index), &pass.unlisted_vms);
+        if pass.is_recovering_job(entry) && tasks.iter().any(may_run) {
+            return;
+        }
         if !pass.room.admits(tasks.iter().any(|task| task.is_overdue)) {
             self.window.hold_back();
             return;
--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -69,6 +69,38 @@
     );
 }
 
+/// Long-running tasks end from time to time and must run again, also after changes of owner.
+fn explore_long_running(seed: u64, per_second: f64, fencing: bool) {
+    let start = Time::from_secs(1_000);
+    let faults = Faults {
+        fencing,
+        per_second,
+        until: start + FAULT_TIME,
+    };
+    let mut simulation = Simulation::new(seed, MACHINE_COUNT, faults);
+    for number in 0u64..3 {
+        let watch = Step {
+            long_running: true,
+            ..step(3, &[])
+        };
+        let id = format!("{number:016x}");
+        simulation.submit(job(&id, "quick", vec![watch]), false);
+    }
+    simulation.run_until(start + FAULT_TIME);
+    let starts = simulation.starts;
+    simulation.run_until(start + FAULT_TIME + RECOVERY_TIME);
+    assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+    assert!(simulation.starts > starts + 100, "seed {seed}");
+}
+
+#[rstest]
+fn long_running_tasks_run_once_at_a_time(
+    #[values(41, 42, 43, 44)] seed: u64,
+    #[values(true, false)] fencing: bool,
+) {
+    explore_long_running(seed, 0.15, fencing);
+}
+
 #[rstest]
 fn without_faults_all_jobs_complete(#[values(1, 2)] seed: u64) {
     explore(seed, 0.0);
@@ -117,6 +149,7 @@
         for fencing in [true, false] {
             explore_with(seed, 0.05, fencing);
             explore_with(seed, 0.15, fencing);
+            explore_long_running(seed, 0.15, fencing);
         }
     }
 }
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -928,3 +928,40 @@
     let starts = session.take_starts(at(1_100), 0).len() + session.take_starts(at(1_100), 1).len();
     assert_eq!(starts, 4, "VM 2 is silent");
 }
+
+/// An owner in between stops before the VM of the tasks has answered it.
+#[test]
+fn a_note_on_long_running_tasks_is_passed_on() {
+    let (note, key) = note_on_long_running_tasks();
+    let mut between = session_after(note, EPOCH + 1);
+    report_in(&mut between, EPOCH + 1, 1, Vec::new());
+    let [started] = &between.take_starts(at(1_100), 1)[..] else {
+        panic!("one task is down");
+    };
+    let note = between.owner.handover(at(1_000));
+    let mut session = session_after(note, EPOCH + 2);
+    report_in(&mut session, EPOCH + 2, 2, Vec::new());
+    assert_eq!(session.take_starts(at(1_100), 2), [], "all may run");
+    report_in(
+        &mut session,
+        EPOCH + 2,
+        1,
+        vec![ended(1, started, RunEnd::Lapsed)],
+    );
+    let starts = [1, 2].map(|number| session.take_starts(at(1_100), number));
+    let restarted: Vec<_> = starts.iter().flatten().map(|key| &key.task).collect();
+    assert_eq!(restarted, [&started.task]);
+    assert_ne!(started.task, key.task);
+}
+
+#[test]
+fn an_owner_that_has_not_loaded_the_jobs_leaves_no_note_on_long_running_tasks() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    assert_eq!(session.owner.handover(at(10)).long_running, None);
+    session.handle(at(20), Event::JobsLoaded);
+    assert_eq!(
+        session.owner.handover(at(30)).long_running,
+        Some(std::collections::BTreeMap::new())
+    );
+}
