Test: a restarted agent must wait for the leases of the process before it

The agent restarts, gets a heartbeat of its worker and no answer to two polls. It reports that all leases there have expired, though the process before it may have granted them up to 4 s.

--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -257,3 +257,19 @@
     assert!(!agent.report(at(4_000)).leases_expired);
     assert!(agent.report(at(4_500)).leases_expired);
 }
+
+/// Guards against two runs of a task: a restarted agent heard of its worker, got no answer to
+/// two polls and reported that all leases there had expired (`explore`, seed 10063).
+#[test]
+fn a_restarted_agent_whose_worker_does_not_answer_waits_for_earlier_leases() {
+    let mut agent = AgentState::new(Timing::default(), START);
+    agent.apply_heartbeat(heartbeat(1, 1));
+    assert!(agent.accept_header(START, &header(5, None)));
+    for millis in [100, 200, 4_000] {
+        let poll = next_poll(&mut agent, at(millis));
+        agent.apply_error(at(millis), &poll, PollError::Unresponsive);
+    }
+    assert!(!agent.report(at(4_000)).leases_expired);
+    agent.check_lease_expiry(at(4_500));
+    assert!(agent.report(at(4_500)).leases_expired);
+}
