A restarted agent keeps waiting for the leases of the process before it

What callers saw: a task ran on two workers at a time.

Cause: an agent counts 4.4 s from its start until leases that the process before it granted have certainly expired. The first heartbeat of its worker, which looks like one of a new incarnation to a process that knows none, cleared that time. If the worker then left two polls unanswered, the agent reported that nothing runs there, and the owner started the tasks elsewhere.

Change: nothing clears the time. It never exceeds 4.4 s from the start of the agent, and a worker that has left is reported at once as before.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -316,7 +316,6 @@
         self.echo = None;
         self.granted_until = 0;
         self.renewal_stop = None;
-        self.earlier_leases_end = Time::ZERO;
         self.unanswered_polls = 0;
         self.leases_expired = false;
         self.confirmed_epoch = 0;
