--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -485,7 +485,7 @@
         let stored = self.store.get(&key.task.job);
         let is_long_running = stored.is_some_and(|stored| stored.job.steps[step].long_running);
         let work = match is_long_running {
-            true => 700 + u64::from(key.task.index % 5) * 900,
+            true => 700 + u64::from(key.task.index % 5) * 9_000,
             false => 100 + u64::from(key.task.index % 5) * 120,
         };
         let machine = self.machines.get_mut(name).unwrap();
--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -95,7 +95,7 @@
 
 #[rstest]
 fn long_running_tasks_run_once_at_a_time(
-    #[values(41, 42, 43, 44)] seed: u64,
+    #[values(41, 42, 43, 44, 45, 46, 47, 48)] seed: u64,
     #[values(true, false)] fencing: bool,
 ) {
     explore_long_running(seed, 0.15, fencing);
