Test: the absence of a stopped run must be reported at once

A start order was lost on its way and the owner stops the run. The worker confirms the stop, but its agent sends the next poll as a long one and reports no change, so the owner learns up to 3 s later that the run does not exist and may start its task again.

--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -273,3 +273,18 @@
     agent.check_lease_expiry(at(4_500));
     assert!(agent.report(at(4_500)).leases_expired);
 }
+
+/// Guards against a task that stays down for seconds after a start was lost on its way: the
+/// owner waits for a list that no longer holds the run it has stopped.
+#[test]
+fn the_absence_of_a_stopped_run_is_reported_at_once() {
+    let mut agent = agent();
+    let version = agent.version();
+    agent.settle_stop(&key(), OrderResult::Done);
+    let poll = agent.next_poll(at(100), true).unwrap();
+    assert_eq!(poll.wait_millis, 0);
+    agent.apply_reply(at(110), &poll, reply(10_110));
+    assert_ne!(agent.version(), version, "the owner gets a report");
+    let poll = agent.next_poll(at(120), true).unwrap();
+    assert_ne!(poll.wait_millis, 0, "one poll is enough");
+}
