An agent verifies at once that a stopped run does not exist

Cause: after a start without an answer, the owner stops the run and waits for a list of the worker that was made after the stop. For a run that the worker has, its end comes at once. For one that it never had, nothing changes, so the agent finishes its long poll, starts another one, and the owner hears of that after a second of waiting for news: up to 3 s in all, on top of the 1.5 s until the start counts as unanswered.

Change: after a confirmed stop of a run that is not listed, the agent sends one short poll beside an open long one, and its reply counts as news for the owner.

Measured: the_absence_of_a_stopped_run_is_reported_at_once fails before (a wait of 1,000 ms) and passes after; the tests of steps and stepd pass. No test covers the daemon's part.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -325,14 +325,21 @@
         futures_util::future::join_all(stops),
     )
     .await;
-    let agent_state = shared.agent_state();
-    OrdersReply {
+    let results = orders.stops.iter().zip(&stops);
+    let confirmed = results.filter(|(_, result)| **result == OrderResult::Done);
+    let stopped: Vec<RunKey> = confirmed.map(|(key, _)| key.clone()).collect();
+    let mut agent_state = shared.agent_state();
+    let reply = OrdersReply {
         agent_incarnation: agent_state.incarnation(),
         epoch: agent_state.epoch(),
         poll: agent_state.last_poll_number(),
         starts,
         stops,
-    }
+    };
+    agent_state.verify_stops(&stopped);
+    drop(agent_state);
+    shared.poll_wanted.notify(usize::MAX);
+    reply
 }
 
 fn refuse_all(shared: &Shared, orders: &Orders) -> OrdersReply {
--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -64,6 +64,11 @@
         return UNANSWERED_DELAY;
     }
     if long_poll_open.load(Ordering::Relaxed) {
+        if shared.agent_state().is_stop_check_due()
+            && let Some(poll) = shared.agent_state().next_poll(now, false)
+        {
+            smol::spawn(short_poll(Arc::clone(shared), poll)).detach();
+        }
         return IDLE_INTERVAL;
     }
     if unrecorded {
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -150,6 +150,9 @@
     leases_expired: bool,
     /// Number of the last poll that was sent.
     last_poll: u64,
+    /// Number of the first poll that shows whether the stopped runs exist, which an owner
+    /// waits for; `None` if none is waited for.
+    stop_check: Option<u64>,
     /// Highest number of a poll whose reply was applied; later replies to earlier polls
     /// do not change the list of runs.
     last_applied_poll: u64,
@@ -193,6 +196,7 @@
             unanswered_polls: 0,
             leases_expired: false,
             last_poll: 0,
+            stop_check: None,
             last_applied_poll: 0,
             recorded: 0,
             running: Vec::new(),
@@ -317,6 +321,7 @@
         self.granted_until = 0;
         self.renewal_stop = None;
         self.unanswered_polls = 0;
+        self.stop_check = None;
         self.leases_expired = false;
         self.confirmed_epoch = 0;
         self.recorded = 0;
@@ -473,7 +478,9 @@
         let until_millis = self.lease_until(now).filter(|_| self.unanswered_polls == 0);
         self.granted_until = self.granted_until.max(until_millis.unwrap_or_default());
         self.last_poll += 1;
-        let wait_millis = match may_wait && !self.is_unconfirmed() {
+        let may_wait =
+            may_wait && !self.is_unconfirmed() && self.stop_check != Some(self.last_poll);
+        let wait_millis = match may_wait {
             false => 0,
             true if self.is_pacing() => PACING_POLL_WAIT_MILLIS,
             true => POLL_WAIT_MILLIS,
@@ -555,6 +562,10 @@
             return Vec::new();
         }
         self.last_applied_poll = poll.number;
+        if self.stop_check.is_some_and(|check| poll.number >= check) {
+            self.stop_check = None;
+            self.version += 1;
+        }
         if !same_runs(&self.running, &reply.running) || self.has_more_ends != reply.has_more_ends {
             self.version += 1;
         }
@@ -700,6 +711,21 @@
         }
     }
 
+    /// Makes the next poll show at once whether stopped runs exist that the worker has not
+    /// listed. Other stopped runs end, which the worker lists.
+    pub fn verify_stops(&mut self, stopped: &[RunKey]) {
+        let is_listed = |key: &RunKey| self.running.iter().any(|row| row.key == *key);
+        if !stopped.iter().all(is_listed) {
+            self.stop_check = Some(self.last_poll + 1);
+        }
+    }
+
+    /// Whether the next poll should be sent at once to show whether stopped runs exist.
+    #[must_use]
+    pub fn is_stop_check_due(&self) -> bool {
+        self.stop_check.is_some_and(|check| check > self.last_poll)
+    }
+
     /// Drops the unsettled starts that the worker has carried out, and those that it
     /// would refuse as late now.
     fn settle_listed(&mut self, clock_millis: u64) {
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -281,6 +281,7 @@
     let mut agent = agent();
     let version = agent.version();
     agent.settle_stop(&key(), OrderResult::Done);
+    agent.verify_stops(&[key()]);
     let poll = agent.next_poll(at(100), true).unwrap();
     assert_eq!(poll.wait_millis, 0);
     agent.apply_reply(at(110), &poll, reply(10_110));
