Test: an owner must not take leases for expired that it lets be renewed

A VM answers a new owner 8 s after the start of its term, but its worker has not confirmed the epoch. The owner echoes the clock reading, so that the agent may renew leases there for 7 s, and at 9 s starts a task elsewhere that may still run there.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -965,3 +965,25 @@
         Some(std::collections::BTreeMap::new())
     );
 }
+
+/// Guards against two runs of a task: the owner let leases be renewed on a VM that answered
+/// late, and then took them for expired since its term had lasted long enough.
+#[test]
+fn leases_that_an_owner_lets_be_renewed_do_not_expire_with_those_of_the_one_before() {
+    let mut session = Session::new(2);
+    session.submit(at(0), JOB, 1);
+    session.report(at(10), 0, |_| ());
+    session.handle(at(1_900), Event::Unreachable(vm(1), PollFailure::default()));
+    session.handle(at(8_000), Event::OwnershipProved(at(8_000)));
+    let unconfirmed = |report: &mut AgentReport| report.confirmed_epoch = EPOCH - 1;
+    session.report(at(8_000), 1, unconfirmed);
+    let poll = session.owner.next_report_poll(at(8_010), &vm(1)).unwrap();
+    assert!(poll.header.echo.is_some(), "the agent may renew leases");
+    session.handle(at(9_100), Event::Tick);
+    assert_eq!(session.take_starts(at(9_100), 0), []);
+    session.report(at(12_500), 1, |report| {
+        report.confirmed_epoch = EPOCH - 1;
+        report.leases_expired = true;
+    });
+    assert_eq!(session.take_starts(at(12_500), 0).len(), 1);
+}
