Leases that an owner lets be renewed outlast those of the one before

Cause: a new owner takes the leases of earlier runs for expired 9 s after the start of its term (7.5 s with a note), if it has not heard a worker confirm its epoch. But once the agent answers, the owner echoes its clock reading, and a poll that reaches the worker without an answer renews the leases for up to 4 s. A VM that answers shortly before the wait is over may so run a task that the owner starts elsewhere.

--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -171,6 +171,7 @@
         vm.processed_end = 0;
         vm.recorded_end = 0;
         vm.has_listed_runs = false;
+        vm.first_echo_at = None;
         vm.has_listed_ends = false;
         vm.acknowledged_end = 0;
         vm.unrecorded_ends.clear();
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -158,6 +158,8 @@
     pub(super) agent_incarnation: u64,
     pub(super) report_version: u64,
     pub(super) clock_reading: Option<(ClockReading, Time)>,
+    /// When the worker's clock reading was first echoed to the agent in this term.
+    pub(super) first_echo_at: Option<Time>,
     /// Last echo of a clock reading that was sent to the agent.
     pub(super) last_echo: Option<SentEcho>,
     pub(super) runs: BTreeMap<RunKey, AssignedRun>,
@@ -215,6 +217,7 @@
             agent_incarnation: 0,
             report_version: 0,
             clock_reading: None,
+            first_echo_at: None,
             last_echo: None,
             runs: BTreeMap::new(),
             reserved: Resources::NONE,
@@ -282,6 +285,7 @@
     pub(super) fn record_echo(&mut self, now: Time, header: &OwnerHeader) {
         let read_at = self.clock_reading.as_ref().map(|(_, at)| *at);
         if let Some(read_at) = read_at.filter(|_| header.echo.is_some()) {
+            self.first_echo_at.get_or_insert(now);
             self.last_echo = Some(SentEcho {
                 sent_at: now,
                 read_at,
