--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -28,6 +28,9 @@
     pub(super) checkpoint: Option<Arc<str>>,
     /// VMs on which the task failed, was stuck or ran too slowly.
     pub(super) avoid: BTreeSet<VmName>,
+    /// When the last run of the task ended or was lost; `None` if there was none in this
+    /// term. A start that was refused is no run.
+    interrupted_at: Option<Time>,
 }
 
 impl Task {
@@ -115,6 +118,8 @@
     pub(super) job: Arc<Job>,
     /// Time at which this owner learned of the job.
     pub(super) known_since: Time,
+    /// Whether an earlier owner may have known the job and started its tasks.
+    pub(super) may_have_earlier_runs: bool,
     /// Store revision of the durable record; `None` if no record has been written.
     pub(super) record_revision: Option<i64>,
     pub(super) outcome: Option<Outcome>,
@@ -138,6 +143,7 @@
     pub(super) fn new(job: Arc<Job>, progress: Option<(Progress, i64)>, now: Time) -> Self {
         let mut entry = Self {
             known_since: now,
+            may_have_earlier_runs: true,
             record_revision: None,
             outcome: None,
             ended_at: None,
@@ -304,6 +310,18 @@
         false
     }
 
+    /// Notes that a run of the task has ended or was lost.
+    pub(super) fn note_interruption(&mut self, now: Time, key: &TaskKey) {
+        if let Some(task) = self.task_mut(key) {
+            task.interrupted_at = Some(now);
+        }
+    }
+
+    /// Since when a task without a run has been waiting.
+    pub(super) fn waiting_since(&self, task: &Task) -> Time {
+        task.interrupted_at.unwrap_or(self.known_since)
+    }
+
     /// Since when the job has had no runs; `None` while it has runs.
     pub(super) const fn idle_since(&self) -> Option<Time> {
         self.idle_since
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -101,6 +101,10 @@
             );
             return;
         }
+        if !vm.has_listed_runs {
+            vm.has_listed_runs = true;
+            self.schedule_due = true;
+        }
         if !report.has_more_ends && !vm.has_listed_ends {
             vm.has_listed_ends = true;
             self.schedule_due = true;
@@ -166,6 +170,8 @@
         vm.info = Some(info.clone());
         vm.processed_end = 0;
         vm.recorded_end = 0;
+        vm.has_listed_runs = false;
+        vm.first_echo_at = None;
         vm.has_listed_ends = false;
         vm.acknowledged_end = 0;
         vm.unrecorded_ends.clear();
@@ -270,6 +276,12 @@
         let assigned = self.vms.get(vm).and_then(|vm| vm.runs.get(key));
         let age_ms = assigned.map_or(0, |assigned| now.since(assigned.since).as_millis() as u64);
         tracing::info!(task = %key.task, run = key.run, %vm, why = reason, age_ms, "run lost");
+        // A start without an answer may never have been carried out.
+        if assigned.is_some_and(|assigned| !assigned.start_unanswered)
+            && let Some(entry) = self.jobs.get_mut(&key.task.job)
+        {
+            entry.note_interruption(now, &key.task);
+        }
         self.remove_run(now, vm, key);
     }
 
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -771,3 +771,230 @@
     session.report(at(9_600), 0, |_| ());
     assert_eq!(session.take_starts(at(9_600), 0).len(), 1);
 }
+
+/// A step whose tasks run until their job is cancelled.
+fn long_running_step(count: u32) -> steps::Step {
+    steps::Step {
+        long_running: true,
+        ..step(count, &[])
+    }
+}
+
+/// Returns whether a start of the job is among the orders; refuses all other starts as late.
+fn is_started_while_others_are_late(session: &mut Session, now: Time, vms: usize) -> bool {
+    let take = |owner: &mut Owner, number| Some((number, owner.take_orders(now, &vm(number))?));
+    let orders = (0..vms).filter_map(|number| take(&mut session.owner, number));
+    let orders: Vec<(usize, Orders)> = orders.collect();
+    let mut starts = orders.iter().flat_map(|(_, orders)| &orders.starts);
+    if starts.any(|start| start.key.task.job == job_name(JOB)) {
+        return true;
+    }
+    for (number, orders) in orders {
+        let reply = Some(OrdersReply {
+            agent_incarnation: 1,
+            epoch: EPOCH,
+            poll: 1,
+            starts: vec![OrderResult::Refused(Refusal::Late); orders.starts.len()],
+            stops: Vec::new(),
+        });
+        let (vm, orders) = (vm(number), Box::new(orders));
+        let event = Event::OrdersAnswered { vm, orders, reply };
+        session.handle(now + Duration::from_millis(600), event);
+    }
+    false
+}
+
+/// Guards against a long-running task that stays down while other starts fill the window.
+#[test]
+fn starts_of_other_jobs_do_not_keep_a_long_running_task_down() {
+    const VMS: usize = 100;
+    let mut session = Session::new(VMS);
+    for number in 0..VMS {
+        session.report(at(0), number, |_| ());
+    }
+    let (job, progress) = (job(JOB, "bulk", vec![long_running_step(2)]), None);
+    session.handle(at(0), Event::Job { job, progress });
+    let runs = session.owner.runs_of(&job_name(JOB));
+    for (name, _) in &runs {
+        let number = (0..VMS).find(|&number| vm(number) == *name).unwrap();
+        if let Some(orders) = session.owner.take_orders(at(0), name) {
+            session.answer(at(10), number, orders, true);
+        }
+    }
+    for number in 1..=150 {
+        session.submit(at(1_000), &format!("{number:016x}"), 2);
+    }
+    let (name, key) = &runs[0];
+    let number = (0..VMS).find(|&number| vm(number) == *name).unwrap();
+    session.report(at(1_000), number, |report| {
+        report.ended = vec![ended(1, key, RunEnd::Failed)];
+    });
+    let mut times = (1_000..4_000).step_by(600);
+    assert!(
+        times.any(|millis| is_started_while_others_are_late(&mut session, at(millis), VMS)),
+        "the task is down for 3 s"
+    );
+}
+
+/// Guards against two runs of a task: its job was loaded more than 6 s after the start of the
+/// term and was taken for one that no earlier owner had known.
+#[test]
+fn a_job_that_is_loaded_late_waits_for_silent_vms() {
+    let mut session = Session::new(2);
+    session.report(at(10), 0, |_| ());
+    session.handle(at(1_900), Event::Unreachable(vm(1), PollFailure::default()));
+    session.submit(at(6_500), JOB, 1);
+    session.handle(at(6_500), Event::JobsLoaded);
+    assert_eq!(session.take_starts(at(6_500), 0), []);
+    session.handle(at(9_000), Event::Tick);
+    assert_eq!(session.take_starts(at(9_000), 0).len(), 1);
+}
+
+/// Guards against best-effort tasks that stay down because another task of their job runs.
+#[test]
+fn each_long_running_best_effort_task_takes_any_worker_once_it_waits_too_long() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    session.submit(at(0), "00000000000000b1", 4);
+    session.take_starts(at(0), 0);
+    let fills = steps::Step {
+        best_effort: true,
+        ..long_running_step(2)
+    };
+    let (job, progress) = (job(JOB, "quick", vec![fills]), None);
+    session.handle(at(100), Event::Job { job, progress });
+    for millis in (200..3_000).step_by(200) {
+        session.handle(at(millis), Event::Tick);
+    }
+    assert_eq!(session.owner.runs_of(&job_name(JOB)).len(), 2);
+}
+
+/// Guards against one worker with many unrecorded ends that holds up the tasks of all others.
+#[test]
+fn long_running_tasks_do_not_wait_for_the_ends_of_earlier_runs() {
+    let mut session = Session::new(2);
+    session.report(at(10), 0, |_| ());
+    let (job, progress) = (job(JOB, "quick", vec![long_running_step(1)]), None);
+    session.handle(at(10), Event::Job { job, progress });
+    session.submit(at(10), "00000000000000b1", 1);
+    session.report(at(20), 1, |report| report.has_more_ends = true);
+    let mut starts = session.take_starts(at(20), 0);
+    starts.extend(session.take_starts(at(20), 1));
+    let started: Vec<_> = starts.into_iter().map(|key| key.task.job).collect();
+    assert_eq!(started, [job_name(JOB)]);
+}
+
+/// A long-running task runs on VM 0 and a second one is down when the owner, which has three
+/// VMs, stops. Returns its note and the run.
+fn note_on_long_running_tasks() -> (Handover, RunKey) {
+    let mut before = Session::new(3);
+    before.report(at(0), 0, |_| ());
+    for number in 1..3 {
+        before.report(at(0), number, |report| {
+            report.worker.as_mut().unwrap().draining = true;
+        });
+    }
+    before.handle(at(0), Event::JobsLoaded);
+    let (job, progress) = (job(JOB, "quick", vec![long_running_step(5)]), None);
+    before.handle(at(0), Event::Job { job, progress });
+    let orders = before.owner.take_orders(at(0), &vm(0)).unwrap();
+    assert_eq!(orders.starts.len(), 4, "one task is down");
+    let key = orders.starts[0].key.clone();
+    before.answer(at(10), 0, orders, true);
+    (before.owner.handover(at(1_000)), key)
+}
+
+/// Returns an owner that takes over with this note and knows the job and three VMs.
+fn session_after(note: Handover, epoch: u64) -> Session {
+    let owner = Owner::new(entry(2), epoch, Timing::default(), at(1_000));
+    let mut session = Session { owner, version: 0 };
+    session.handle(at(1_000), Event::Config(config()));
+    session.handle(at(1_000), Event::HandedOver(note));
+    let (job, progress) = (job(JOB, "quick", vec![long_running_step(5)]), None);
+    session.handle(at(1_000), Event::Job { job, progress });
+    for number in 0..3 {
+        session.handle(at(1_000), Event::Vm(vm(number)));
+    }
+    session.handle(at(1_000), Event::JobsLoaded);
+    session
+}
+
+fn report_in(session: &mut Session, epoch: u64, number: usize, ended: Vec<EndedRun>) {
+    session.report(at(1_100), number, |report| {
+        (report.epoch, report.confirmed_epoch) = (epoch, epoch);
+        report.ended = ended;
+    });
+}
+
+/// Guards against tasks known to be down that wait for a silent VM after each hand-over.
+#[test]
+fn a_long_running_task_that_was_down_at_the_hand_over_waits_for_no_silent_vm() {
+    let (note, _) = note_on_long_running_tasks();
+    let mut session = session_after(note, EPOCH + 1);
+    report_in(&mut session, EPOCH + 1, 1, Vec::new());
+    let starts = session.take_starts(at(1_100), 1);
+    let indexes: Vec<u32> = starts.iter().map(|key| key.task.index).collect();
+    assert_eq!(indexes, [4], "the others may run on VM 0");
+    report_in(&mut session, EPOCH + 1, 0, Vec::new());
+    let starts = session.take_starts(at(1_100), 0).len() + session.take_starts(at(1_100), 1).len();
+    assert_eq!(starts, 4, "VM 2 is silent");
+}
+
+/// An owner in between stops before the VM of the tasks has answered it.
+#[test]
+fn a_note_on_long_running_tasks_is_passed_on() {
+    let (note, key) = note_on_long_running_tasks();
+    let mut between = session_after(note, EPOCH + 1);
+    report_in(&mut between, EPOCH + 1, 1, Vec::new());
+    let [started] = &between.take_starts(at(1_100), 1)[..] else {
+        panic!("one task is down");
+    };
+    let note = between.owner.handover(at(1_000));
+    let mut session = session_after(note, EPOCH + 2);
+    report_in(&mut session, EPOCH + 2, 2, Vec::new());
+    assert_eq!(session.take_starts(at(1_100), 2), [], "all may run");
+    report_in(
+        &mut session,
+        EPOCH + 2,
+        1,
+        vec![ended(1, started, RunEnd::Lapsed)],
+    );
+    let starts = [1, 2].map(|number| session.take_starts(at(1_100), number));
+    let restarted: Vec<_> = starts.iter().flatten().map(|key| &key.task).collect();
+    assert_eq!(restarted, [&started.task]);
+    assert_ne!(started.task, key.task);
+}
+
+#[test]
+fn an_owner_that_has_not_loaded_the_jobs_leaves_no_note_on_long_running_tasks() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    assert_eq!(session.owner.handover(at(10)).long_running, None);
+    session.handle(at(20), Event::JobsLoaded);
+    assert_eq!(
+        session.owner.handover(at(30)).long_running,
+        Some(std::collections::BTreeMap::new())
+    );
+}
+
+/// Guards against two runs of a task: the owner let leases be renewed on a VM that answered
+/// late, and then took them for expired since its term had lasted long enough.
+#[test]
+fn leases_that_an_owner_lets_be_renewed_do_not_expire_with_those_of_the_one_before() {
+    let mut session = Session::new(2);
+    session.submit(at(0), JOB, 1);
+    session.report(at(10), 0, |_| ());
+    session.handle(at(1_900), Event::Unreachable(vm(1), PollFailure::default()));
+    session.handle(at(8_000), Event::OwnershipProved(at(8_000)));
+    let unconfirmed = |report: &mut AgentReport| report.confirmed_epoch = EPOCH - 1;
+    session.report(at(8_000), 1, unconfirmed);
+    let poll = session.owner.next_report_poll(at(8_010), &vm(1)).unwrap();
+    assert!(poll.header.echo.is_some(), "the agent may renew leases");
+    session.handle(at(9_100), Event::Tick);
+    assert_eq!(session.take_starts(at(9_100), 0), []);
+    session.report(at(12_500), 1, |report| {
+        report.confirmed_epoch = EPOCH - 1;
+        report.leases_expired = true;
+    });
+    assert_eq!(session.take_starts(at(12_500), 0).len(), 1);
+}
