The wait for a silent VM counts from its last answer also across a change of owner

What users saw: long-running tasks stay down after changes of owner although workers have room. Cause: the note for the next owner lists VMs that count as unreachable. One that was lost a second before the change does not yet, since a poll fails only after 1.9 s, so the next owner waits 7.5 s from the start of its own term; and it looks at the time left only once a poll of its own has failed. An owner that stops before it has loaded the jobs drops where long-running tasks may run. Change: the note lists each VM whose last answer is older than a poll waits; a VM that has not answered the new owner needs no failed poll to be given up; what an owner was told about long-running tasks is passed on if it has started nothing. In `a_stopping_owner_hands_over_the_remaining_wait` the healthy VM answers until the owner stops, as it would; the list must still hold the other one alone.

--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -19,7 +19,7 @@
 use kernel::{Time, VmName};
 use serde::{Deserialize, Serialize};
 
-use super::{Owner, vm::Vm};
+use super::{Owner, orders::REPORT_POLL_WAIT, vm::Vm};
 use crate::TaskKey;
 
 /// The most long-running tasks that a note names, which bounds its size.
@@ -67,7 +67,8 @@
         let mut unreachable = Vec::new();
         for (name, vm) in &self.vms {
             // This owner may not have noticed yet that an agent is unreachable.
-            if !vm.unreachable && vm.has_answered() {
+            let has_just_answered = !(vm.last_answer_at + REPORT_POLL_WAIT).passed(now);
+            if !vm.unreachable && vm.has_answered() && has_just_answered {
                 continue;
             }
             let time_left = match vm.leases_expired {
@@ -89,7 +90,8 @@
     /// VMs on which each long-running task may run; `None` if this owner does not know.
     fn long_running_placements(&self, now: Time) -> Option<BTreeMap<TaskKey, BTreeSet<VmName>>> {
         if !self.are_jobs_loaded {
-            return None;
+            // Nothing has been started since the last note.
+            return self.handover.as_ref()?.long_running.clone();
         }
         let mut placements: BTreeMap<TaskKey, BTreeSet<VmName>> = BTreeMap::new();
         let unlisted = self.unlisted_vms(now);
--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -10,9 +10,9 @@
     ClockReading, OrderResult, Orders, OrdersReply, OwnerHeader, Refusal, ReportPoll, RunKey,
 };
 
-/// Wait of a report poll in milliseconds; also the longest interval between two calls
-/// to an agent without orders or updates.
-const REPORT_POLL_WAIT_MILLIS: u64 = 1_000;
+/// Wait of a report poll; also the longest interval between two calls to an agent without
+/// orders or updates.
+pub(super) const REPORT_POLL_WAIT: std::time::Duration = std::time::Duration::from_millis(1_000);
 /// Time after which an unconfirmed stop order is sent again.
 const STOP_RETRY_INTERVAL: std::time::Duration = std::time::Duration::from_millis(400);
 /// Time for which a worker that refused a task gets no tasks: until its next report.
@@ -84,7 +84,7 @@
             weights,
             header,
             known_version: entry.report_version,
-            wait_millis: REPORT_POLL_WAIT_MILLIS,
+            wait_millis: REPORT_POLL_WAIT.as_millis() as u64,
             roles: std::mem::take(&mut entry.roles),
             known_report: entry.listing.applied(),
         })
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -208,13 +208,14 @@
         }
     }
 
-    /// Drops the runs on the VMs of agents that have been unreachable for longer than
-    /// any lease of a run on their VM lasts.
+    /// Drops the runs on the VMs of agents that have not answered for longer than any lease
+    /// of a run on their VM lasts.
     pub(super) fn expire_unreachable(&mut self, now: Time) {
         let mut expired = Vec::new();
         for (name, vm) in &self.vms {
             let has_ended = self.runs_expire_at(name, vm).passed(now);
-            if vm.unreachable && !vm.leases_expired && has_ended {
+            let is_silent = vm.unreachable || !vm.has_answered();
+            if is_silent && !vm.leases_expired && has_ended {
                 expired.push(name.clone());
             }
         }
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -354,6 +354,7 @@
     before.report(at(0), 0, |_| ());
     before.report(at(0), 1, |_| ());
     before.handle(at(100), Event::Unreachable(vm(1), PollFailure::default()));
+    before.report(at(3_000), 0, |_| ());
     let handover = before.owner.handover(at(3_000));
     assert_eq!(handover.unreachable.len(), 1);
 
