A new owner calls the agents before it loads the jobs

What users saw: long-running tasks lapse and stay down while entries are stopped one after the other, though workers and agents are healthy. Cause: an owner called no agent until it had read and applied all jobs, up to a second on a small entry. Terms that end sooner renew nothing: leases reach 7 s beyond the newest echo, so some changes of owner in a row, or one owner that dies among them, let leases of healthy workers lapse. Such an owner also knows no VM, so it could pass on no wait. Change: the owner reads the note and the keys of the agents first and calls them at once, in random order. Reports then renew leases; their runs and ends are kept and compared with the jobs once these are loaded. Agents are polled each 0.5 s meanwhile. Loading yields to replies. The simulation of takeover.rs does the same.

--- a/components/fakes/src/store/faults.rs
+++ b/components/fakes/src/store/faults.rs
@@ -71,6 +71,8 @@
     outage: bool,
     delay: Duration,
     losses: Vec<Loss>,
+    /// Prefix of the keys that can't be read.
+    unreadable: Option<String>,
     counts: CallCounts,
 }
 
@@ -117,12 +119,18 @@
         self.lose(prefix, CallOutcome::LoseRequest, calls);
     }
 
-    /// Removes all planned losses, the delay and the outage.
+    /// Lets reads of ranges that start with `prefix` fail.
+    pub fn fail_reads_under(&self, prefix: impl Into<String>) {
+        self.with(|plan| plan.unreadable = Some(prefix.into()));
+    }
+
+    /// Removes all planned losses, the delay, the outage and the failing reads.
     pub fn clear(&self) {
         self.with(|plan| {
             plan.outage = false;
             plan.delay = Duration::ZERO;
             plan.losses.clear();
+            plan.unreadable = None;
         });
     }
 
@@ -152,6 +160,9 @@
             if plan.outage {
                 return Err(StoreError::not_run("the store is down"));
             }
+            if call == CallKind::Range && plan.is_unreadable(keys) {
+                return Err(StoreError::not_run("the read fails"));
+            }
             Ok(plan.outcome(call, keys))
         })
     }
@@ -174,6 +185,11 @@
         *counter += 1;
     }
 
+    fn is_unreadable(&self, keys: &[&str]) -> bool {
+        let unreadable = self.unreadable.as_deref();
+        unreadable.is_some_and(|prefix| keys.iter().any(|key| key.starts_with(prefix)))
+    }
+
     fn outcome(&mut self, call: CallKind, keys: &[&str]) -> CallOutcome {
         if !matches!(call, CallKind::Txn | CallKind::Grant | CallKind::Revoke) {
             return CallOutcome::Run;
--- a/components/fakes/src/store/mod.rs
+++ b/components/fakes/src/store/mod.rs
@@ -182,7 +182,7 @@
     async fn range(&self, range: KeyRange, limit: i64) -> Result<RangeReply, StoreError> {
         self.inner
             .faults
-            .on_call(faults::CallKind::Range, &[])
+            .on_call(faults::CallKind::Range, &[&range.from])
             .await?;
         Ok(self.state().range(&range, limit))
     }
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -15,6 +15,7 @@
 use futures_lite::FutureExt;
 use kernel::{JobName, Time, VmName, secret::Secrets};
 use proto::Peer;
+use rand::seq::SliceRandom;
 use smol::Task;
 use steps::{
     Event, Owner,
@@ -25,7 +26,7 @@
 
 use super::{
     Shared, campaign, candidacy,
-    index::{KeyUpdate, jobs_first},
+    index::{KeyUpdate, jobs_first, parse_item},
     journal,
     load::LoadMeter,
 };
@@ -41,8 +42,13 @@
 const REPORT_POLL_MARGIN: Duration = Duration::from_millis(900);
 /// Timeout of orders to an agent, which waits up to 600 ms for its worker.
 const ORDERS_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// The pause between two reports of an agent while the jobs are being loaded. Their lists
+/// are applied only afterwards, so the pause ends with the load.
+const LOADING_POLL_PAUSE: Duration = Duration::from_millis(500);
 /// The delay after a failed call to an agent.
 const AGENT_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// The number of updates after which a new owner that loads the jobs handles replies.
+const UPDATES_PER_TURN: usize = 32;
 /// The maximum time to write the last records when a term ends in the orderly way.
 const FINAL_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -75,6 +81,10 @@
     /// Whether this owner hands the jobs over to a larger entry.
     is_stepping_down: AtomicBool,
     over_signal: Signal,
+    /// Whether this owner knows the registered VMs and the note of the previous owner.
+    knows_vms: AtomicBool,
+    /// Notified when the jobs are loaded.
+    loaded_signal: Signal,
     /// Whether the journal stops after the records that are due now.
     pub(super) is_finishing: AtomicBool,
     /// Notified when records have to be written.
@@ -107,12 +117,15 @@
         is_over: AtomicBool::new(false),
         is_stepping_down: AtomicBool::new(false),
         over_signal: Signal::new(),
+        knows_vms: AtomicBool::new(false),
+        loaded_signal: Signal::new(),
         is_finishing: AtomicBool::new(false),
         records_changed: Signal::new(),
         pass_delayed: Signal::new(),
         lease: Mutex::new(claim.lease),
         claim,
     });
+    term.apply_event(Event::LoadingJobs);
     shared.set_term(Some(Arc::clone(&term)));
     shared.candidacy().start_term(shared.clock.now());
     let renewing = smol::spawn(renew(Arc::clone(&term), timing.owner_key, timing.ownership));
@@ -250,10 +263,10 @@
     term.store.txn(txn).await.map(|_| ())
 }
 
-/// Returns the note for the next owner. An owner that has not loaded the jobs knows no VM, so
-/// it passes on the note that it was left; `None` if there is none.
+/// Returns the note for the next owner. An owner that does not know the VMs yet passes on the
+/// note that it was left; `None` if there is none.
 async fn note(term: &Term) -> Result<Option<Handover>, StoreError> {
-    if term.is_loaded() {
+    if term.knows_vms.load(Ordering::Relaxed) {
         return Ok(Some(term.owner().handover(term.now())));
     }
     let found = term.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
@@ -282,6 +295,9 @@
 /// Loads all jobs, then applies the updates received meanwhile.
 async fn load_jobs(shared: &Shared, term: &Arc<Term>) {
     let started_at = Instant::now();
+    if let Err(error) = call_agents(shared, term).await {
+        tracing::info!(%error, "can't read the keys of the agents; calling them once the jobs are loaded");
+    }
     let mut backoff = store::backoff::Backoff::with_random_seed();
     let kvs = loop {
         match read_all(shared).await {
@@ -299,13 +315,23 @@
     }
     let zones_out = shared.index().zones_out.clone();
     term.handle(Event::ZonesOut(zones_out));
-    apply_handover(term, &kvs);
+    if !term.knows_vms.load(Ordering::Relaxed) {
+        apply_handover(term, &kvs);
+    }
     let updates = jobs_first(&kvs);
     let read_ms = started_at.elapsed().as_millis() as u64;
-    term.apply(&updates);
+    for number in 0..updates.len() {
+        term.apply_first(&updates[number..]);
+        // Replies of agents are handled meanwhile.
+        if number % UPDATES_PER_TURN == 0 {
+            smol::future::yield_now().await;
+        }
+    }
     let early_updates = term.early_updates().take().unwrap_or_default();
     term.apply(&early_updates);
+    term.knows_vms.store(true, Ordering::Relaxed);
     term.handle(Event::JobsLoaded);
+    term.loaded_signal.notify(usize::MAX);
     tracing::info!(
         epoch = term.claim.record.epoch,
         items = kvs.len(),
@@ -317,6 +343,22 @@
     );
 }
 
+/// Starts to call the agents before the jobs are loaded, since leases run out meanwhile.
+async fn call_agents(shared: &Shared, term: &Arc<Term>) -> Result<(), StoreError> {
+    let handover = shared.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
+    let mut agents = shared.store.range(keys::all_agents(), 0).await?;
+    apply_handover(term, &handover.kvs);
+    // Short terms must not miss the same agents each time.
+    agents.kvs.shuffle(&mut rand::rng());
+    for kv in &agents.kvs {
+        if let Some(KeyUpdate::Agent(vm, address, revision)) = parse_item(kv) {
+            term.add_agent(&vm, address, revision);
+        }
+    }
+    term.knows_vms.store(true, Ordering::Relaxed);
+    Ok(())
+}
+
 async fn read_all(shared: &Shared) -> Result<Vec<KeyValue>, StoreError> {
     let mut kvs = shared.store.range(keys::followed(), 0).await?.kvs;
     // The progress records are read after the jobs, so that none is missed. A record of
@@ -448,11 +490,20 @@
         lock(&self.agents)
     }
 
-    /// Whether the jobs are loaded; before that no agent is called.
     fn is_loaded(&self) -> bool {
         self.early_updates().is_none()
     }
 
+    async fn wait_until_loaded(&self) {
+        loop {
+            let loaded_signal = self.loaded_signal.listen();
+            if self.is_loaded() {
+                return;
+            }
+            loaded_signal.await;
+        }
+    }
+
     fn early_updates(&self) -> MutexGuard<'_, Option<Vec<KeyUpdate>>> {
         lock(&self.early_updates)
     }
@@ -515,37 +566,44 @@
     }
 
     fn apply(self: &Arc<Self>, updates: &[KeyUpdate]) {
-        for (number, update) in updates.iter().enumerate() {
-            match update {
-                KeyUpdate::Job(job) => {
-                    let progress = progress_record(&job.name, &updates[number..]);
-                    let job = Arc::clone(job);
-                    self.apply_event(Event::Job { job, progress });
-                }
-                KeyUpdate::Cancelled(name) => self.apply_event(Event::Cancelled(name.clone())),
-                KeyUpdate::Ended(name, outcome) => {
-                    let (name, outcome) = (name.clone(), *outcome);
-                    self.apply_event(Event::Ended(name, outcome));
-                }
-                KeyUpdate::Agent(vm, address, revision) => self.add_agent(vm, *address, *revision),
-                KeyUpdate::Owner(Some(record)) if record.epoch > self.claim.record.epoch => {
-                    tracing::warn!(
-                        owner = %record.entry,
-                        epoch = record.epoch,
-                        "a later owner has taken over; the term ends"
-                    );
-                    self.end();
-                }
-                KeyUpdate::Progress(..)
-                | KeyUpdate::Owner(_)
-                | KeyUpdate::Announced(..)
-                | KeyUpdate::Withdrawn(_)
-                | KeyUpdate::Forgotten(_) => {}
-            }
+        for number in 0..updates.len() {
+            self.apply_first(&updates[number..]);
         }
         self.dispatch();
     }
 
+    /// Applies the first of these updates. The progress of a job may follow the job.
+    fn apply_first(self: &Arc<Self>, updates: &[KeyUpdate]) {
+        let Some((first, rest)) = updates.split_first() else {
+            return;
+        };
+        match first {
+            KeyUpdate::Job(job) => {
+                let progress = progress_record(&job.name, rest);
+                let job = Arc::clone(job);
+                self.apply_event(Event::Job { job, progress });
+            }
+            KeyUpdate::Cancelled(name) => self.apply_event(Event::Cancelled(name.clone())),
+            KeyUpdate::Ended(name, outcome) => {
+                self.apply_event(Event::Ended(name.clone(), *outcome));
+            }
+            KeyUpdate::Agent(vm, address, revision) => self.add_agent(vm, *address, *revision),
+            KeyUpdate::Owner(Some(record)) if record.epoch > self.claim.record.epoch => {
+                tracing::warn!(
+                    owner = %record.entry,
+                    epoch = record.epoch,
+                    "a later owner has taken over; the term ends"
+                );
+                self.end();
+            }
+            KeyUpdate::Progress(..)
+            | KeyUpdate::Owner(_)
+            | KeyUpdate::Announced(..)
+            | KeyUpdate::Withdrawn(_)
+            | KeyUpdate::Forgotten(_) => {}
+        }
+    }
+
     /// Starts to poll the reports of an agent, or updates the revision of its key.
     fn add_agent(self: &Arc<Self>, vm: &VmName, address: SocketAddr, revision: StoreRevision) {
         self.apply_event(Event::Vm(vm.clone()));
@@ -682,14 +740,20 @@
         let Some(report_poll) = term.owner().next_report_poll(term.now(), &vm) else {
             return;
         };
+        let has_echo = report_poll.header.echo.is_some();
         let timeout = Duration::from_millis(report_poll.wait_millis) + REPORT_POLL_MARGIN;
         let called_at = Instant::now();
         let result = peer.call::<ReportPollCall>(report_poll, timeout).await;
         match result {
-            Ok(report) => term.handle(Event::Report {
-                vm: vm.clone(),
-                report: Box::new(report),
-            }),
+            Ok(report) => {
+                term.handle(Event::Report {
+                    vm: vm.clone(),
+                    report: Box::new(report),
+                });
+                if has_echo {
+                    pause_while_loading(&term).await;
+                }
+            }
             Err(error) => {
                 tracing::debug!(%vm, %error, "agent did not answer a report poll");
                 let waited = called_at.elapsed();
@@ -706,6 +770,16 @@
     }
 }
 
+async fn pause_while_loading(term: &Term) {
+    if term.is_loaded() {
+        return;
+    }
+    let pause = async {
+        smol::Timer::after(LOADING_POLL_PAUSE).await;
+    };
+    pause.or(term.wait_until_loaded()).await;
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/components/stepd/src/keys.rs
+++ b/components/stepd/src/keys.rs
@@ -148,6 +148,12 @@
     KeyRange::prefix(ROOT)
 }
 
+/// Returns the range of the keys of all agents.
+#[must_use]
+pub fn all_agents() -> KeyRange {
+    KeyRange::prefix(AGENTS)
+}
+
 /// Returns the range of the progress records of all jobs that have not ended.
 #[must_use]
 pub fn all_progress() -> KeyRange {
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -66,6 +66,9 @@
     OwnershipProved(Time),
     /// Handover note of the previous owner, which stopped in an orderly way.
     HandedOver(Handover),
+    /// The jobs are being read from the store. Agents are called meanwhile, so that leases
+    /// are renewed, but their runs are compared with the jobs only afterwards.
+    LoadingJobs,
     /// All jobs in the store have been passed on, so jobs can be counted.
     JobsLoaded,
     /// An agent is registered on this VM.
@@ -119,6 +122,10 @@
     jobs: BTreeMap<JobName, JobEntry>,
     /// Whether all jobs in the store are known.
     are_jobs_loaded: bool,
+    /// Whether the jobs are being read from the store.
+    is_loading: bool,
+    /// Last report of each agent that answered while the jobs were being read.
+    early_reports: BTreeMap<VmName, AgentReport>,
     /// Jobs that ended before this term, with the time at which this owner learned of
     /// the end.
     ended_jobs: BTreeMap<JobName, Time>,
@@ -184,6 +191,8 @@
             zones_out: BTreeSet::new(),
             jobs: BTreeMap::new(),
             are_jobs_loaded: false,
+            is_loading: false,
+            early_reports: BTreeMap::new(),
             ended_jobs: BTreeMap::new(),
             vms: BTreeMap::new(),
             run_count: 0,
@@ -243,7 +252,8 @@
                 self.track_renewal(now);
             }
             Event::HandedOver(handover) => self.on_handover(handover),
-            Event::JobsLoaded => self.are_jobs_loaded = true,
+            Event::LoadingJobs => self.is_loading = true,
+            Event::JobsLoaded => self.on_jobs_loaded(now),
             Event::Vm(vm) => self.on_vm(now, vm),
             Event::Report { vm, report } => self.on_report(now, &vm, *report),
             Event::Unreachable(vm, failure) => self.on_unreachable(now, &vm, &failure),
@@ -344,6 +354,15 @@
         self.index_vms.insert(vm.clone());
     }
 
+    fn on_jobs_loaded(&mut self, now: Time) {
+        self.are_jobs_loaded = true;
+        self.is_loading = false;
+        for (vm, report) in std::mem::take(&mut self.early_reports) {
+            self.apply_lists(now, &vm, &report);
+        }
+        self.schedule_due = true;
+    }
+
     fn on_vm(&mut self, now: Time, vm: VmName) {
         self.vms.entry(vm).or_insert_with(|| Vm::new(now));
     }
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -83,15 +83,27 @@
         if report.leases_expired {
             self.drop_lost_runs(now, name, LossReason::LeasesExpired);
         }
+        if was_attached != is_attached {
+            self.schedule_due = true;
+        }
+        if self.is_loading {
+            self.early_reports.insert(name.clone(), report);
+            return;
+        }
+        self.apply_lists(now, name, &report);
+    }
+
+    /// Applies the ended and active runs of a report.
+    pub(super) fn apply_lists(&mut self, now: Time, name: &VmName, report: &AgentReport) {
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
-        if !is_attached {
+        if !vm.attached {
             vm.listing.reset();
             self.schedule_due = true;
             return;
         }
-        if !vm.listing.apply(&report) {
+        if !vm.listing.apply(report) {
             vm.report_version = 0;
             tracing::warn!(
                 vm = %name,
@@ -112,11 +124,8 @@
         for end in &report.ended {
             self.on_run_ended(now, name, end);
         }
-        self.apply_running(now, name, &report);
+        self.apply_running(now, name, report);
         self.learn_interference(now, name);
-        if !was_attached {
-            self.schedule_due = true;
-        }
     }
 
     /// Resets state that depends on the agent process: a restarted agent counts its
--- a/components/steps/tests/common/processor.rs
+++ b/components/steps/tests/common/processor.rs
@@ -11,7 +11,7 @@
 };
 
 use kernel::{JobName, Resources, Time, VmName};
-use rand::{Rng, SeedableRng};
+use rand::{Rng, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 use steps::{
     AgentState, Event, Job, Outcome, Owner, Progress, Step, TaskKey, Timing,
@@ -31,11 +31,13 @@
 pub(crate) const TICK: Duration = Duration::from_millis(200);
 const PROOF_INTERVAL: Duration = Duration::from_millis(750);
 const RECORD_WRITE: Duration = Duration::from_millis(130);
-/// Time in which a new owner reads the store.
+/// Time in which a new owner reads the keys of the agents, then the jobs.
+const AGENTS_READ: Duration = Duration::from_millis(15);
 const STORE_READ: Duration = Duration::from_millis(130);
 const REPORT_POLL_TIMEOUT: Duration = Duration::from_millis(1_900);
 const ORDERS_TIMEOUT: Duration = Duration::from_millis(1_300);
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+const LOADING_POLL_PAUSE: Duration = Duration::from_millis(500);
 const WORKER_STEP: Duration = Duration::from_millis(50);
 const WORKER_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which users tolerate that a long-running task is down.
@@ -47,7 +49,9 @@
     Wakeup(Time),
     Proved(Time),
     Submitted(Arc<Job>),
-    /// The store has been read.
+    /// The keys of the agents have been read.
+    AgentsRead,
+    /// The jobs have been read.
     Read,
     /// The rest of what was read from the store.
     Load(VecDeque<Event>),
@@ -106,12 +110,17 @@
     share: f64,
     queue: VecDeque<Item>,
     is_busy: bool,
+    /// VMs whose agents are called, in the order of the first calls.
+    called: Vec<VmName>,
     has_read_store: bool,
     is_loaded: bool,
     next_tick: Time,
     armed_wakeup: Time,
     /// VMs with a report poll in progress or in the pause after a failed one.
     polled: BTreeSet<VmName>,
+    /// VMs whose agents were sent an echo while the jobs were being loaded. They are polled
+    /// again after a pause.
+    echoed: BTreeSet<VmName>,
     is_writing: bool,
 }
 
@@ -125,11 +134,13 @@
             share,
             queue: VecDeque::new(),
             is_busy: false,
+            called: Vec::new(),
             has_read_store: false,
             is_loaded: false,
             next_tick: now,
             armed_wakeup: Time::MAX,
             polled: BTreeSet::new(),
+            echoed: BTreeSet::new(),
             is_writing: false,
         }
     }
@@ -204,6 +215,7 @@
             simulation.plan(first, Action::Worker(name));
         }
         process.owner.handle(now, now, Event::JobsLoaded);
+        process.called = simulation.registered.iter().cloned().collect();
         (process.has_read_store, process.is_loaded) = (true, true);
         simulation.process = Some(process);
         simulation.arrive(now, 1, Item::Proved(now));
@@ -232,8 +244,11 @@
         let now = self.now;
         self.epoch += 1;
         self.changed_at = now;
-        self.process = Some(Process::new(self.epoch, share, now));
+        let mut process = Process::new(self.epoch, share, now);
+        process.owner.handle(now, now, Event::LoadingJobs);
+        self.process = Some(process);
         self.arrive(now, self.epoch, Item::Proved(now));
+        self.arrive(now + AGENTS_READ, self.epoch, Item::AgentsRead);
         self.arrive(now + STORE_READ, self.epoch, Item::Read);
     }
 
@@ -430,19 +445,33 @@
                 job,
                 progress: None,
             },
+            Item::AgentsRead => {
+                process.called = self.registered.iter().cloned().collect();
+                process.called.shuffle(&mut self.rng);
+                for event in self.read_agents() {
+                    let process = self.process.as_mut().unwrap();
+                    process.owner.handle(now, now, event);
+                }
+                return 1;
+            }
             Item::Read => {
                 process.has_read_store = true;
                 let events = self.read_store();
                 let process = self.process.as_mut().unwrap();
-                process.queue.push_front(Item::Load(events));
+                process.queue.push_back(Item::Load(events));
                 return 1;
             }
             Item::Load(mut events) => {
                 messages = 0;
                 let event = events.pop_front().unwrap();
                 process.is_loaded = events.is_empty();
-                if !process.is_loaded {
-                    process.queue.push_front(Item::Load(events));
+                match process.is_loaded {
+                    true => {
+                        for vm in std::mem::take(&mut process.echoed) {
+                            process.polled.remove(&vm);
+                        }
+                    }
+                    false => process.queue.push_back(Item::Load(events)),
                 }
                 event
             }
@@ -465,6 +494,10 @@
                 if (deadline + REPORT_POLL_TIMEOUT).passed(now) {
                     self.arrive(now + RETRY_DELAY, epoch, Item::RetryPoll(vm.clone()));
                     Event::Unreachable(vm, PollFailure::default())
+                } else if process.echoed.contains(&vm) {
+                    let retry = Item::RetryPoll(vm.clone());
+                    self.arrive(now + LOADING_POLL_PAUSE, epoch, retry);
+                    Event::Report { vm, report }
                 } else {
                     process.polled.remove(&vm);
                     Event::Report { vm, report }
@@ -499,8 +532,6 @@
     /// What a new owner learns from the store, jobs first.
     fn read_store(&self) -> VecDeque<Event> {
         let mut events = VecDeque::new();
-        let handover = self.handover.iter().cloned();
-        events.extend(handover.map(Event::HandedOver));
         for (name, stored) in &self.store {
             let event = match stored.outcome {
                 Some(outcome) => Event::Ended(name.clone(), outcome),
@@ -511,20 +542,24 @@
             };
             events.push_back(event);
         }
-        events.extend(self.registered.iter().cloned().map(Event::Vm));
         events.push_back(Event::JobsLoaded);
         events
     }
 
+    /// What a new owner learns from the store before the jobs.
+    fn read_agents(&self) -> Vec<Event> {
+        let handover = self.handover.iter().cloned();
+        let vms = self.registered.iter().cloned();
+        let handover = handover.map(Event::HandedOver);
+        handover.chain(vms.map(Event::Vm)).collect()
+    }
+
     /// Queues what the owner wants to send and arms its timer.
     fn dispatch(&mut self) {
         let now = self.now;
         let process = self.process.as_mut().unwrap();
-        if !process.is_loaded {
-            return;
-        }
         let epoch = process.epoch;
-        for name in &self.registered {
+        for name in &process.called {
             if process.polled.contains(name) {
                 continue;
             }
@@ -532,9 +567,15 @@
                 continue;
             };
             process.polled.insert(name.clone());
+            if !process.is_loaded && poll.header.echo.is_some() {
+                process.echoed.insert(name.clone());
+            }
             let poll = Action::PollAtAgent(name.clone(), now, poll);
             process.queue.push_back(Item::Send(Box::new(poll)));
         }
+        if !process.is_loaded {
+            return;
+        }
         for name in process.owner.vms_with_orders() {
             let Some(orders) = process.owner.take_orders(now, &name) else {
                 continue;
