--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -140,6 +140,13 @@
     explore_with(seed, 0.15, false);
 }
 
+/// Seed 10399: an owner that had been paused started a task through a restarted agent, which
+/// had forgotten the later owners.
+#[test]
+fn previously_failing_seed_with_long_running_tasks() {
+    explore_long_running(10_399, 0.15, false);
+}
+
 /// Runs more seeds on demand: `STEPS_SEEDS=1000 cargo test -p steps --test explore`.
 #[test]
 fn additional_seeds() {
