A restarted agent accepts no owner from before its start

Cause: an agent keeps the highest epoch only in memory. After a restart it accepts any owner, also one that was paused while others came and went. Workers that check no fencing tokens then take its orders.

Change: an agent reads the epoch of the newest owner from the store before it serves owners. It already waits for the store there, to get the shared secret.

The tests of steps pass. No test covers the daemon's part.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -22,12 +22,13 @@
         ReportPollCall, RunKey, WorkerIncarnation,
     },
 };
-use store::Store;
+use store::{KeyRange, Store, backoff::Backoff};
 
 use crate::{
     SteadyClock,
     edge::{Codec, HttpResponse, WorkerApi, WorkerCall},
     http1::{self, DEFAULT_LIMITS, ReceivedRequest, ServerSetup},
+    keys,
     metrics::{self, AgentMetrics},
     secret,
 };
@@ -55,6 +56,9 @@
     pub metrics_address: Option<SocketAddr>,
 }
 
+/// The longest delay between attempts to read the epoch, before which no owner is served.
+const MAX_EPOCH_RETRY_DELAY: Duration = Duration::from_millis(400);
+
 /// How often a stopping agent checks whether it still has to wait.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -153,6 +157,8 @@
     let for_owners = Arc::clone(&shared);
     let serve_owners = async move {
         let secrets = secret::obtain(&*store).await;
+        let epoch = read_epoch(&*store).await;
+        for_owners.agent_state().observe_epoch(epoch);
         let calls = proto::serve(
             internal,
             router(&for_owners),
@@ -174,6 +180,23 @@
     Ok(Agent { shared, running })
 }
 
+/// Reads the epoch of the newest owner; retries until the store answers.
+async fn read_epoch(store: &dyn Store) -> u64 {
+    let mut backoff = Backoff::with_random_seed();
+    loop {
+        match store.range(KeyRange::one(keys::EPOCH), 1).await {
+            Ok(found) => return found.kvs.first().map_or(0, keys::parse_epoch),
+            Err(error) => {
+                if backoff.failures() == 0 {
+                    tracing::warn!(%error, "store unavailable; can't read the epoch of the owner yet");
+                }
+                let wait = backoff.next_delay().min(MAX_EPOCH_RETRY_DELAY);
+                smol::Timer::after(wait).await;
+            }
+        }
+    }
+}
+
 impl Agent {
     /// Stops the agent. Its runs continue until their leases expire; an agent that starts
     /// before that takes them over.
--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -145,7 +145,7 @@
 async fn try_acquire(shared: &Shared) -> Result<Option<Claim>, StoreError> {
     let read = shared.store.range(KeyRange::one(keys::EPOCH), 1).await?;
     let previous = read.kvs.into_iter().next();
-    let epoch = previous.as_ref().map_or(0, parse_epoch) + 1;
+    let epoch = previous.as_ref().map_or(0, keys::parse_epoch) + 1;
     let sent_at = shared.clock.now();
     let lease = shared.store.grant(shared.settings.timing.owner_key).await?;
     let record = OwnerRecord {
@@ -215,18 +215,3 @@
         tracing::info!(%error, "can't revoke an unneeded lease; it lasts until it expires");
     }
 }
-
-fn parse_epoch(kv: &KeyValue) -> u64 {
-    let text = String::from_utf8_lossy(&kv.value);
-    match text.parse() {
-        Ok(epoch) => epoch,
-        Err(error) => {
-            tracing::error!(
-                %error,
-                revision = kv.modified,
-                "can't parse the epoch; using the revision of its key"
-            );
-            u64::try_from(kv.modified).unwrap_or_default()
-        }
-    }
-}
--- a/components/stepd/src/keys.rs
+++ b/components/stepd/src/keys.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use steps::Outcome;
-use store::KeyRange;
+use store::{KeyRange, KeyValue};
 
 /// The prefix of the keys that all entries follow.
 pub const ROOT: &str = "hemlockmoor/";
@@ -153,3 +153,19 @@
 pub fn all_progress() -> KeyRange {
     KeyRange::prefix(PROGRESS)
 }
+
+/// Returns the epoch of the newest owner from the value of its key.
+pub(crate) fn parse_epoch(kv: &KeyValue) -> u64 {
+    let text = String::from_utf8_lossy(&kv.value);
+    match text.parse() {
+        Ok(epoch) => epoch,
+        Err(error) => {
+            tracing::error!(
+                %error,
+                revision = kv.modified,
+                "can't parse the epoch; using the revision of its key"
+            );
+            u64::try_from(kv.modified).unwrap_or_default()
+        }
+    }
+}
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -243,6 +243,15 @@
         self.running.len()
     }
 
+    /// Learns the epoch of the newest owner in the store, so that a restarted agent accepts no
+    /// earlier one.
+    pub fn observe_epoch(&mut self, epoch: u64) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.version += 1;
+        }
+    }
+
     /// Whether there is a worker and it answers polls.
     #[must_use]
     pub const fn is_worker_responsive(&self) -> bool {
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -274,6 +274,14 @@
     assert!(agent.report(at(4_500)).leases_expired);
 }
 
+#[test]
+fn a_restarted_agent_refuses_owners_before_the_newest_in_the_store() {
+    let mut agent = AgentState::new(Timing::default(), START);
+    agent.observe_epoch(5);
+    assert!(!agent.accept_header(START, &header(4, None)));
+    assert!(agent.accept_header(START, &header(5, None)));
+}
+
 /// Guards against a task that stays down for seconds after a start was lost on its way: the
 /// owner waits for a list that no longer holds the run it has stopped.
 #[test]
--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -232,6 +232,7 @@
             self.store_down_until = self.now + secs(&mut self.rng, 4.0);
         }
         let names: Vec<VmName> = self.machines.keys().cloned().collect();
+        let (epoch, store_down_until) = (self.epoch, self.store_down_until);
         for name in names {
             let now = self.now;
             let (disconnect, unresponsive, crash, restart) = (
@@ -263,6 +264,9 @@
             }
             if restart {
                 machine.agent = AgentState::new(timing, now);
+                machine.agent.observe_epoch(epoch);
+                // An agent reads the epoch before it serves owners.
+                machine.disconnected_until = machine.disconnected_until.max(store_down_until);
             }
         }
     }
