The note on long-running tasks leaves out those with unsettled runs

An order that was not confirmed when the owner stopped may be carried out later by a worker that checks no fencing tokens, and an agent that restarts forgets it. The next owner waits for all VMs before it starts such a task, as it does without a note.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -36,7 +36,7 @@
 mod work;
 
 pub use entry::JobEntry;
-pub use handover::{Handover, UnreachableVm};
+pub use handover::{Handover, LongRunningTasks, UnreachableVm};
 pub use journal::RecordWrite;
 pub use vm::VmStatus;
 pub use work::{Backlog, WorkCounts};
--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -19,7 +19,10 @@
 use kernel::{Time, VmName};
 use serde::{Deserialize, Serialize};
 
-use super::{Owner, vm::Vm};
+use super::{
+    Owner,
+    vm::{Phase, Vm},
+};
 use crate::TaskKey;
 
 /// The most long-running tasks that a note names, which bounds its size.
@@ -35,6 +38,15 @@
     pub left_millis: u64,
 }
 
+/// Long-running tasks that are not certainly down.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LongRunningTasks {
+    /// VMs on which each of them may run.
+    pub placements: BTreeMap<TaskKey, BTreeSet<VmName>>,
+    /// Tasks with a run that was ordered to start or stop without a confirmation yet.
+    pub unsettled: BTreeSet<TaskKey>,
+}
+
 /// Handover note of an owner that has stopped.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
@@ -44,10 +56,9 @@
     /// VMs whose agents did not answer.
     #[serde(rename = "silent")]
     pub unreachable: Vec<UnreachableVm>,
-    /// VMs on which each long-running task may run; a task that is not named is down.
-    /// `None` if the owner did not know.
+    /// State of long-running tasks; `None` if the owner did not know it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub long_running: Option<BTreeMap<TaskKey, BTreeSet<VmName>>>,
+    pub long_running: Option<LongRunningTasks>,
 }
 
 impl Owner {
@@ -72,38 +83,46 @@
         Handover {
             epoch: self.epoch,
             unreachable,
-            long_running: self.long_running_placements(now),
+            long_running: self.long_running_tasks(now),
         }
     }
 
-    /// VMs on which each long-running task may run; `None` if this owner does not know.
-    fn long_running_placements(&self, now: Time) -> Option<BTreeMap<TaskKey, BTreeSet<VmName>>> {
+    /// Long-running tasks that are not certainly down; `None` if this owner does not know.
+    fn long_running_tasks(&self, now: Time) -> Option<LongRunningTasks> {
         if !self.are_jobs_loaded {
             return None;
         }
-        let mut placements: BTreeMap<TaskKey, BTreeSet<VmName>> = BTreeMap::new();
+        let mut tasks = LongRunningTasks::default();
         let unlisted = self.unlisted_vms(now);
         if !unlisted.is_empty() {
             let earlier = self.handover.as_ref()?.long_running.as_ref()?;
-            for (task, vms) in earlier {
+            tasks.unsettled.clone_from(&earlier.unsettled);
+            for (task, vms) in &earlier.placements {
                 let vms: BTreeSet<VmName> = vms.intersection(&unlisted).cloned().collect();
                 if !vms.is_empty() {
-                    placements.insert(task.clone(), vms);
+                    tasks.placements.insert(task.clone(), vms);
                 }
             }
         }
         for (name, vm) in &self.vms {
-            let keys = vm
-                .runs
-                .keys()
-                .chain(vm.unknown_runs.keys())
-                .chain(&vm.stops);
-            for key in keys.filter(|key| self.may_be_long_running(&key.task)) {
-                let vms = placements.entry(key.task.clone()).or_default();
+            for (key, run) in &vm.runs {
+                if !self.may_be_long_running(&key.task) {
+                    continue;
+                }
+                if !matches!(run.phase(), Phase::Present { .. }) {
+                    tasks.unsettled.insert(key.task.clone());
+                }
+                let vms = tasks.placements.entry(key.task.clone()).or_default();
                 vms.insert(name.clone());
             }
+            for key in vm.unknown_runs.keys().chain(&vm.stops) {
+                if self.may_be_long_running(&key.task) {
+                    tasks.unsettled.insert(key.task.clone());
+                }
+            }
         }
-        (placements.len() <= MAX_TASKS).then_some(placements)
+        let count = tasks.placements.len() + tasks.unsettled.len();
+        (count <= MAX_TASKS).then_some(tasks)
     }
 
     fn may_be_long_running(&self, task: &TaskKey) -> bool {
@@ -119,12 +138,11 @@
             return false;
         }
         let note = self.handover.as_ref().filter(|_| self.are_jobs_loaded);
-        let Some(placements) = note.and_then(|note| note.long_running.as_ref()) else {
+        let Some(tasks) = note.and_then(|note| note.long_running.as_ref()) else {
             return true;
         };
-        placements
-            .get(task)
-            .is_some_and(|vms| !vms.is_disjoint(unlisted))
+        let vms = tasks.placements.get(task);
+        tasks.unsettled.contains(task) || vms.is_some_and(|vms| !vms.is_disjoint(unlisted))
     }
 
     pub(super) fn on_handover(&mut self, handover: Handover) {
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -14,7 +14,7 @@
         ActiveRun, AgentReport, ClockReading, EndedRun, OrderResult, Orders, OrdersReply, Refusal,
         RunEnd, RunKey,
     },
-    owner::{Handover, PollFailure},
+    owner::{Handover, LongRunningTasks, PollFailure},
 };
 
 const START: Time = Time::from_secs(1_000);
@@ -935,9 +935,11 @@
     let (note, key) = note_on_long_running_tasks();
     let mut between = session_after(note, EPOCH + 1);
     report_in(&mut between, EPOCH + 1, 1, Vec::new());
-    let [started] = &between.take_starts(at(1_100), 1)[..] else {
-        panic!("one task is down");
-    };
+    let orders = between.owner.take_orders(at(1_100), &vm(1)).unwrap();
+    let started = &orders.starts[0].key.clone();
+    let note = between.owner.handover(at(1_000));
+    assert!(note.long_running.unwrap().unsettled.contains(&started.task));
+    between.answer(at(1_110), 1, orders, true);
     let note = between.owner.handover(at(1_000));
     let mut session = session_after(note, EPOCH + 2);
     report_in(&mut session, EPOCH + 2, 2, Vec::new());
@@ -962,7 +964,7 @@
     session.handle(at(20), Event::JobsLoaded);
     assert_eq!(
         session.owner.handover(at(30)).long_running,
-        Some(std::collections::BTreeMap::new())
+        Some(LongRunningTasks::default())
     );
 }
 
