A renewal of the owner's key that is not answered soon is sent again

Cause: the next attempt after a renewal without an answer came 1.15 s later, so two lost calls in a row cost the key, and one made the proof of ownership older than agents may renew by. Change: after 0.5 s without an answer a second attempt is sent, and the first answer of the two counts; the client of the store still gives up each after 0.9 s. A refused renewal is repeated as before. One call more for each renewal that takes over 0.5 s.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -35,6 +36,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// The number of renewals in the time to live of the lease.
 const RENEWALS_PER_LEASE: u32 = 4;
+/// When a renewal without an answer is repeated, while its answer may still come.
+const RENEWAL_REPEAT_DELAY: Duration = Duration::from_millis(500);
 /// The delay after a failed renewal.
 const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// How much longer than its wait time a report poll may take before it times out.
@@ -373,7 +376,7 @@
             return;
         }
         let lease = *lock(&term.lease);
-        let renewed = match term.store.keep_alive(lease).await {
+        let renewed = match keep_alive(&*term.store, lease).await {
             Ok(true) => {
                 term.record_proof(now);
                 Ok(true)
@@ -405,6 +408,22 @@
     }
 }
 
+/// Renews a lease, with a second attempt if the first is not answered soon.
+async fn keep_alive(store: &dyn Store, lease: LeaseId) -> Result<bool, StoreError> {
+    let started_at = Instant::now();
+    let mut first = pin!(async { (1, store.keep_alive(lease).await) });
+    let mut second = pin!(async {
+        proto::expire(RENEWAL_REPEAT_DELAY).await;
+        (2, store.keep_alive(lease).await)
+    });
+    match first.as_mut().or(second.as_mut()).await {
+        (_, Ok(is_renewed)) => Ok(is_renewed),
+        (1, Err(error)) if started_at.elapsed() < RENEWAL_REPEAT_DELAY => Err(error),
+        (1, Err(_)) => second.await.1,
+        (_, Err(_)) => first.await.1,
+    }
+}
+
 /// Writes the key of the owner again; returns whether no other entry had become the owner.
 async fn reacquire_key(
     term: &Term,
--- a/components/steps/src/timing.rs
+++ b/components/steps/src/timing.rs
@@ -39,7 +39,7 @@
 const CONTACT_GRACE: Duration = Duration::from_secs(3);
 /// The published slack after a pause of a worker is 300 ms; this is a tenth more.
 const KILL_SLACK: Duration = Duration::from_millis(330);
-/// Allows three attempts to renew, each with a timeout of 0.9 s.
+/// Allows two pairs of attempts to renew, each with a timeout of 0.9 s.
 const OWNER_KEY: Duration = Duration::from_secs(3);
 /// Longer than the usual store outage of about 5 s, during which no other process can
 /// become the owner either.
