Time without room counts only in takeover.rs

Cause: the narrowed check of how long a task may be down also applied to overload.rs, where no trace shows that a case needs it. Change: it is a setting of the simulation that takeover.rs alone makes.

--- a/components/steps/tests/common/processor.rs
+++ b/components/steps/tests/common/processor.rs
@@ -173,6 +173,9 @@
     long_running: BTreeMap<TaskKey, Option<Time>>,
     /// Number of reports of healthy agents that were handled after the timeout.
     pub(crate) late_reports: usize,
+    /// Whether the time for which a long-running task is down counts only while a worker has
+    /// room for it twice.
+    pub(crate) needs_room: bool,
     pub(crate) violation: Option<String>,
 }
 
@@ -194,6 +197,7 @@
             machines: BTreeMap::new(),
             long_running: BTreeMap::new(),
             late_reports: 0,
+            needs_room: false,
             violation: None,
         };
         let mut process = Process::new(1, share, now);
@@ -723,8 +727,7 @@
         self.plan(now + WORKER_STEP, Action::Worker(name));
     }
 
-    /// Checks that no long-running task is down for too long. The time counts while a worker
-    /// has room for the task twice.
+    /// Checks that no long-running task is down for too long.
     fn check_downs(&mut self) {
         let now = self.now;
         let free = self.largest_free_cpu();
@@ -734,7 +737,7 @@
                 continue;
             };
             let step = &self.store[&task.job].job.steps[usize::from(task.step)];
-            if free < 2 * step.need.cpu_milli {
+            if self.needs_room && free < 2 * step.need.cpu_milli {
                 *down_since = now;
             }
             let since = (*down_since).max(self.changed_at);
--- a/components/steps/tests/takeover.rs
+++ b/components/steps/tests/takeover.rs
@@ -49,6 +49,7 @@
     fn new(seed: u64, jobs_a_second: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut simulation = Simulation::new(seed, VMS, LARGE);
+        simulation.needs_room = true;
         let start = simulation.now;
         for number in 0..LONG_RUNNING_JOBS {
             let job = job(
