Waits that an owner was told are kept by those after it

What users saw: nothing yet; found by a review of the waits after a change of owner. Cause: a new owner took runs on a VM that does not answer for expired after 7.5 s of its term, also if the note gave that VM more, as after an owner that was killed just before. The note did not tell how long that one may renew leases on VMs which it does not list. An owner that had read no keys of agents yet dropped the VMs that it was told of, and one that could not read the note at first passed it on although it had called agents since. Change: the longer wait counts; the note tells how long an owner before may renew leases (`renewal_left_millis`, 0 if absent); listed VMs are passed on; a note is passed on unread only by an owner that has called no agent.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -84,8 +84,8 @@
     /// Whether this owner hands the jobs over to a larger entry.
     is_stepping_down: AtomicBool,
     over_signal: Signal,
-    /// Whether this owner knows the registered VMs and the note of the previous owner.
-    knows_vms: AtomicBool,
+    /// Whether this owner knows the note of the previous owner; it calls no agent before.
+    knows_note: AtomicBool,
     /// Notified when the jobs are loaded.
     loaded_signal: Signal,
     /// Whether the journal stops after the records that are due now.
@@ -120,7 +120,7 @@
         is_over: AtomicBool::new(false),
         is_stepping_down: AtomicBool::new(false),
         over_signal: Signal::new(),
-        knows_vms: AtomicBool::new(false),
+        knows_note: AtomicBool::new(false),
         loaded_signal: Signal::new(),
         is_finishing: AtomicBool::new(false),
         records_changed: Signal::new(),
@@ -266,10 +266,10 @@
     term.store.txn(txn).await.map(|_| ())
 }
 
-/// Returns the note for the next owner. An owner that does not know the VMs yet passes on the
-/// note that it was left; `None` if there is none.
+/// Returns the note for the next owner. An owner that has not read the note of the previous one
+/// has called no agent, so it passes that note on; `None` if there is none.
 async fn note(term: &Term) -> Result<Option<Handover>, StoreError> {
-    if term.knows_vms.load(Ordering::Relaxed) {
+    if term.knows_note.load(Ordering::Relaxed) {
         return Ok(Some(term.owner().handover(term.now())));
     }
     let found = term.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
@@ -318,7 +318,7 @@
     }
     let zones_out = shared.index().zones_out.clone();
     term.handle(Event::ZonesOut(zones_out));
-    if !term.knows_vms.load(Ordering::Relaxed) {
+    if !term.knows_note.swap(true, Ordering::Relaxed) {
         apply_handover(term, &kvs);
     }
     let updates = jobs_first(&kvs);
@@ -332,7 +332,6 @@
     }
     let early_updates = term.early_updates().take().unwrap_or_default();
     term.apply(&early_updates);
-    term.knows_vms.store(true, Ordering::Relaxed);
     term.handle(Event::JobsLoaded);
     term.loaded_signal.notify(usize::MAX);
     tracing::info!(
@@ -351,6 +350,7 @@
     let handover = shared.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
     let mut agents = shared.store.range(keys::all_agents(), 0).await?;
     apply_handover(term, &handover.kvs);
+    term.knows_note.store(true, Ordering::Relaxed);
     // Short terms must not miss the same agents each time.
     agents.kvs.shuffle(&mut rand::rng());
     for kv in &agents.kvs {
@@ -358,7 +358,6 @@
             term.add_agent(&vm, address, revision);
         }
     }
-    term.knows_vms.store(true, Ordering::Relaxed);
     Ok(())
 }
 
--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -54,6 +54,10 @@
     /// Epoch of the owner that wrote the note. Only the owner of the next epoch uses
     /// it.
     pub epoch: u64,
+    /// Time in milliseconds for which an owner before this one may still let agents renew
+    /// leases.
+    #[serde(default)]
+    pub renewal_left_millis: u64,
     /// VMs whose agents did not answer.
     #[serde(rename = "silent")]
     pub unreachable: Vec<UnreachableVm>,
@@ -62,6 +66,10 @@
     pub long_running: Option<LongRunningTasks>,
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Handover {
     /// Returns this note for the owner after the one of `epoch`, which has called no agent;
     /// `None` if the note was for an earlier owner.
@@ -89,11 +97,22 @@
             };
             unreachable.push(UnreachableVm {
                 vm: name.clone(),
-                left_millis: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
+                left_millis: millis(time_left),
             });
         }
+        // An owner that has not read the keys of all agents passes on what it was told.
+        for listed in self.handover.iter().flat_map(|note| &note.unreachable) {
+            let expire_at = self.noted_expiry(&listed.vm).unwrap_or(now);
+            if !self.are_jobs_loaded && !self.vms.contains_key(&listed.vm) {
+                unreachable.push(UnreachableVm {
+                    vm: listed.vm.clone(),
+                    left_millis: millis(expire_at.remaining(now)),
+                });
+            }
+        }
         Handover {
             epoch: self.epoch,
+            renewal_left_millis: millis(self.earlier_renewed_until().remaining(now)),
             unreachable,
             long_running: self.long_running_tasks(now),
         }
@@ -173,8 +192,8 @@
 
     /// Time until which the previous owner may have let agents renew leases.
     pub(super) fn earlier_renewed_until(&self) -> Time {
-        match self.handover {
-            Some(_) => self.term_start,
+        match &self.handover {
+            Some(note) => self.term_start + Duration::from_millis(note.renewal_left_millis),
             None => self.term_start + self.timing.renewal,
         }
     }
@@ -185,13 +204,17 @@
         if vm.attached {
             return vm.last_answer_at + timeout;
         }
-        let time_left = self.handover.as_ref().and_then(|handover| {
-            let found = handover.unreachable.iter().find(|known| known.vm == *name);
-            found.map(|known| Duration::from_millis(known.left_millis))
-        });
-        match time_left {
-            Some(time_left) if !vm.has_answered() => self.term_start + time_left,
+        match self.noted_expiry(name) {
+            Some(expire_at) if !vm.has_answered() => expire_at,
             _ => vm.last_answer_at.max(self.earlier_renewed_until()) + timeout,
         }
     }
+
+    /// Time after which, according to the note of the previous owner, nothing that it may
+    /// have started can run on a VM; `None` if the note does not list the VM.
+    pub(super) fn noted_expiry(&self, name: &VmName) -> Option<Time> {
+        let handover = self.handover.as_ref()?;
+        let listed = handover.unreachable.iter().find(|vm| vm.vm == *name)?;
+        Some(self.term_start + Duration::from_millis(listed.left_millis))
+    }
 }
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -175,18 +175,26 @@
 
     /// VMs on which runs of an earlier owner may exist that no worker has reported.
     pub(super) fn unlisted_vms(&self, now: Time) -> BTreeSet<VmName> {
-        let expire_at = self.earlier_runs_expire_at();
-        // An echo from this owner lets an agent renew the leases of earlier runs.
-        let were_renewed = |vm: &Vm| {
+        let earlier_runs_expire_at = self.earlier_runs_expire_at();
+        let mut unlisted = BTreeSet::new();
+        for (name, vm) in &self.vms {
+            let expire_at = self
+                .noted_expiry(name)
+                .map_or(earlier_runs_expire_at, |noted| {
+                    noted.max(earlier_runs_expire_at)
+                });
+            // An echo from this owner lets an agent renew the leases of earlier runs.
             let renewed_at = vm.first_echo_at.filter(|at| !expire_at.passed(*at));
-            !vm.has_listed_runs && renewed_at.is_some()
-        };
-        let may_have_runs = |vm: &Vm| match vm.attached {
-            true => !vm.has_listed_runs,
-            false => !vm.leases_expired && (!expire_at.passed(now) || were_renewed(vm)),
-        };
-        let unlisted = self.vms.iter().filter(|(_, vm)| may_have_runs(vm));
-        unlisted.map(|(name, _)| name.clone()).collect()
+            let were_renewed = !vm.has_listed_runs && renewed_at.is_some();
+            let may_have_runs = match vm.attached {
+                true => !vm.has_listed_runs,
+                false => !vm.leases_expired && (!expire_at.passed(now) || were_renewed),
+            };
+            if may_have_runs {
+                unlisted.insert(name.clone());
+            }
+        }
+        unlisted
     }
 
     /// Starts all tasks that may start and for which there is a suitable worker.
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1001,3 +1001,48 @@
     });
     assert_eq!(session.take_starts(at(12_500), 0).len(), 1);
 }
+
+/// Guards against a wait for an owner that was killed which a later, planned change cuts short.
+#[test]
+fn a_wait_in_the_note_that_is_longer_than_the_usual_one_is_kept() {
+    let mut before = Session::new(2);
+    before.report(at(100), 0, |_| ());
+    let handover = before.owner.handover(at(200));
+    let mut session = Session::with_handover(handover, EPOCH + 1, at(250));
+    session.report(at(300), 0, |report| {
+        (report.epoch, report.confirmed_epoch) = (EPOCH + 1, EPOCH + 1);
+    });
+    session.handle(at(7_900), Event::Tick);
+    assert_eq!(session.take_starts(at(7_900), 0), []);
+    session.handle(at(9_200), Event::Tick);
+    assert_eq!(session.take_starts(at(9_200), 0).len(), 1);
+}
+
+/// Guards against a planned change soon after an owner was killed, which may still renew leases
+/// on VMs that the note does not list.
+#[test]
+fn the_note_tells_how_long_an_owner_before_may_renew_leases() {
+    let before = Session::new(1);
+    let handover = before.owner.handover(at(200));
+    let mut session = Session::with_handover(handover, EPOCH + 1, at(250));
+    session.report(at(300), 0, |report| {
+        (report.epoch, report.confirmed_epoch) = (EPOCH + 1, EPOCH + 1);
+    });
+    session.handle(at(8_000), Event::Tick);
+    assert_eq!(session.take_starts(at(8_000), 0), []);
+    session.handle(at(9_200), Event::Tick);
+    assert_eq!(session.take_starts(at(9_200), 0).len(), 1);
+}
+
+#[test]
+fn an_owner_that_has_not_loaded_the_jobs_passes_on_the_waits_that_it_was_told() {
+    let mut before = Session::new(2);
+    before.report(at(100), 0, |_| ());
+    let told = before.owner.handover(at(200));
+    let mut owner = Owner::new(entry(2), EPOCH + 1, Timing::default(), at(250));
+    owner.handle(at(250), at(250), Event::LoadingJobs);
+    owner.handle(at(250), at(250), Event::HandedOver(told.clone()));
+    let passed_on = owner.handover(at(350));
+    let left_of = |note: &Handover| note.unreachable[0].left_millis;
+    assert_eq!(left_of(&passed_on), left_of(&told) - 100);
+}
