A cell's handover is recorded only once earlier leases have ended

The next owner took the record for the end of all earlier leases. Change: an owner that stops before earlier leases have ended releases the cell without a record. Left: the next owner then waits anew for workers that do not answer; the record could tell the time that is left.

--- a/components/cell/src/owner.rs
+++ b/components/cell/src/owner.rs
@@ -113,6 +113,9 @@
     /// Record the orderly end of the term: all groups are durable and the owner
     /// grants no more leases.
     HandOver,
+    /// End the term as in a handover, but leave no record of it: an owner before this one may
+    /// still grant leases, so the next one has to wait as after an owner that was killed.
+    Release,
 }
 
 /// The owner's part of the reply to a heartbeat.
--- a/components/cell/src/owner/journal.rs
+++ b/components/cell/src/owner/journal.rs
@@ -156,7 +156,10 @@
     pub(super) fn flush(&mut self, now: Time) -> Option<Action> {
         if self.stopping && self.journal.is_flushed() {
             self.ended = true;
-            return Some(Action::HandOver);
+            return Some(match self.earlier_leases_end.passed(now) {
+                true => Action::HandOver,
+                false => Action::Release,
+            });
         }
         let journal = &mut self.journal;
         let due = self.stopping || (journal.last_group + self.timing.group_interval).passed(now);
--- a/components/cell/tests/common/process.rs
+++ b/components/cell/tests/common/process.rs
@@ -303,6 +303,12 @@
                     calls.push(Call::HandOver(cell.clone(), txn));
                     ended.push(cell.clone());
                 }
+                Some(Action::Release) => {
+                    let mut txn = handover_txn(cell, term.owner.epoch());
+                    txn.ops.retain(|op| matches!(op, Op::Delete(_)));
+                    calls.push(Call::HandOver(cell.clone(), txn));
+                    ended.push(cell.clone());
+                }
                 Some(Action::Answer(_)) | None => {}
             }
         }
--- a/components/cell/tests/common/session.rs
+++ b/components/cell/tests/common/session.rs
@@ -193,6 +193,9 @@
                 Action::HandOver => {
                     let _ = writeln!(self.log, "{}   hands over", self.now);
                 }
+                Action::Release => {
+                    let _ = writeln!(self.log, "{}   releases the cell", self.now);
+                }
             }
         }
         if self.commits_immediately && self.in_flight.is_some() {
--- a/components/cell/tests/owner.rs
+++ b/components/cell/tests/owner.rs
@@ -595,3 +595,19 @@
     assert_eq!(listed_counts(&session, &inbox), [(TaskState::Waiting, 7)]);
     assert_eq!(listed_counts(&session, &[]), [(TaskState::Waiting, 7)]);
 }
+
+/// Guards against a planned stop soon after an owner was lost, which hides that this one may
+/// still grant leases.
+#[test]
+fn an_owner_records_no_handover_while_earlier_leases_may_last() {
+    for (earlier_leases_end, expected) in [(30, "releases the cell"), (1, "hands over")] {
+        let mut session = Session::start(both_zones_in());
+        session.take_over(2, session.now + SECOND * earlier_leases_end);
+        session.advance(SECOND);
+        session.advance(SECOND);
+        session.handle(Event::Stop);
+        session.handle(Event::Tick);
+        assert!(session.owner.has_ended(), "{}", session.log);
+        assert!(session.log.contains(expected), "{}", session.log);
+    }
+}
--- a/components/entry/src/cells/drive.rs
+++ b/components/entry/src/cells/drive.rs
@@ -111,6 +111,13 @@
                 }
                 false
             }
+            Action::Release => {
+                tracing::info!(cell = %slot.cell, epoch = slot.epoch.0, "releasing the cell without a handover; an earlier owner may still grant leases");
+                if let Err(error) = self.release(slot).await {
+                    tracing::warn!(cell = %slot.cell, %error, "failed to release the cell");
+                }
+                false
+            }
             Action::Answer(_) => true,
         }
     }
--- a/components/entry/src/cells/ownership.rs
+++ b/components/entry/src/cells/ownership.rs
@@ -329,12 +329,20 @@
 
     /// Records the handover at the end of a term and releases the cell.
     pub(super) async fn hand_over(&self, slot: &Slot) -> Result<(), StoreError> {
+        let record = Op::put(keys::handover(&slot.cell), epoch_value(slot.epoch));
+        self.end_term(slot, vec![record]).await
+    }
+
+    /// Releases the cell at the end of a term without a record of the handover.
+    pub(super) async fn release(&self, slot: &Slot) -> Result<(), StoreError> {
+        self.end_term(slot, Vec::new()).await
+    }
+
+    async fn end_term(&self, slot: &Slot, mut ops: Vec<Op>) -> Result<(), StoreError> {
+        ops.push(Op::Delete(KeyRange::one(keys::owner(&slot.cell))));
         let txn = Txn {
             compares: vec![epoch_equals(&slot.cell, slot.epoch)],
-            ops: vec![
-                Op::put(keys::handover(&slot.cell), epoch_value(slot.epoch)),
-                Op::Delete(KeyRange::one(keys::owner(&slot.cell))),
-            ],
+            ops,
             otherwise: Vec::new(),
         };
         self.setup.store.txn(txn).await.map(|_| ())
