--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -4,7 +4,10 @@
 
 use futures_lite::FutureExt;
 use kernel::Time;
-use store::{Compare, KeyRange, KeyValue, LeaseId, Op, StoreError, StoreRevision, Txn};
+use store::{
+    Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn,
+    backoff::Backoff,
+};
 
 use super::{
     Shared, candidacy,
@@ -68,15 +71,26 @@
         };
         changed.or(timer).await;
     }
-    let found = match shared.store.range(KeyRange::one(keys::OWNER), 1).await {
-        Ok(found) => found.kvs.into_iter().next(),
-        Err(error) => {
-            tracing::info!(%error, "can't read whether an earlier process of this entry owned the jobs");
+    let give_up_at = shared.clock.now() + shared.settings.timing.owner_key;
+    let mut backoff = Backoff::with_random_seed();
+    loop {
+        let error = match try_release_own_key(shared).await {
+            Ok(is_released) => return is_released,
+            Err(error) => error,
+        };
+        let delay = backoff.next_delay();
+        if shared.is_stopping() || (give_up_at - delay).passed(shared.clock.now()) {
+            tracing::info!(%error, "can't release the key of this entry's earlier process; it lasts until it expires");
             return false;
         }
-    };
-    let Some(kv) = found else {
-        return false;
+        smol::Timer::after(delay).await;
+    }
+}
+
+async fn try_release_own_key(shared: &Shared) -> Result<bool, StoreError> {
+    let found = shared.store.range(KeyRange::one(keys::OWNER), 1).await?;
+    let Some(kv) = found.kvs.into_iter().next() else {
+        return Ok(false);
     };
     let settings = &shared.settings;
     let is_own = match serde_json::from_slice::<OwnerRecord>(&kv.value) {
@@ -87,18 +101,11 @@
         }
     };
     let Some(lease) = kv.lease.filter(|_| is_own) else {
-        return false;
+        return Ok(false);
     };
-    match shared.store.revoke(lease).await {
-        Ok(()) => {
-            tracing::info!("key of this entry's earlier process released; it owned the jobs");
-            true
-        }
-        Err(error) => {
-            tracing::info!(%error, "can't release the key of this entry's earlier process; it lasts until it expires");
-            false
-        }
-    }
+    shared.store.revoke(lease).await?;
+    tracing::info!("key of this entry's earlier process released; it owned the jobs");
+    Ok(true)
 }
 
 async fn wait_for_vacancy(shared: &Shared) {
@@ -141,13 +148,17 @@
     smol::Timer::after(delay.wait).await;
 }
 
-/// Tries to become the owner; returns `None` if another entry was faster.
+/// Tries to become the owner; returns `None` if another entry was faster or this one stops.
 async fn try_acquire(shared: &Shared) -> Result<Option<Claim>, StoreError> {
     let read = shared.store.range(KeyRange::one(keys::EPOCH), 1).await?;
     let previous = read.kvs.into_iter().next();
-    let epoch = previous.as_ref().map_or(0, parse_epoch) + 1;
+    let epoch = previous.as_ref().map_or(0, keys::parse_epoch) + 1;
     let sent_at = shared.clock.now();
     let lease = shared.store.grant(shared.settings.timing.owner_key).await?;
+    if shared.is_stopping() {
+        revoke(&*shared.store, lease).await;
+        return Ok(None);
+    }
     let record = OwnerRecord {
         entry: shared.settings.name.clone(),
         address: shared.settings.internal_address,
@@ -156,12 +167,12 @@
     match write_owner(shared, &record, lease, previous.as_ref()).await {
         Ok(Some(revision)) => Ok(Some(claim(record, lease, revision, sent_at))),
         Ok(None) => {
-            revoke(shared, lease).await;
+            revoke(&*shared.store, lease).await;
             Ok(None)
         }
         Err(error) => {
             // Without the lease a delayed transaction can't take effect.
-            revoke(shared, lease).await;
+            revoke(&*shared.store, lease).await;
             Err(error)
         }
     }
@@ -210,23 +221,8 @@
 }
 
 /// Revokes a lease that is not needed; if this fails, the lease expires.
-pub(super) async fn revoke(shared: &Shared, lease: LeaseId) {
-    if let Err(error) = shared.store.revoke(lease).await {
+pub(super) async fn revoke(store: &dyn Store, lease: LeaseId) {
+    if let Err(error) = store.revoke(lease).await {
         tracing::info!(%error, "can't revoke an unneeded lease; it lasts until it expires");
     }
 }
-
-fn parse_epoch(kv: &KeyValue) -> u64 {
-    let text = String::from_utf8_lossy(&kv.value);
-    match text.parse() {
-        Ok(epoch) => epoch,
-        Err(error) => {
-            tracing::error!(
-                %error,
-                revision = kv.modified,
-                "can't parse the epoch; using the revision of its key"
-            );
-            u64::try_from(kv.modified).unwrap_or_default()
-        }
-    }
-}
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -15,17 +16,18 @@
 use futures_lite::FutureExt;
 use kernel::{JobName, Time, VmName, secret::Secrets};
 use proto::Peer;
+use rand::seq::SliceRandom;
 use smol::Task;
 use steps::{
     Event, Owner,
     message::{Orders, OrdersCall, ReportPollCall},
-    owner::PollFailure,
+    owner::{Handover, PollFailure},
 };
 use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn};
 
 use super::{
     Shared, campaign, candidacy,
-    index::{KeyUpdate, jobs_first},
+    index::{KeyUpdate, jobs_first, parse_item},
     journal,
     load::LoadMeter,
 };
@@ -35,15 +37,22 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// The number of renewals in the time to live of the lease.
 const RENEWALS_PER_LEASE: u32 = 4;
+/// When a renewal without an answer is repeated, while its answer may still come.
+const RENEWAL_REPEAT_DELAY: Duration = Duration::from_millis(500);
 /// The delay after a failed renewal.
 const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// How much longer than its wait time a report poll may take before it times out.
 const REPORT_POLL_MARGIN: Duration = Duration::from_millis(900);
 /// Timeout of orders to an agent, which waits up to 600 ms for its worker.
 const ORDERS_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// The pause between two reports of an agent while the jobs are being loaded. Their lists
+/// are applied only afterwards, so the pause ends with the load.
+const LOADING_POLL_PAUSE: Duration = Duration::from_millis(500);
 /// The delay after a failed call to an agent.
 const AGENT_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// The maximum time to write the last records when a term ends.
+/// The number of updates after which a new owner that loads the jobs handles replies.
+const UPDATES_PER_TURN: usize = 32;
+/// The maximum time to write the last records when a term ends in the orderly way.
 const FINAL_FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The key in the store that makes this entry the owner.
@@ -75,6 +84,12 @@
     /// Whether this owner hands the jobs over to a larger entry.
     is_stepping_down: AtomicBool,
     over_signal: Signal,
+    /// Whether this owner knows the note of the previous owner; it calls no agent before.
+    knows_note: AtomicBool,
+    /// Notified when the jobs are loaded.
+    loaded_signal: Signal,
+    /// Whether the journal stops after the records that are due now.
+    pub(super) is_finishing: AtomicBool,
     /// Notified when records have to be written.
     pub(super) records_changed: Signal,
     /// Notified when a scheduling pass is due later.
@@ -93,28 +108,33 @@
     let (epoch, timing) = (claim.record.epoch, shared.settings.timing);
     tracing::info!(epoch, "this entry owns the jobs");
     let name = shared.settings.name.clone();
+    let started_at = shared.clock.now();
     let term = Arc::new(Term {
         clock: shared.clock,
         store: Arc::clone(&shared.store),
         secrets,
-        owner: Mutex::new(Owner::new(name, epoch, timing, shared.clock.now())),
+        owner: Mutex::new(Owner::new(name, epoch, timing, started_at)),
         early_updates: Mutex::new(Some(Vec::new())),
         agents: Mutex::default(),
         proved_at: Mutex::new(claim.proved_at),
         is_over: AtomicBool::new(false),
         is_stepping_down: AtomicBool::new(false),
         over_signal: Signal::new(),
+        knows_note: AtomicBool::new(false),
+        loaded_signal: Signal::new(),
+        is_finishing: AtomicBool::new(false),
         records_changed: Signal::new(),
         pass_delayed: Signal::new(),
         lease: Mutex::new(claim.lease),
         claim,
     });
+    term.apply_event(Event::LoadingJobs);
     shared.set_term(Some(Arc::clone(&term)));
     shared.candidacy().start_term(shared.clock.now());
     let renewing = smol::spawn(renew(Arc::clone(&term), timing.owner_key, timing.ownership));
+    let journal = smol::spawn(journal::run(Arc::clone(&term)));
     let serving = async {
         load_jobs(shared, &term).await;
-        let journal = smol::spawn(journal::run(Arc::clone(&term)));
         let ticking = smol::spawn(tick(Arc::clone(shared), Arc::clone(&term)));
         let passing = smol::spawn(run_delayed_passes(Arc::clone(&term)));
         let comparing = smol::spawn(candidacy::step_down_when_smaller(
@@ -125,92 +145,162 @@
         comparing.cancel().await;
         ticking.cancel().await;
         passing.cancel().await;
-        journal.cancel().await;
     };
     let ended = async { wait_for_term_end(shared, &term).await };
     serving.or(ended).await;
+    let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
+    let is_orderly = shared.is_stopping() || is_stepping_down;
+    // Agents are called meanwhile, so that leases are renewed.
+    match is_orderly {
+        true => write_last_records(&term, journal).await,
+        false => drop(journal),
+    }
     // Without updates the term gets no new agents, so it sends no orders after the note.
     shared.set_term(None);
     term.agents().clear();
-    let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
-    let hands_over = (shared.is_stopping() || is_stepping_down) && !term.is_over();
-    if hands_over {
-        hand_over(&term).await;
-    }
-    // A renewal that finds the lease revoked would write the key of the owner again.
+    let last_served = Instant::now();
+    // A renewal that finds no key would write it again.
     renewing.cancel().await;
-    if hands_over {
-        let lease = *lock(&term.lease);
-        campaign::revoke(shared, lease).await;
-    }
+    let hands_over = is_orderly && !term.is_over();
+    let is_released = hands_over && hand_over(&term, timing.owner_key).await;
     if is_stepping_down {
         shared.candidacy().finish_hand_over(shared.clock.now());
     }
     term.end();
-    tracing::info!(epoch, "this entry no longer owns the jobs");
+    tracing::info!(
+        epoch,
+        hands_over,
+        is_released,
+        is_loaded = term.is_loaded(),
+        term_ms = shared.clock.now().since(started_at).as_millis() as u64,
+        unserved_ms = last_served.elapsed().as_millis() as u64,
+        "this entry no longer owns the jobs"
+    );
 }
 
 async fn wait_for_term_end(shared: &Shared, term: &Term) {
     loop {
         let over_signal = term.over_signal.listen();
-        let stopping = shared.owner_changed.listen();
+        let changed = shared.owner_changed.listen();
         let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
-        if term.is_over() || shared.is_stopping() || is_stepping_down {
+        if term.is_over() || is_stepping_down {
+            return;
+        }
+        let signal = over_signal.or(changed);
+        let Some(until) = shared.keeps_jobs_until() else {
+            signal.await;
+            continue;
+        };
+        let now = shared.clock.now();
+        if until.passed(now) {
             return;
         }
-        over_signal.or(stopping).await;
+        let timer = async {
+            smol::Timer::after(until.remaining(now)).await;
+        };
+        signal.or(timer).await;
     }
 }
 
-/// Writes the last records and the handover, so that the next owner can start at once.
-async fn hand_over(term: &Term) {
-    let flushed = async {
-        journal::flush(term).await;
+/// Lets the journal write the last records, for a limited time.
+async fn write_last_records(term: &Term, journal: Task<()>) {
+    let started_at = Instant::now();
+    term.is_finishing.store(true, Ordering::Relaxed);
+    term.records_changed.notify(usize::MAX);
+    let finished = async {
+        journal.await;
         true
     };
     let timed_out = async {
         smol::Timer::after(FINAL_FLUSH_TIMEOUT).await;
         false
     };
-    let is_flushed = flushed.or(timed_out).await;
-    if let Err(error) = write_handover(term).await {
-        tracing::info!(%error, "can't write the handover for the next owner");
-    }
+    let is_flushed = finished.or(timed_out).await;
     tracing::info!(
         epoch = term.claim.record.epoch,
         is_flushed,
+        flush_ms = started_at.elapsed().as_millis() as u64,
+        "last records of this owner"
+    );
+}
+
+/// Writes the note for the next owner and deletes the key of this one, so that it can start
+/// at once; tries again until the key would have expired. Returns whether the key is deleted.
+async fn hand_over(term: &Term, owner_key: Duration) -> bool {
+    tracing::info!(
+        epoch = term.claim.record.epoch,
         "giving up the ownership of the jobs to the next owner"
     );
+    let give_up_at = term.now() + owner_key;
+    let mut backoff = store::backoff::Backoff::with_random_seed();
+    loop {
+        let Err(error) = try_hand_over(term).await else {
+            return true;
+        };
+        if backoff.failures() == 0 {
+            tracing::warn!(%error, "can't hand the jobs over to the next owner; trying again");
+        }
+        let delay = backoff.next_delay().min(RENEWAL_RETRY_DELAY);
+        if (give_up_at - delay).passed(term.now()) {
+            tracing::warn!(%error, "jobs not handed over; the next owner waits until the key has expired");
+            return false;
+        }
+        smol::Timer::after(delay).await;
+    }
 }
 
-/// Writes for the next owner which VMs do not answer. The write is refused if a later
-/// term has started.
-async fn write_handover(term: &Term) -> Result<(), StoreError> {
-    let handover = term.owner().handover(term.now());
-    let value =
-        serde_json::to_vec(&handover).map_err(|error| StoreError::not_run(error.to_string()))?;
+/// Makes one attempt, which is refused if a later term has started.
+async fn try_hand_over(term: &Term) -> Result<(), StoreError> {
+    let mut ops = vec![Op::Delete(KeyRange::one(keys::OWNER))];
+    if let Some(note) = note(term).await? {
+        let value =
+            serde_json::to_vec(&note).map_err(|error| StoreError::not_run(error.to_string()))?;
+        ops.push(Op::put(keys::HANDOVER, value));
+    }
     let epoch = keys::EPOCH.to_owned();
     let txn = Txn {
         compares: vec![Compare::ModifiedAt(epoch, term.claim.epoch_revision)],
-        ops: vec![Op::put(keys::HANDOVER, value)],
+        ops,
         otherwise: Vec::new(),
     };
     term.store.txn(txn).await.map(|_| ())
 }
 
+/// Returns the note for the next owner. An owner that has not read the note of the previous one
+/// has called no agent, so it passes that note on; `None` if there is none.
+async fn note(term: &Term) -> Result<Option<Handover>, StoreError> {
+    if term.knows_note.load(Ordering::Relaxed) {
+        return Ok(Some(term.owner().handover(term.now())));
+    }
+    let found = term.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
+    let note = read_handover(&found.kvs);
+    Ok(note.and_then(|note| note.passed_on(term.claim.record.epoch)))
+}
+
 /// Applies the handover of the previous owner, if there is one.
 fn apply_handover(term: &Term, kvs: &[KeyValue]) {
-    let Some(kv) = kvs.iter().find(|kv| kv.key == keys::HANDOVER) else {
-        return;
-    };
+    if let Some(handover) = read_handover(kvs) {
+        term.apply_event(Event::HandedOver(handover));
+    }
+}
+
+fn read_handover(kvs: &[KeyValue]) -> Option<Handover> {
+    let kv = kvs.iter().find(|kv| kv.key == keys::HANDOVER)?;
     match serde_json::from_slice(&kv.value) {
-        Ok(handover) => term.apply_event(Event::HandedOver(handover)),
-        Err(error) => tracing::error!(%error, "can't decode the handover of the previous owner"),
+        Ok(handover) => Some(handover),
+        Err(error) => {
+            tracing::error!(%error, "can't decode the handover of the previous owner");
+            None
+        }
     }
 }
 
 /// Loads all jobs, then applies the updates received meanwhile.
 async fn load_jobs(shared: &Shared, term: &Arc<Term>) {
+    let started_at = Instant::now();
+    if let Err(error) = call_agents(shared, term).await {
+        tracing::info!(%error, "can't read the keys of the agents; calling them once the jobs are loaded");
+    }
     let mut backoff = store::backoff::Backoff::with_random_seed();
     let kvs = loop {
         match read_all(shared).await {
@@ -228,17 +318,47 @@
     }
     let zones_out = shared.index().zones_out.clone();
     term.handle(Event::ZonesOut(zones_out));
-    apply_handover(term, &kvs);
+    if !term.knows_note.swap(true, Ordering::Relaxed) {
+        apply_handover(term, &kvs);
+    }
     let updates = jobs_first(&kvs);
+    let read_ms = started_at.elapsed().as_millis() as u64;
+    for number in 0..updates.len() {
+        term.apply_first(&updates[number..]);
+        // Replies of agents are handled meanwhile.
+        if number % UPDATES_PER_TURN == 0 {
+            smol::future::yield_now().await;
+        }
+    }
+    let early_updates = term.early_updates().take().unwrap_or_default();
+    term.apply(&early_updates);
+    term.handle(Event::JobsLoaded);
+    term.loaded_signal.notify(usize::MAX);
     tracing::info!(
+        epoch = term.claim.record.epoch,
         items = kvs.len(),
         facts = updates.len(),
+        failed_reads = backoff.failures(),
+        read_ms,
+        load_ms = started_at.elapsed().as_millis() as u64,
         "jobs loaded by the new owner"
     );
-    term.apply(&updates);
-    let early_updates = term.early_updates().take().unwrap_or_default();
-    term.apply(&early_updates);
-    term.handle(Event::JobsLoaded);
+}
+
+/// Starts to call the agents before the jobs are loaded, since leases run out meanwhile.
+async fn call_agents(shared: &Shared, term: &Arc<Term>) -> Result<(), StoreError> {
+    let handover = shared.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
+    let mut agents = shared.store.range(keys::all_agents(), 0).await?;
+    apply_handover(term, &handover.kvs);
+    term.knows_note.store(true, Ordering::Relaxed);
+    // Short terms must not miss the same agents each time.
+    agents.kvs.shuffle(&mut rand::rng());
+    for kv in &agents.kvs {
+        if let Some(KeyUpdate::Agent(vm, address, revision)) = parse_item(kv) {
+            term.add_agent(&vm, address, revision);
+        }
+    }
+    Ok(())
 }
 
 async fn read_all(shared: &Shared) -> Result<Vec<KeyValue>, StoreError> {
@@ -297,7 +417,7 @@
             return;
         }
         let lease = *lock(&term.lease);
-        let renewed = match term.store.keep_alive(lease).await {
+        let renewed = match keep_alive(&*term.store, lease).await {
             Ok(true) => {
                 term.record_proof(now);
                 Ok(true)
@@ -329,6 +449,22 @@
     }
 }
 
+/// Renews a lease, with a second attempt if the first is not answered soon.
+async fn keep_alive(store: &dyn Store, lease: LeaseId) -> Result<bool, StoreError> {
+    let started_at = Instant::now();
+    let mut first = pin!(async { (1, store.keep_alive(lease).await) });
+    let mut second = pin!(async {
+        proto::expire(RENEWAL_REPEAT_DELAY).await;
+        (2, store.keep_alive(lease).await)
+    });
+    match first.as_mut().or(second.as_mut()).await {
+        (_, Ok(is_renewed)) => Ok(is_renewed),
+        (1, Err(error)) if started_at.elapsed() < RENEWAL_REPEAT_DELAY => Err(error),
+        (1, Err(_)) => second.await.1,
+        (_, Err(_)) => first.await.1,
+    }
+}
+
 /// Writes the key of the owner again; returns whether no other entry had become the owner.
 async fn reacquire_key(
     term: &Term,
@@ -345,8 +481,16 @@
         ops: vec![campaign::put_owner(&claim.record, lease)?],
         otherwise: Vec::new(),
     };
-    let reply = term.store.txn(txn).await?;
+    let reply = match term.store.txn(txn).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            // Without the lease the next attempt can't find a key that this one wrote.
+            campaign::revoke(&*term.store, lease).await;
+            return Err(error);
+        }
+    };
     if !reply.succeeded {
+        campaign::revoke(&*term.store, lease).await;
         return Ok(false);
     }
     tracing::info!("lease of the owner had expired; key written again");
@@ -364,6 +508,20 @@
         lock(&self.agents)
     }
 
+    fn is_loaded(&self) -> bool {
+        self.early_updates().is_none()
+    }
+
+    async fn wait_until_loaded(&self) {
+        loop {
+            let loaded_signal = self.loaded_signal.listen();
+            if self.is_loaded() {
+                return;
+            }
+            loaded_signal.await;
+        }
+    }
+
     fn early_updates(&self) -> MutexGuard<'_, Option<Vec<KeyUpdate>>> {
         lock(&self.early_updates)
     }
@@ -426,37 +584,44 @@
     }
 
     fn apply(self: &Arc<Self>, updates: &[KeyUpdate]) {
-        for (number, update) in updates.iter().enumerate() {
-            match update {
-                KeyUpdate::Job(job) => {
-                    let progress = progress_record(&job.name, &updates[number..]);
-                    let job = Arc::clone(job);
-                    self.apply_event(Event::Job { job, progress });
-                }
-                KeyUpdate::Cancelled(name) => self.apply_event(Event::Cancelled(name.clone())),
-                KeyUpdate::Ended(name, outcome) => {
-                    let (name, outcome) = (name.clone(), *outcome);
-                    self.apply_event(Event::Ended(name, outcome));
-                }
-                KeyUpdate::Agent(vm, address, revision) => self.add_agent(vm, *address, *revision),
-                KeyUpdate::Owner(Some(record)) if record.epoch > self.claim.record.epoch => {
-                    tracing::warn!(
-                        owner = %record.entry,
-                        epoch = record.epoch,
-                        "a later owner has taken over; the term ends"
-                    );
-                    self.end();
-                }
-                KeyUpdate::Progress(..)
-                | KeyUpdate::Owner(_)
-                | KeyUpdate::Announced(..)
-                | KeyUpdate::Withdrawn(_)
-                | KeyUpdate::Forgotten(_) => {}
-            }
+        for number in 0..updates.len() {
+            self.apply_first(&updates[number..]);
         }
         self.dispatch();
     }
 
+    /// Applies the first of these updates. The progress of a job may follow the job.
+    fn apply_first(self: &Arc<Self>, updates: &[KeyUpdate]) {
+        let Some((first, rest)) = updates.split_first() else {
+            return;
+        };
+        match first {
+            KeyUpdate::Job(job) => {
+                let progress = progress_record(&job.name, rest);
+                let job = Arc::clone(job);
+                self.apply_event(Event::Job { job, progress });
+            }
+            KeyUpdate::Cancelled(name) => self.apply_event(Event::Cancelled(name.clone())),
+            KeyUpdate::Ended(name, outcome) => {
+                self.apply_event(Event::Ended(name.clone(), *outcome));
+            }
+            KeyUpdate::Agent(vm, address, revision) => self.add_agent(vm, *address, *revision),
+            KeyUpdate::Owner(Some(record)) if record.epoch > self.claim.record.epoch => {
+                tracing::warn!(
+                    owner = %record.entry,
+                    epoch = record.epoch,
+                    "a later owner has taken over; the term ends"
+                );
+                self.end();
+            }
+            KeyUpdate::Progress(..)
+            | KeyUpdate::Owner(_)
+            | KeyUpdate::Announced(..)
+            | KeyUpdate::Withdrawn(_)
+            | KeyUpdate::Forgotten(_) => {}
+        }
+    }
+
     /// Starts to poll the reports of an agent, or updates the revision of its key.
     fn add_agent(self: &Arc<Self>, vm: &VmName, address: SocketAddr, revision: StoreRevision) {
         self.apply_event(Event::Vm(vm.clone()));
@@ -593,14 +758,20 @@
         let Some(report_poll) = term.owner().next_report_poll(term.now(), &vm) else {
             return;
         };
+        let has_echo = report_poll.header.echo.is_some();
         let timeout = Duration::from_millis(report_poll.wait_millis) + REPORT_POLL_MARGIN;
         let called_at = Instant::now();
         let result = peer.call::<ReportPollCall>(report_poll, timeout).await;
         match result {
-            Ok(report) => term.handle(Event::Report {
-                vm: vm.clone(),
-                report: Box::new(report),
-            }),
+            Ok(report) => {
+                term.handle(Event::Report {
+                    vm: vm.clone(),
+                    report: Box::new(report),
+                });
+                if has_echo {
+                    pause_while_loading(&term).await;
+                }
+            }
             Err(error) => {
                 tracing::debug!(%vm, %error, "agent did not answer a report poll");
                 let waited = called_at.elapsed();
@@ -617,6 +788,16 @@
     }
 }
 
+async fn pause_while_loading(term: &Term) {
+    if term.is_loaded() {
+        return;
+    }
+    let pause = async {
+        smol::Timer::after(LOADING_POLL_PAUSE).await;
+    };
+    pause.or(term.wait_until_loaded()).await;
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -6,13 +6,28 @@
 //! time already, so the note holds the remaining wait for each such VM. The note gives
 //! durations rather than times because the clocks of two machines differ; the next
 //! owner counts them from the start of its own term, which is later.
+//!
+//! A task that was down when the previous owner stopped need not wait for VMs that do not
+//! answer, since nobody has started it. The note therefore names the VMs on which
+//! long-running tasks may run. A task of another kind may also have been done there.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use kernel::{Time, VmName};
 use serde::{Deserialize, Serialize};
 
-use super::{Owner, vm::Vm};
+use super::{
+    Owner,
+    orders::REPORT_POLL_WAIT,
+    vm::{Phase, Vm},
+};
+use crate::TaskKey;
+
+/// The most long-running tasks that a note names, which bounds its size.
+const MAX_TASKS: usize = 1_000;
 
 /// A VM whose agent does not answer, with the time for which tasks may still run
 /// there.
@@ -24,15 +39,45 @@
     pub left_millis: u64,
 }
 
+/// Long-running tasks that are not certainly down.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LongRunningTasks {
+    /// VMs on which each of them may run.
+    pub placements: BTreeMap<TaskKey, BTreeSet<VmName>>,
+    /// Tasks with a run that was ordered to start or stop without a confirmation yet.
+    pub unsettled: BTreeSet<TaskKey>,
+}
+
 /// Handover note of an owner that has stopped.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
     /// Epoch of the owner that wrote the note. Only the owner of the next epoch uses
     /// it.
     pub epoch: u64,
+    /// Time in milliseconds for which an owner before this one may still let agents renew
+    /// leases.
+    #[serde(default)]
+    pub renewal_left_millis: u64,
     /// VMs whose agents did not answer.
     #[serde(rename = "silent")]
     pub unreachable: Vec<UnreachableVm>,
+    /// State of long-running tasks; `None` if the owner did not know it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub long_running: Option<LongRunningTasks>,
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Handover {
+    /// Returns this note for the owner after the one of `epoch`, which has called no agent;
+    /// `None` if the note was for an earlier owner.
+    #[must_use]
+    pub fn passed_on(self, epoch: u64) -> Option<Self> {
+        let is_for_that_owner = self.epoch + 1 == epoch;
+        is_for_that_owner.then_some(Self { epoch, ..self })
+    }
 }
 
 impl Owner {
@@ -42,7 +87,8 @@
         let mut unreachable = Vec::new();
         for (name, vm) in &self.vms {
             // This owner may not have noticed yet that an agent is unreachable.
-            if !vm.unreachable && vm.has_answered() {
+            let has_just_answered = !(vm.last_answer_at + REPORT_POLL_WAIT).passed(now);
+            if !vm.unreachable && vm.has_answered() && has_just_answered {
                 continue;
             }
             let time_left = match vm.leases_expired {
@@ -51,15 +97,86 @@
             };
             unreachable.push(UnreachableVm {
                 vm: name.clone(),
-                left_millis: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
+                left_millis: millis(time_left),
             });
         }
+        // An owner that has not read the keys of all agents passes on what it was told.
+        for listed in self.handover.iter().flat_map(|note| &note.unreachable) {
+            let expire_at = self.noted_expiry(&listed.vm).unwrap_or(now);
+            if !self.are_jobs_loaded && !self.vms.contains_key(&listed.vm) {
+                unreachable.push(UnreachableVm {
+                    vm: listed.vm.clone(),
+                    left_millis: millis(expire_at.remaining(now)),
+                });
+            }
+        }
         Handover {
             epoch: self.epoch,
+            renewal_left_millis: millis(self.earlier_renewed_until().remaining(now)),
             unreachable,
+            long_running: self.long_running_tasks(now),
         }
     }
 
+    /// Long-running tasks that are not certainly down; `None` if this owner does not know.
+    fn long_running_tasks(&self, now: Time) -> Option<LongRunningTasks> {
+        if !self.are_jobs_loaded {
+            // Nothing has been started since the last note.
+            return self.handover.as_ref()?.long_running.clone();
+        }
+        let mut tasks = LongRunningTasks::default();
+        let unlisted = self.unlisted_vms(now);
+        if !unlisted.is_empty() {
+            let earlier = self.handover.as_ref()?.long_running.as_ref()?;
+            tasks.unsettled.clone_from(&earlier.unsettled);
+            for (task, vms) in &earlier.placements {
+                let vms: BTreeSet<VmName> = vms.intersection(&unlisted).cloned().collect();
+                if !vms.is_empty() {
+                    tasks.placements.insert(task.clone(), vms);
+                }
+            }
+        }
+        for (name, vm) in &self.vms {
+            for (key, run) in &vm.runs {
+                if !self.may_be_long_running(&key.task) {
+                    continue;
+                }
+                if !matches!(run.phase(), Phase::Present { .. }) {
+                    tasks.unsettled.insert(key.task.clone());
+                }
+                let vms = tasks.placements.entry(key.task.clone()).or_default();
+                vms.insert(name.clone());
+            }
+            for key in vm.unknown_runs.keys().chain(&vm.stops) {
+                if self.may_be_long_running(&key.task) {
+                    tasks.unsettled.insert(key.task.clone());
+                }
+            }
+        }
+        let count = tasks.placements.len() + tasks.unsettled.len();
+        (count <= MAX_TASKS).then_some(tasks)
+    }
+
+    fn may_be_long_running(&self, task: &TaskKey) -> bool {
+        let entry = self.jobs.get(&task.job);
+        let step = entry.and_then(|entry| entry.job.steps.get(usize::from(task.step)));
+        step.is_none_or(|step| step.long_running)
+    }
+
+    /// Whether a long-running task may run on one of the VMs, on which runs may exist that
+    /// no worker has reported.
+    pub(super) fn may_run_on(&self, task: &TaskKey, unlisted: &BTreeSet<VmName>) -> bool {
+        if unlisted.is_empty() {
+            return false;
+        }
+        let note = self.handover.as_ref().filter(|_| self.are_jobs_loaded);
+        let Some(tasks) = note.and_then(|note| note.long_running.as_ref()) else {
+            return true;
+        };
+        let vms = tasks.placements.get(task);
+        tasks.unsettled.contains(task) || vms.is_some_and(|vms| !vms.is_disjoint(unlisted))
+    }
+
     pub(super) fn on_handover(&mut self, handover: Handover) {
         if handover.epoch + 1 != self.epoch {
             return;
@@ -75,8 +192,8 @@
 
     /// Time until which the previous owner may have let agents renew leases.
     pub(super) fn earlier_renewed_until(&self) -> Time {
-        match self.handover {
-            Some(_) => self.term_start,
+        match &self.handover {
+            Some(note) => self.term_start + Duration::from_millis(note.renewal_left_millis),
             None => self.term_start + self.timing.renewal,
         }
     }
@@ -87,13 +204,17 @@
         if vm.attached {
             return vm.last_answer_at + timeout;
         }
-        let time_left = self.handover.as_ref().and_then(|handover| {
-            let found = handover.unreachable.iter().find(|known| known.vm == *name);
-            found.map(|known| Duration::from_millis(known.left_millis))
-        });
-        match time_left {
-            Some(time_left) if !vm.has_answered() => self.term_start + time_left,
+        match self.noted_expiry(name) {
+            Some(expire_at) if !vm.has_answered() => expire_at,
             _ => vm.last_answer_at.max(self.earlier_renewed_until()) + timeout,
         }
     }
+
+    /// Time after which, according to the note of the previous owner, nothing that it may
+    /// have started can run on a VM; `None` if the note does not list the VM.
+    pub(super) fn noted_expiry(&self, name: &VmName) -> Option<Time> {
+        let handover = self.handover.as_ref()?;
+        let listed = handover.unreachable.iter().find(|vm| vm.vm == *name)?;
+        Some(self.term_start + Duration::from_millis(listed.left_millis))
+    }
 }
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -83,15 +83,27 @@
         if report.leases_expired {
             self.drop_lost_runs(now, name, LossReason::LeasesExpired);
         }
+        if was_attached != is_attached {
+            self.schedule_due = true;
+        }
+        if self.is_loading {
+            self.early_reports.insert(name.clone(), report);
+            return;
+        }
+        self.apply_lists(now, name, &report);
+    }
+
+    /// Applies the ended and active runs of a report.
+    pub(super) fn apply_lists(&mut self, now: Time, name: &VmName, report: &AgentReport) {
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
-        if !is_attached {
+        if !vm.attached {
             vm.listing.reset();
             self.schedule_due = true;
             return;
         }
-        if !vm.listing.apply(&report) {
+        if !vm.listing.apply(report) {
             vm.report_version = 0;
             tracing::warn!(
                 vm = %name,
@@ -101,6 +113,10 @@
             );
             return;
         }
+        if !vm.has_listed_runs {
+            vm.has_listed_runs = true;
+            self.schedule_due = true;
+        }
         if !report.has_more_ends && !vm.has_listed_ends {
             vm.has_listed_ends = true;
             self.schedule_due = true;
@@ -108,11 +124,8 @@
         for end in &report.ended {
             self.on_run_ended(now, name, end);
         }
-        self.apply_running(now, name, &report);
+        self.apply_running(now, name, report);
         self.learn_interference(now, name);
-        if !was_attached {
-            self.schedule_due = true;
-        }
     }
 
     /// Resets state that depends on the agent process: a restarted agent counts its
@@ -166,6 +179,8 @@
         vm.info = Some(info.clone());
         vm.processed_end = 0;
         vm.recorded_end = 0;
+        vm.has_listed_runs = false;
+        vm.first_echo_at = None;
         vm.has_listed_ends = false;
         vm.acknowledged_end = 0;
         vm.unrecorded_ends.clear();
@@ -202,13 +217,14 @@
         }
     }
 
-    /// Drops the runs on the VMs of agents that have been unreachable for longer than
-    /// any lease of a run on their VM lasts.
+    /// Drops the runs on the VMs of agents that have not answered for longer than any lease
+    /// of a run on their VM lasts.
     pub(super) fn expire_unreachable(&mut self, now: Time) {
         let mut expired = Vec::new();
         for (name, vm) in &self.vms {
             let has_ended = self.runs_expire_at(name, vm).passed(now);
-            if vm.unreachable && !vm.leases_expired && has_ended {
+            let is_silent = vm.unreachable || !vm.has_answered();
+            if is_silent && !vm.leases_expired && has_ended {
                 expired.push(name.clone());
             }
         }
@@ -270,6 +286,12 @@
         let assigned = self.vms.get(vm).and_then(|vm| vm.runs.get(key));
         let age_ms = assigned.map_or(0, |assigned| now.since(assigned.since).as_millis() as u64);
         tracing::info!(task = %key.task, run = key.run, %vm, why = reason, age_ms, "run lost");
+        // A start without an answer may never have been carried out.
+        if assigned.is_some_and(|assigned| !assigned.start_unanswered)
+            && let Some(entry) = self.jobs.get_mut(&key.task.job)
+        {
+            entry.note_interruption(now, &key.task);
+        }
         self.remove_run(now, vm, key);
     }
 
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -10,9 +10,10 @@
 
 use super::{
     Owner,
-    entry::{JobEntry, StepState, task_key},
+    entry::{JobEntry, StepState, Task, task_key},
     place::{FailedPlacements, PlacementRequest},
-    vm::{AssignedRun, Phase},
+    vm::{AssignedRun, Phase, Vm},
+    window::StartRoom,
 };
 use crate::{
     Queue, Step, TaskKey,
@@ -24,8 +25,8 @@
 /// Delay after an occurrence's due time, since the clocks of machines differ and no
 /// occurrence may start early.
 const CLOCK_MARGIN: Duration = Duration::from_millis(40);
-/// Time after which a job without runs takes any worker for a ready task. Users
-/// consider a job lost after 3 s without progress.
+/// Time after which a job without runs takes any worker for a ready task, and a long-running
+/// step for each task that is down. Users consider a job or such a task lost after 3 s.
 const MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// Run numbers of a term start at its epoch times this number, so that they increase
 /// from term to term without a record.
@@ -51,8 +52,12 @@
 
 /// State of one scheduling pass.
 struct Pass {
-    /// Number of starts that may still be ordered.
-    starts_left: usize,
+    room: StartRoom,
+    /// Whether ends of runs of an earlier owner, or such runs, may exist that no worker has
+    /// reported.
+    is_recovering: bool,
+    /// VMs on which such runs may exist.
+    unlisted_vms: BTreeSet<VmName>,
     failed: FailedPlacements,
 }
 
@@ -70,6 +75,15 @@
 struct ReadyTask {
     index: usize,
     avoid: BTreeSet<VmName>,
+    /// Whether the task is long-running and has been down for too long.
+    is_overdue: bool,
+}
+
+impl Pass {
+    /// Whether tasks of the job may run or have ended without a report.
+    const fn is_recovering_job(&self, entry: &JobEntry) -> bool {
+        self.is_recovering && entry.may_have_earlier_runs
+    }
 }
 
 impl ReadyStep<'_> {
@@ -99,22 +113,34 @@
     }
 }
 
-/// The first tasks of a step that are not done and have no run.
-fn ready_tasks(state: &StepState, max: usize) -> Vec<ReadyTask> {
+/// Whether a task without a run is long-running and has been down for too long.
+fn is_overdue(now: Time, entry: &JobEntry, step: &Step, task: &Task) -> bool {
+    step.long_running && (entry.waiting_since(task) + MAX_IDLE).passed(now)
+}
+
+/// Up to `max` tasks of a step that are not done and have no run, overdue ones first.
+fn ready_tasks(now: Time, entry: &JobEntry, ready: &ReadyStep<'_>, max: usize) -> Vec<ReadyTask> {
+    let state = ready.state(entry);
     let mut found = Vec::new();
     if state.waiting() == 0 {
         return found;
     }
+    let is_long_running = ready.step.long_running;
     for (index, task) in state.tasks().iter().enumerate() {
-        if found.len() == max {
+        if found.len() == max && !is_long_running {
             break;
         }
         if !task.is_waiting() {
             continue;
         }
-        let avoid = task.avoid.clone();
-        found.push(ReadyTask { index, avoid });
+        found.push(ReadyTask {
+            index,
+            avoid: task.avoid.clone(),
+            is_overdue: is_overdue(now, entry, ready.step, task),
+        });
     }
+    found.sort_by_key(|task| !task.is_overdue);
+    found.truncate(max);
     found
 }
 
@@ -143,37 +169,64 @@
     /// reported.
     #[must_use]
     pub fn is_recovering(&self, now: Time) -> bool {
-        let have_expired = self.earlier_runs_expire_at().passed(now);
-        self.vms.values().any(|vm| match vm.attached {
-            true => !vm.has_listed_ends,
-            false => !vm.leases_expired && !have_expired,
-        })
+        let has_unlisted_ends = |vm: &Vm| vm.attached && !vm.has_listed_ends;
+        self.vms.values().any(has_unlisted_ends) || !self.unlisted_vms(now).is_empty()
+    }
+
+    /// VMs on which runs of an earlier owner may exist that no worker has reported.
+    pub(super) fn unlisted_vms(&self, now: Time) -> BTreeSet<VmName> {
+        let earlier_runs_expire_at = self.earlier_runs_expire_at();
+        let mut unlisted = BTreeSet::new();
+        for (name, vm) in &self.vms {
+            let expire_at = self
+                .noted_expiry(name)
+                .map_or(earlier_runs_expire_at, |noted| {
+                    noted.max(earlier_runs_expire_at)
+                });
+            // An echo from this owner lets an agent renew the leases of earlier runs.
+            let renewed_at = vm.first_echo_at.filter(|at| !expire_at.passed(*at));
+            let were_renewed = !vm.has_listed_runs && renewed_at.is_some();
+            let may_have_runs = match vm.attached {
+                true => !vm.has_listed_runs,
+                false => !vm.leases_expired && (!expire_at.passed(now) || were_renewed),
+            };
+            if may_have_runs {
+                unlisted.insert(name.clone());
+            }
+        }
+        unlisted
     }
 
     /// Starts all tasks that may start and for which there is a suitable worker.
     pub(super) fn schedule(&mut self, now: Time, wall: Time) {
         self.work.passes += 1;
-        let is_recovering = self.is_recovering(now);
-        let earlier_owner_over = self.term_start + self.timing.ownership;
         let unanswered = self.unanswered_starts();
+        let vms = &self.vms;
+        self.reserve_starts.retain(|(vm, key)| {
+            let run = vms.get(vm).and_then(|vm| vm.runs.get(key));
+            run.is_some_and(|run| run.phase() == Phase::Ordered)
+        });
         let mut pass = Pass {
-            starts_left: self.window.limit().saturating_sub(unanswered),
+            room: self.window.room(unanswered, self.reserve_starts.len()),
+            is_recovering: self.is_recovering(now),
+            unlisted_vms: self.unlisted_vms(now),
             failed: FailedPlacements::default(),
         };
         for rank in self.ranked_jobs(now) {
             let Some(entry) = self.jobs.get(&rank.job) else {
                 continue;
             };
-            if is_recovering && entry.known_since < earlier_owner_over {
+            if pass.is_recovering_job(entry) && !entry.job.is_long_running() {
+                continue;
+            }
+            let may_use_reserve = entry.job.is_long_running();
+            if !pass.room.admits(may_use_reserve) {
+                self.window.hold_back();
                 continue;
             }
             let Some(queue) = self.queues.get(&entry.job.queue).cloned() else {
                 continue;
             };
-            if pass.starts_left == 0 {
-                self.window.hold_back();
-                return;
-            }
             self.work.jobs_visited += 1;
             self.schedule_job(now, wall, &rank.job, &queue, &mut pass);
             if !self.may_have_ready_tasks(&rank.job) {
@@ -241,6 +294,10 @@
                 if !entry.may_start(occurrence, number) {
                     continue;
                 }
+                // The ends of long-running tasks change nothing, so only their runs count.
+                if pass.is_recovering_job(entry) && !step.long_running {
+                    continue;
+                }
                 let ready = ReadyStep {
                     job: name,
                     occurrence,
@@ -261,29 +318,42 @@
         let Some(entry) = self.jobs.get(ready.job) else {
             return;
         };
-        let mut is_urgent = entry
+        let mut is_idle = entry
             .idle_since()
             .is_some_and(|since| (since + MAX_IDLE).passed(now));
         let state = ready.state(entry);
         if state.waiting() == 0 {
             return;
         }
-        if pass.starts_left == 0 {
-            self.window.hold_back();
-            return;
-        }
+        let mut waiting = state.tasks().iter().filter(|task| task.is_waiting());
+        let has_overdue =
+            ready.step.long_running && waiting.any(|task| is_overdue(now, entry, ready.step, task));
         let any_task = ReadyTask::default();
         let no_tasks = BTreeMap::new();
+        let is_urgent = is_idle || has_overdue;
         if pass
             .failed
             .cover(&ready.placement_request(&any_task, &no_tasks, None, is_urgent))
         {
             return;
         }
-        let tasks = ready_tasks(state, pass.starts_left);
-        let is_cut_off = tasks.len() < state.waiting();
+        let is_held_back = pass.is_recovering_job(entry);
+        let most = match is_held_back {
+            true => usize::MAX,
+            false => pass.room.most(),
+        };
+        let mut tasks = ready_tasks(now, entry, ready, most);
+        if is_held_back {
+            tasks.retain(|task| !self.may_run_on(&ready.task(task.index), &pass.unlisted_vms));
+        }
+        let is_cut_off = !is_held_back && tasks.len() < state.waiting();
         let mut tasks_per_vm = count_tasks_per_vm(ready.step, state);
         for task in tasks {
+            if !pass.room.admits(task.is_overdue) {
+                self.window.hold_back();
+                return;
+            }
+            let is_urgent = is_idle || task.is_overdue;
             let request = ready.placement_request(&task, &tasks_per_vm, None, is_urgent);
             if pass.failed.cover(&request) {
                 return;
@@ -292,12 +362,16 @@
                 pass.failed.record(&request);
                 return;
             };
-            pass.starts_left -= 1;
             *tasks_per_vm.entry(vm.clone()).or_default() += 1;
             let run = self.next_run();
             let task = ready.task(task.index);
-            self.order_start(now, &vm, RunKey { task, run }, ready.step);
-            is_urgent = false;
+            let key = RunKey { task, run };
+            self.order_start(now, &vm, key.clone(), ready.step);
+            if pass.room.is_full() {
+                self.reserve_starts.push((vm, key));
+            }
+            pass.room.take(1);
+            is_idle = false;
         }
         if is_cut_off {
             self.window.hold_back();
@@ -314,7 +388,16 @@
         if state.waiting() == 0 || (ready.step.gang && !are_all_ready) {
             return;
         }
-        let tasks = ready_tasks(state, usize::MAX);
+        let tasks = ready_tasks(now, entry, ready, usize::MAX);
+        let may_run =
+            |task: &ReadyTask| self.may_run_on(&ready.task(task.index), &pass.unlisted_vms);
+        if pass.is_recovering_job(entry) && tasks.iter().any(may_run) {
+            return;
+        }
+        if !pass.room.admits(tasks.iter().any(|task| task.is_overdue)) {
+            self.window.hold_back();
+            return;
+        }
         let tasks_per_vm = count_tasks_per_vm(ready.step, state);
         let mut racks: Vec<Option<String>> = vec![None];
         if ready.step.same_rack {
@@ -324,7 +407,7 @@
         }
         for rack in racks {
             if self.try_start_all(now, ready, &tasks, &tasks_per_vm, rack.as_deref()) {
-                pass.starts_left = pass.starts_left.saturating_sub(tasks.len());
+                pass.room.take(tasks.len());
                 return;
             }
         }
