An owner of a cell releases it until the call is answered

What users would see: a cell without an owner for as long as a process runs; found by a review of how terms end. Cause: the call that ends a term was made once. If it was lost, the key of the owner stayed on a lease that the process goes on renewing for its other cells, and the process itself does not acquire a cell that another entry should own.

--- a/components/entry/src/cells/drive.rs
+++ b/components/entry/src/cells/drive.rs
@@ -106,16 +106,12 @@
                 false
             }
             Action::HandOver => {
-                if let Err(error) = self.hand_over(slot).await {
-                    tracing::warn!(cell = %slot.cell, %error, "failed to record the handover");
-                }
+                self.hand_over(slot).await;
                 false
             }
             Action::Release => {
                 tracing::info!(cell = %slot.cell, epoch = slot.epoch.0, "releasing the cell without a handover; an earlier owner may still grant leases");
-                if let Err(error) = self.release(slot).await {
-                    tracing::warn!(cell = %slot.cell, %error, "failed to release the cell");
-                }
+                self.release(slot).await;
                 false
             }
             Action::Answer(_) => true,
--- a/components/entry/src/cells/ownership.rs
+++ b/components/entry/src/cells/ownership.rs
@@ -6,7 +6,7 @@
 use kernel::{CellName, Epoch, Incarnation, Time};
 use proto::messages::{CellCapacity, CellOwner};
 use serde::{Deserialize, Serialize};
-use store::{Compare, KeyRange, LeaseId, Op, StoreError, Txn};
+use store::{Compare, KeyRange, LeaseId, Op, StoreError, Txn, backoff::Backoff};
 
 use super::{Cells, slot::Slot};
 
@@ -328,24 +328,32 @@
     }
 
     /// Records the handover at the end of a term and releases the cell.
-    pub(super) async fn hand_over(&self, slot: &Slot) -> Result<(), StoreError> {
+    pub(super) async fn hand_over(&self, slot: &Slot) {
         let record = Op::put(keys::handover(&slot.cell), epoch_value(slot.epoch));
-        self.end_term(slot, vec![record]).await
+        self.end_term(slot, vec![record]).await;
     }
 
     /// Releases the cell at the end of a term without a record of the handover.
-    pub(super) async fn release(&self, slot: &Slot) -> Result<(), StoreError> {
-        self.end_term(slot, Vec::new()).await
+    pub(super) async fn release(&self, slot: &Slot) {
+        self.end_term(slot, Vec::new()).await;
     }
 
-    async fn end_term(&self, slot: &Slot, mut ops: Vec<Op>) -> Result<(), StoreError> {
+    /// Deletes the key of the owner. It is on a lease that this process goes on renewing, so
+    /// nobody could acquire the cell without an answer.
+    async fn end_term(&self, slot: &Slot, mut ops: Vec<Op>) {
         ops.push(Op::Delete(KeyRange::one(keys::owner(&slot.cell))));
         let txn = Txn {
             compares: vec![epoch_equals(&slot.cell, slot.epoch)],
             ops,
             otherwise: Vec::new(),
         };
-        self.setup.store.txn(txn).await.map(|_| ())
+        let mut backoff = Backoff::with_random_seed();
+        while let Err(error) = self.setup.store.txn(txn.clone()).await {
+            if backoff.failures() == 0 {
+                tracing::warn!(cell = %slot.cell, %error, "can't release the cell; trying again");
+            }
+            smol::Timer::after(backoff.next_delay()).await;
+        }
     }
 
     /// Hands over all cells for a planned stop. Returns once all are released.
--- a/components/entry/tests/cells.rs
+++ b/components/entry/tests/cells.rs
@@ -309,3 +309,72 @@
         spec: job_spec(name, tasks),
     }
 }
+
+/// Guards against a cell that nobody can acquire since its owner renews the key.
+#[test]
+fn a_cell_is_owned_after_the_call_that_hands_it_over_was_lost() {
+    smol::block_on(async {
+        let store = MemStore::new();
+        let clock = Clock::start();
+        let live = LiveEntries::default();
+        let cell = CellName::new("plateau").unwrap();
+        let names = ["entry-1", "entry-2"].map(|name| EntryName::new(name).unwrap());
+        let preferred = cell::preferred_owner(&cell, &names).unwrap().as_str();
+        let other = if preferred == "entry-1" {
+            "entry-2"
+        } else {
+            "entry-1"
+        };
+        let first = start_entry(&store, other, &live, clock);
+        let mut agent = FakeAgent::new("vm-1");
+        agent.send_heartbeat(clock, &[&first]);
+        until_owned(&[&first]).await;
+        store
+            .faults()
+            .lose_requests_under(cell::keys::handover(&cell), 1);
+        let second = start_entry(&store, preferred, &live, clock);
+        until("the first owner to end its term", || {
+            agent.send_heartbeat(clock, &[&first, &second]);
+            first.cells.owned_cells().is_empty()
+        })
+        .await;
+        until("an owner of the cell", || {
+            agent.send_heartbeat(clock, &[&first, &second]);
+            !first.cells.owned_cells().is_empty() || !second.cells.owned_cells().is_empty()
+        })
+        .await;
+    });
+}
+
+/// Guards against a wait for leases that a handover has shown to be over.
+#[test]
+fn a_read_that_fails_once_does_not_drop_the_handover() {
+    smol::block_on(async {
+        let store = MemStore::new();
+        let clock = Clock::start();
+        let live = LiveEntries::default();
+        let first = start_entry(&store, "entry-1", &live, clock);
+        let mut agent = FakeAgent::new("vm-1");
+        agent.send_heartbeat(clock, &[&first]);
+        until_owned(&[&first]).await;
+        let epoch = first.cells.owned_cells()[0].epoch;
+        first.cells.stop().await;
+        live.lock()
+            .unwrap()
+            .remove(&EntryName::new("entry-1").unwrap());
+        let cell = CellName::new("plateau").unwrap();
+        store
+            .faults()
+            .fail_reads_under(format!("hemlockmoor/cell/{cell}"));
+        let second = start_entry(&store, "entry-2", &live, clock);
+        let acquired = || {
+            store.peek(&store::KeyRange::one(cell::keys::epoch(&cell)))[0].value
+                != epoch.0.to_string().into_bytes()
+        };
+        until("a later term", acquired).await;
+        store.faults().clear();
+        until_owned(&[&second]).await;
+        let epoch_now = second.cells.owned_cells()[0].epoch;
+        assert_eq!(epoch_now.0, epoch.0 + 1, "an epoch between has no handover");
+    });
+}
