An agent that registers while the jobs are loaded is called at once

Cause: changes in the store wait until the jobs are loaded, so an agent that registers or moves meanwhile was called only then; found by a review. Change: its key is applied at once as well. Measured: the second half of `a_new_owner_calls_agents_before_it_has_loaded_the_jobs` fails without the change and passes with it.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -576,11 +576,19 @@
 
     /// Applies changes in the store, or keeps them until the jobs are loaded.
     pub(super) fn take_updates(self: &Arc<Self>, updates: &[KeyUpdate]) {
+        if self.is_loaded() {
+            return self.apply(updates);
+        }
+        // An agent that registers or moves meanwhile is called at once like the others.
+        let knows_note = self.knows_note.load(Ordering::Relaxed);
+        for update in updates {
+            if let (true, KeyUpdate::Agent(vm, address, revision)) = (knows_note, update) {
+                self.add_agent(vm, *address, *revision);
+            }
+        }
         if let Some(early_updates) = self.early_updates().as_mut() {
             early_updates.extend_from_slice(updates);
-            return;
         }
-        self.apply(updates);
     }
 
     fn apply(self: &Arc<Self>, updates: &[KeyUpdate]) {
