--- a/components/steps/tests/common/processor.rs
+++ b/components/steps/tests/common/processor.rs
@@ -239,7 +239,14 @@
         if departure == Departure::Orderly {
             let changes = process.owner.take_changes();
             self.write_records(process.epoch, &changes);
-            self.handover = Some(process.owner.handover(self.now));
+            // An owner that has called no agent passes on the note that it was left.
+            self.handover = match process.called.is_empty() {
+                true => self
+                    .handover
+                    .take()
+                    .and_then(|note| note.passed_on(process.epoch)),
+                false => Some(process.owner.handover(self.now)),
+            };
         }
     }
 
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1046,3 +1046,50 @@
     let left_of = |note: &Handover| note.unreachable[0].left_millis;
     assert_eq!(left_of(&passed_on), left_of(&told) - 100);
 }
+
+/// Guards against runs that an owner forgets since their report came before the jobs.
+#[test]
+fn runs_that_are_reported_while_the_jobs_are_loaded_are_adopted_afterwards() {
+    let mut session = Session::new(1);
+    session.handle(at(0), Event::LoadingJobs);
+    let key = run(JOB, 0, 0, 7);
+    let row = ActiveRun {
+        key: key.clone(),
+        checkpoint: None,
+        progress_percent: 10,
+        measurement: 900,
+    };
+    session.report(at(10), 0, |report| report.running = vec![row]);
+    let poll = session.owner.next_report_poll(at(20), &vm(0)).unwrap();
+    assert!(poll.header.echo.is_some());
+    session.submit(at(30), JOB, 1);
+    session.handle(at(40), Event::JobsLoaded);
+    assert_eq!(session.owner.runs_of(&job_name(JOB)), [(vm(0), key)]);
+}
+
+#[test]
+fn a_vm_that_has_never_answered_is_given_up_without_a_failed_poll() {
+    let mut before = Session::new(2);
+    before.report(at(0), 0, |_| ());
+    before.report(at(0), 1, |_| ());
+    before.report(at(6_000), 0, |_| ());
+    let handover = before.owner.handover(at(6_000));
+    let mut session = Session::with_handover(handover, EPOCH + 1, at(6_100));
+    session.report(at(6_200), 0, |report| {
+        (report.epoch, report.confirmed_epoch) = (EPOCH + 1, EPOCH + 1);
+    });
+    session.handle(at(7_800), Event::Tick);
+    assert_eq!(session.take_starts(at(7_800), 0).len(), 1);
+}
+
+#[test]
+fn the_note_lists_a_vm_that_has_not_answered_for_longer_than_a_poll() {
+    let mut before = Session::new(2);
+    before.report(at(0), 0, |_| ());
+    before.report(at(0), 1, |_| ());
+    before.report(at(3_000), 0, |_| ());
+    let listed = before.owner.handover(at(3_000)).unreachable;
+    assert_eq!(listed.len(), 1);
+    assert_eq!(listed[0].vm, vm(1));
+    assert!(listed[0].left_millis < 4_500);
+}
