An agent logs which runs its worker had as it crashed

The logs told that runs were lost because a worker restarted, but not which of them it had only just started, so a task that crashes workers could not be told apart from those beside it.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     Timing,
+    crash::{CrashedRun, TrackedRuns},
     interference::Weights,
     listing::SentLists,
     message::{
@@ -27,6 +28,9 @@
 /// unresponsive.
 const UNRESPONSIVE_AFTER_POLLS: u32 = 2;
 
+/// The most runs that the log line about a crash names.
+const MAX_NAMED_RUNS: usize = 20;
+
 /// Periodic message from a worker about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -164,6 +168,8 @@
     ended: BTreeMap<u64, EndedRun>,
     /// Starts that were sent to the worker and whose outcome is unknown.
     unsettled: BTreeMap<RunKey, UnsettledStart>,
+    /// Runs of the worker, with the time for which it has survived them.
+    tracked: TrackedRuns,
     roles: BTreeMap<RunKey, Role>,
     /// Interference between pairs of images.
     weights: Weights,
@@ -203,6 +209,7 @@
             has_more_ends: false,
             ended: BTreeMap::new(),
             unsettled: BTreeMap::new(),
+            tracked: TrackedRuns::default(),
             roles: BTreeMap::new(),
             weights: Weights::default(),
             pacer: Pacer::default(),
@@ -296,6 +303,7 @@
                 zone = %beat.info.zone,
                 "new worker incarnation"
             );
+            self.note_crash();
             self.reset_worker();
         }
         if self.worker.as_ref() == Some(&beat.info) {
@@ -324,7 +332,29 @@
         self.version += 1;
     }
 
+    /// Notes that the worker's incarnation has ended without notice.
+    fn note_crash(&mut self) {
+        let runs = self.tracked.take_crashed();
+        let Some(worker) = self.worker.as_ref().filter(|worker| !worker.draining) else {
+            return;
+        };
+        let in_doubt: Vec<&CrashedRun> = runs.iter().filter(|run| run.is_in_doubt()).collect();
+        let named = in_doubt.iter().take(MAX_NAMED_RUNS);
+        let named: Vec<String> = named
+            .map(|run| format!("{}/{}", run.key.task, run.key.run))
+            .collect();
+        tracing::warn!(
+            worker = %worker.incarnation.worker,
+            born = worker.incarnation.started_at,
+            runs = runs.len(),
+            in_doubt = in_doubt.len(),
+            in_doubt_runs = named.join(" "),
+            "worker has crashed"
+        );
+    }
+
     fn reset_worker(&mut self) {
+        self.tracked = TrackedRuns::default();
         self.clock = None;
         self.echo = None;
         self.granted_until = 0;
@@ -527,7 +557,7 @@
         poll: &WorkerPoll,
         reply: PollReply,
     ) -> Vec<(RunKey, u32)> {
-        let Some(worker) = &mut self.worker else {
+        let Some(worker) = &self.worker else {
             return Vec::new();
         };
         if worker.incarnation != poll.incarnation {
@@ -540,7 +570,10 @@
                 return Vec::new();
             }
             tracing::info!(worker = %worker.incarnation.worker, born, "worker has restarted");
-            worker.incarnation.started_at = born;
+            self.note_crash();
+            if let Some(worker) = &mut self.worker {
+                worker.incarnation.started_at = born;
+            }
             self.heartbeat_sequence = 0;
             self.reset_worker();
             self.version += 1;
@@ -563,6 +596,7 @@
             if end.number > self.recorded && !self.ended.contains_key(&end.number) {
                 self.roles.remove(&end.key);
                 self.pacer.remove(&end.key);
+                self.tracked.remove(&end.key);
                 self.ended.insert(end.number, end);
                 self.version += 1;
             }
@@ -571,6 +605,7 @@
             return Vec::new();
         }
         self.last_applied_poll = poll.number;
+        self.tracked.apply_running(now, &reply.running);
         if self.stop_check.is_some_and(|check| poll.number >= check) {
             self.stop_check = None;
             self.version += 1;
@@ -611,6 +646,7 @@
             }
             PollError::OtherIncarnation => {
                 tracing::info!(worker = %poll.incarnation.worker, "poll answered by another incarnation of the worker");
+                self.note_crash();
                 self.worker_left(&poll.incarnation.worker.clone());
             }
             PollError::Fenced => {
@@ -693,6 +729,7 @@
             has_lost_attempt: self.unsettled.contains_key(key),
         };
         self.unsettled.insert(key.clone(), start);
+        self.tracked.record_sent(now, key);
         Ok(StartGrant {
             epoch: self.epoch,
             until_millis,
@@ -710,6 +747,11 @@
         if is_settled {
             self.unsettled.remove(key);
         }
+        match result {
+            OrderResult::Done => self.tracked.record_confirmed(key),
+            OrderResult::Refused(_) if is_settled => self.tracked.remove_unlisted(key),
+            OrderResult::Refused(_) | OrderResult::Unsettled => {}
+        }
     }
 
     /// Records the result of a stop that was sent to the worker. A worker starts no run
@@ -717,6 +759,7 @@
     pub fn settle_stop(&mut self, key: &RunKey, result: OrderResult) {
         if result == OrderResult::Done {
             self.unsettled.remove(key);
+            self.tracked.remove_unlisted(key);
         }
     }
 
@@ -739,10 +782,15 @@
     /// would refuse as late now.
     fn settle_listed(&mut self, clock_millis: u64) {
         let (running, ended) = (&self.running, &self.ended);
+        let tracked = &mut self.tracked;
         self.unsettled.retain(|key, start| {
             let is_listed = running.iter().any(|row| row.key == *key)
                 || ended.values().any(|end| end.key == *key);
-            !is_listed && clock_millis <= start.until_millis
+            let is_too_late = clock_millis > start.until_millis;
+            if is_too_late {
+                tracked.remove_unlisted(key);
+            }
+            !is_listed && !is_too_late
         });
     }
 
--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod candidacy;
 pub mod config;
 pub mod contact;
+pub mod crash;
 pub mod interference;
 pub mod job;
 pub mod listing;
