Failing test: tasks that crash each worker that starts them

Owners, agents and workers in virtual time. Three of sixty jobs have a task that crashes each worker 20 ms after its start; the worker is back after 3 s under another name. Such a job must fail before the task is started a third time after its third crash, and all others must complete: also with the owner or the agent lost at each crash, among other faults, and on a worker that crashes after each start by itself.

--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -24,6 +24,11 @@
 const TICK: Duration = Duration::from_millis(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 const REPORT_POLL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time from the start of a task that crashes workers to the crash.
+const CRASH_AFTER: Duration = Duration::from_millis(20);
+/// Number of starts that break the rule for a task under which `MOST_CRASHES` workers crashed.
+const TOO_MANY_STARTS: u32 = 3;
+const MOST_CRASHES: u32 = 3;
 
 /// Messages in transit and timers. The first number is the epoch of the owner, except
 /// in `DelayedStart`.
@@ -37,9 +42,19 @@
     /// incarnation, run, epoch of the owner, end of the lease by the worker's clock.
     DelayedStart(VmName, u64, RunKey, u64, u64),
     RecordsWritten(u64, u64, Vec<RecordWrite>),
+    /// The worker crashes, unless its incarnation has ended before.
+    Crash(VmName, u64),
     Elect,
 }
 
+/// Process that is lost with each worker that a task crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LostProcess {
+    Nothing,
+    Owner,
+    Agent,
+}
+
 /// Content of the store for one job.
 #[derive(Clone)]
 struct Stored {
@@ -110,6 +125,14 @@
     recorded_done: BTreeSet<TaskKey>,
     /// Jobs whose tasks always fail.
     poison: BTreeSet<JobName>,
+    /// Tasks that crash each worker that starts them: crashes so far, and starts after
+    /// `MOST_CRASHES` of them.
+    deadly: BTreeMap<TaskKey, (u32, u32)>,
+    /// Worker that crashes after each start, whichever task it is.
+    pub(crate) faulty_vm: Option<VmName>,
+    /// How long a crashed worker is down.
+    pub(crate) crash_span: Duration,
+    pub(crate) lost_with_worker: LostProcess,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: usize,
 }
@@ -155,6 +178,10 @@
             done: BTreeMap::new(),
             recorded_done: BTreeSet::new(),
             poison: BTreeSet::new(),
+            deadly: BTreeMap::new(),
+            faulty_vm: None,
+            crash_span: Duration::from_secs(3),
+            lost_with_worker: LostProcess::Nothing,
             violations: Vec::new(),
             starts: 0,
         }
@@ -175,6 +202,11 @@
         self.handle_event(Event::Job { job, progress });
     }
 
+    /// Makes a task crash each worker that starts it.
+    pub(crate) fn make_deadly(&mut self, task: TaskKey) {
+        self.deadly.insert(task, (0, 0));
+    }
+
     pub(crate) fn cancel(&mut self, name: &JobName) {
         if let Some(stored) = self.store.get_mut(name) {
             stored.cancelled = true;
@@ -242,7 +274,6 @@
                 self.chance(probability),
             );
             let span = secs(&mut self.rng, 9.0);
-            let rate = self.rng.random_range(0.985..=1.0);
             let timing = self.timing;
             let Some(machine) = self.machines.get_mut(&name) else {
                 continue;
@@ -254,14 +285,11 @@
                 machine.worker.unresponsive_until = now + span;
             }
             if crash {
-                machine.incarnations += 1;
-                let fresh = worker_info(
-                    &format!("w-{name}-{}", machine.incarnations),
-                    machine.incarnations,
-                );
-                let worker = SimulatedWorker::new(fresh, now, rate);
-                machine.worker = self.faults.worker(worker);
+                self.crash_worker(&name, Duration::ZERO);
             }
+            let Some(machine) = self.machines.get_mut(&name) else {
+                continue;
+            };
             if restart {
                 machine.agent = AgentState::new(timing, now);
                 machine.agent.observe_epoch(epoch);
@@ -271,6 +299,54 @@
         }
     }
 
+    /// Replaces the worker of a VM by one that answers after `down`.
+    fn crash_worker(&mut self, name: &VmName, down: Duration) {
+        let now = self.now;
+        let rate = self.rng.random_range(0.985..=1.0);
+        let machine = self.machines.get_mut(name).unwrap();
+        machine.incarnations += 1;
+        let incarnation = machine.incarnations;
+        let fresh = worker_info(&format!("w-{name}-{incarnation}"), incarnation);
+        let worker = SimulatedWorker::new(fresh, now, rate);
+        machine.worker = self.faults.worker(worker);
+        machine.worker.unresponsive_until = now + down;
+    }
+
+    /// Plans the crash of a worker that has just started this run.
+    fn plan_crash(&mut self, name: &VmName, task: &TaskKey) {
+        let is_faulty = self.faulty_vm.as_ref() == Some(name);
+        let deadly = self.deadly.get_mut(task);
+        if !is_faulty && deadly.is_none() {
+            return;
+        }
+        if let Some((crashes, starts)) = deadly {
+            *starts += u32::from(*crashes >= MOST_CRASHES);
+            *crashes += 1;
+            if *starts >= TOO_MANY_STARTS {
+                let (at, starts) = (self.now, *starts);
+                self.violations.push(format!(
+                    "{at}: {task} started {starts} times after {MOST_CRASHES} crashes"
+                ));
+            }
+        }
+        let started_at = self.machines[name].worker.info.incarnation.started_at;
+        self.send(CRASH_AFTER, Message::Crash(name.clone(), started_at));
+        match self.lost_with_worker {
+            LostProcess::Nothing => {}
+            LostProcess::Owner => {
+                self.owner = None;
+                self.polled_vms.clear();
+                self.writing = false;
+                self.send(Duration::from_millis(500), Message::Elect);
+            }
+            LostProcess::Agent => {
+                let machine = self.machines.get_mut(name).unwrap();
+                machine.agent = AgentState::new(self.timing, self.now);
+                machine.agent.observe_epoch(self.epoch);
+            }
+        }
+    }
+
     /// Removes the owner: it stops in an orderly way, is cut off from the store, or
     /// crashes.
     fn lose_owner(&mut self) {
@@ -373,6 +449,11 @@
         let is_lost = !self.faults.until.passed(self.now) && self.chance(0.01);
         match message {
             Message::Elect => self.elect(),
+            Message::Crash(name, started_at) => {
+                if self.machines[&name].worker.info.incarnation.started_at == started_at {
+                    self.crash_worker(&name, self.crash_span);
+                }
+            }
             Message::ReportPoll(epoch, name, poll) => {
                 let now = self.now;
                 let machine = self.machines.get_mut(&name).unwrap();
@@ -499,6 +580,7 @@
         if is_new {
             self.starts += 1;
             self.check_start(name, key);
+            self.plan_crash(name, &key.task);
         }
         result
     }
