A task that crashes its workers is given up; those beside it run on trial

Cause: an end of a worker's incarnation was only a loss of runs. No process counted it, and none could tell which of the lost runs was the cause: the agent forgot the runs of the earlier incarnation, the owner knew no more than what had been ordered.

Change: an agent reports which runs its worker had not survived for 0.5 s as it crashed, until that is recorded. These tasks are suspect: each starts next on a worker that has survived all else and gets nothing new meanwhile, after the record of its last crash. A task that was the only suspect on two VMs, or under which four workers crashed, is given up. If the agent is lost with its worker, the owner takes what it knows; if the owner is lost, the agent still tells the next one.

--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -10,6 +10,7 @@
 };
 
 use futures_lite::FutureExt;
+use kernel::Time;
 use steps::agent::{PollError, WorkerPoll};
 
 use super::{Shared, set_pace};
@@ -64,12 +65,7 @@
         return UNANSWERED_DELAY;
     }
     if long_poll_open.load(Ordering::Relaxed) {
-        if shared.agent_state().is_stop_check_due()
-            && let Some(poll) = shared.agent_state().next_poll(now, false)
-        {
-            smol::spawn(short_poll(Arc::clone(shared), poll)).detach();
-        }
-        return IDLE_INTERVAL;
+        return poll_beside_long_poll(shared, now);
     }
     if unrecorded {
         if short_poll_due && let Some(poll) = shared.agent_state().next_poll(now, false) {
@@ -93,6 +89,24 @@
     IDLE_INTERVAL
 }
 
+/// Starts a short poll if one is due while a long poll is open; returns after which time to
+/// check again.
+fn poll_beside_long_poll(shared: &Arc<Shared>, now: Time) -> Duration {
+    let mut agent_state = shared.agent_state();
+    let doubts_check = agent_state.next_doubts_check();
+    let is_doubts_check_due = doubts_check.is_some_and(|at| at.passed(now));
+    if is_doubts_check_due {
+        agent_state.record_doubts_check(now);
+    }
+    if (is_doubts_check_due || agent_state.is_stop_check_due())
+        && let Some(poll) = agent_state.next_poll(now, false)
+    {
+        smol::spawn(short_poll(Arc::clone(shared), poll)).detach();
+    }
+    let next = agent_state.next_doubts_check();
+    next.map_or(IDLE_INTERVAL, |at| at.remaining(now).min(IDLE_INTERVAL))
+}
+
 async fn short_poll(shared: Arc<Shared>, poll: WorkerPoll) {
     poll_worker(&shared, &poll).await;
     shared.poll_wanted.notify(usize::MAX);
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -2,13 +2,16 @@
 //! newest owner, grants the leases of the worker's runs, and keeps run ends until their
 //! records are durable.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use kernel::{EntryName, Time};
 
 use crate::{
     Timing,
-    crash::{CrashedRun, TrackedRuns},
+    crash::{TrackedRuns, WorkerCrash},
     interference::Weights,
     listing::SentLists,
     message::{
@@ -31,6 +34,11 @@
 /// The most runs that the log line about a crash names.
 const MAX_NAMED_RUNS: usize = 20;
 
+/// The most crashes that are kept until their records are durable.
+const MAX_CRASHES: usize = 32;
+/// Interval between two polls that check whether the worker has survived a run.
+const DOUBTS_POLL_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Periodic message from a worker about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -170,6 +178,14 @@
     unsettled: BTreeMap<RunKey, UnsettledStart>,
     /// Runs of the worker, with the time for which it has survived them.
     tracked: TrackedRuns,
+    /// Whether the owner asks which runs the worker has not survived for long enough yet.
+    wants_doubts: bool,
+    /// When the last poll was sent for this question.
+    doubts_polled_at: Time,
+    /// Number of crashes of workers in this process.
+    crash_count: u64,
+    /// Crashes whose records are not known to be durable.
+    crashes: VecDeque<WorkerCrash>,
     roles: BTreeMap<RunKey, Role>,
     /// Interference between pairs of images.
     weights: Weights,
@@ -210,6 +226,10 @@
             ended: BTreeMap::new(),
             unsettled: BTreeMap::new(),
             tracked: TrackedRuns::default(),
+            wants_doubts: false,
+            doubts_polled_at: Time::ZERO,
+            crash_count: 0,
+            crashes: VecDeque::new(),
             roles: BTreeMap::new(),
             weights: Weights::default(),
             pacer: Pacer::default(),
@@ -334,23 +354,39 @@
 
     /// Notes that the worker's incarnation has ended without notice.
     fn note_crash(&mut self) {
-        let runs = self.tracked.take_crashed();
+        let tracked = std::mem::take(&mut self.tracked);
         let Some(worker) = self.worker.as_ref().filter(|worker| !worker.draining) else {
             return;
         };
-        let in_doubt: Vec<&CrashedRun> = runs.iter().filter(|run| run.is_in_doubt()).collect();
-        let named = in_doubt.iter().take(MAX_NAMED_RUNS);
+        let suspects = tracked.in_doubt();
+        let named = suspects.iter().take(MAX_NAMED_RUNS);
         let named: Vec<String> = named
             .map(|run| format!("{}/{}", run.key.task, run.key.run))
             .collect();
         tracing::warn!(
             worker = %worker.incarnation.worker,
             born = worker.incarnation.started_at,
-            runs = runs.len(),
-            in_doubt = in_doubt.len(),
+            runs = tracked.len(),
+            in_doubt = suspects.len(),
             in_doubt_runs = named.join(" "),
             "worker has crashed"
         );
+        if suspects.is_empty() {
+            return;
+        }
+        self.crash_count += 1;
+        self.crashes.push_back(WorkerCrash {
+            number: self.crash_count,
+            incarnation: worker.incarnation.clone(),
+            suspects,
+        });
+        if self.crashes.len() > MAX_CRASHES {
+            let dropped = self.crashes.pop_front();
+            tracing::warn!(
+                number = dropped.map(|crash| crash.number),
+                "too many crashes of the worker without a record; the oldest one is forgotten"
+            );
+        }
     }
 
     fn reset_worker(&mut self) {
@@ -392,6 +428,7 @@
             self.owner = Some(header.owner.clone());
             self.version += 1;
         }
+        self.forget_crashes(header);
         let Some(worker) = &self.worker else {
             return true;
         };
@@ -410,11 +447,21 @@
         true
     }
 
+    /// Forgets the crashes of workers whose records are durable.
+    fn forget_crashes(&mut self, header: &OwnerHeader) {
+        if let Some((agent_incarnation, number)) = header.recorded_crash
+            && agent_incarnation == self.incarnation()
+        {
+            self.crashes.retain(|crash| crash.number > number);
+        }
+    }
+
     /// Applies a report poll. Returns whether the call may proceed.
     pub fn accept_poll(&mut self, now: Time, poll: &ReportPoll) -> bool {
         if !self.accept_header(now, &poll.header) {
             return false;
         }
+        self.wants_doubts = poll.wants_doubts;
         for (key, role) in &poll.roles {
             self.roles.insert(key.clone(), role.clone());
         }
@@ -605,7 +652,11 @@
             return Vec::new();
         }
         self.last_applied_poll = poll.number;
+        let in_doubt = self.tracked.in_doubt().len();
         self.tracked.apply_running(now, &reply.running);
+        if self.wants_doubts && self.tracked.in_doubt().len() < in_doubt {
+            self.version += 1;
+        }
         if self.stop_check.is_some_and(|check| poll.number >= check) {
             self.stop_check = None;
             self.version += 1;
@@ -778,6 +829,28 @@
         self.stop_check.is_some_and(|check| check > self.last_poll)
     }
 
+    fn runs_in_doubt(&self) -> Vec<RunKey> {
+        let in_doubt = self.tracked.in_doubt().into_iter();
+        in_doubt.map(|run| run.key).collect()
+    }
+
+    /// When a poll should be sent to show whether the worker has survived its newest runs;
+    /// `None` if no owner asks for that.
+    #[must_use]
+    pub fn next_doubts_check(&self) -> Option<Time> {
+        if !self.wants_doubts || !self.is_worker_responsive() {
+            return None;
+        }
+        let earliest = self.doubts_polled_at + DOUBTS_POLL_INTERVAL;
+        self.tracked.next_check().map(|at| at.max(earliest))
+    }
+
+    /// Records that a poll is sent at `now` to show whether the worker has survived its newest
+    /// runs.
+    pub const fn record_doubts_check(&mut self, now: Time) {
+        self.doubts_polled_at = now;
+    }
+
     /// Drops the unsettled starts that the worker has carried out, and those that it
     /// would refuse as late now.
     fn settle_listed(&mut self, clock_millis: u64) {
@@ -863,12 +936,14 @@
             ended: self.ended.values().cloned().collect(),
             has_more_ends: self.has_more_ends,
             unsettled: self.unsettled.keys().cloned().collect(),
+            crashes: self.crashes.iter().cloned().collect(),
+            in_doubt: self.wants_doubts.then(|| self.runs_in_doubt()),
             ..AgentReport::default()
         }
     }
 }
 
-fn millis(span: std::time::Duration) -> u64 {
+fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/components/steps/src/crash.rs
+++ b/components/steps/src/crash.rs
@@ -12,28 +12,29 @@
 use kernel::Time;
 use serde::{Deserialize, Serialize};
 
-use crate::message::{ActiveRun, RunKey};
+use crate::message::{ActiveRun, RunKey, WorkerIncarnation};
 
 /// Time for which a worker must survive a run before the run counts as harmless to it.
 pub const PROBATION: Duration = Duration::from_millis(500);
 
-/// A run that was on its worker, or may have been, as the worker crashed.
+/// A run because of which its worker may have crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashedRun {
+pub struct SuspectRun {
     /// The run.
     pub key: RunKey,
-    /// Time from its start to the last answer of the worker, in milliseconds.
-    pub survived_millis: u64,
     /// Whether the worker had confirmed the start.
     pub is_confirmed: bool,
 }
 
-impl CrashedRun {
-    /// Whether the worker may have crashed because of this run.
-    #[must_use]
-    pub fn is_in_doubt(&self) -> bool {
-        Duration::from_millis(self.survived_millis) < PROBATION
-    }
+/// The end of a worker's incarnation without notice.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCrash {
+    /// Number of the crash within the agent process, from 1.
+    pub number: u64,
+    /// Incarnation that crashed.
+    pub incarnation: WorkerIncarnation,
+    /// Runs that it had or may have had, and had not survived for long enough.
+    pub suspects: Vec<SuspectRun>,
 }
 
 #[derive(Debug)]
@@ -95,18 +96,34 @@
         }
     }
 
-    /// Returns and clears the runs, after the worker has crashed.
-    pub(crate) fn take_crashed(&mut self) -> Vec<CrashedRun> {
-        let answered_at = self.answered_at.take();
-        let mut crashed = Vec::new();
-        for (key, run) in std::mem::take(&mut self.runs) {
-            let survived = answered_at.map_or(Duration::ZERO, |at| at.since(run.started_at));
-            crashed.push(CrashedRun {
-                key,
-                survived_millis: u64::try_from(survived.as_millis()).unwrap_or(u64::MAX),
-                is_confirmed: run.is_confirmed,
-            });
+    /// Number of runs that the worker has or may have.
+    pub(crate) fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Runs that the worker has not survived for long enough yet.
+    pub(crate) fn in_doubt(&self) -> Vec<SuspectRun> {
+        let mut in_doubt = Vec::new();
+        for (key, run) in &self.runs {
+            if self.is_in_doubt(run) {
+                in_doubt.push(SuspectRun {
+                    key: key.clone(),
+                    is_confirmed: run.is_confirmed,
+                });
+            }
         }
-        crashed
+        in_doubt
+    }
+
+    /// When the next poll can show that the worker has survived a run; `None` if it has
+    /// survived all of them.
+    pub(crate) fn next_check(&self) -> Option<Time> {
+        let in_doubt = self.runs.values().filter(|run| self.is_in_doubt(run));
+        in_doubt.map(|run| run.started_at + PROBATION).min()
+    }
+
+    fn is_in_doubt(&self, run: &TrackedRun) -> bool {
+        let answered_at = self.answered_at.unwrap_or(Time::ZERO);
+        !(run.started_at + PROBATION).passed(answered_at)
     }
 }
--- a/components/steps/src/message.rs
+++ b/components/steps/src/message.rs
@@ -10,7 +10,7 @@
 use proto::Method;
 use serde::{Deserialize, Serialize};
 
-use crate::{TaskKey, interference::Weight, listing::ReportId};
+use crate::{TaskKey, crash::WorkerCrash, interference::Weight, listing::ReportId};
 
 /// One incarnation of a worker. A restart under the same name is a new incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -190,6 +190,10 @@
     pub echo: Option<ClockReading>,
     /// Incarnation of the worker, and number of its last end whose record is durable.
     pub recorded: Option<(WorkerIncarnation, u64)>,
+    /// Start of the agent process, and number of its last report of a crash whose record is
+    /// durable.
+    #[serde(default)]
+    pub recorded_crash: Option<(u64, u64)>,
 }
 
 /// Long poll that waits for an update of an agent's report.
@@ -213,6 +217,10 @@
     /// contained.
     #[serde(default)]
     pub known_report: Option<ReportId>,
+    /// Whether the report must name the runs that the worker has not survived for
+    /// [`PROBATION`](crate::crash::PROBATION) yet.
+    #[serde(default)]
+    pub wants_doubts: bool,
 }
 
 /// An agent's report about its worker.
@@ -265,6 +273,13 @@
     /// whichever owner gave it; always all of them.
     #[serde(default)]
     pub unsettled: Vec<RunKey>,
+    /// Crashes of the worker whose records are not known to be durable; always all of them.
+    #[serde(default)]
+    pub crashes: Vec<WorkerCrash>,
+    /// Runs that the worker has not survived for long enough yet; `None` if the owner did
+    /// not ask for them.
+    #[serde(default)]
+    pub in_doubt: Option<Vec<RunKey>>,
 }
 
 /// Orders to start and stop runs.
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -16,10 +16,11 @@
 use kernel::{AvailabilityZoneName, EntryName, JobName, Time, VmName};
 
 use crate::{
-    Config, Job, Outcome, Progress, Queue, Timing,
+    Config, Job, Outcome, Progress, Queue, TaskKey, Timing,
     message::{AgentReport, Orders, OrdersReply, RunKey},
 };
 
+mod crashes;
 mod ends;
 mod entry;
 mod handover;
@@ -152,6 +153,8 @@
     has_urgent_changes: bool,
     /// Jobs that may have tasks to start; a pass visits no others.
     waiting_jobs: BTreeSet<JobName>,
+    /// Tasks that may crash each worker that starts them.
+    suspects: BTreeSet<TaskKey>,
     /// VMs that may have orders to send.
     order_vms: BTreeSet<VmName>,
     /// VMs with ends that wait for a durable record.
@@ -205,6 +208,7 @@
             dirty: BTreeSet::new(),
             has_urgent_changes: false,
             waiting_jobs: BTreeSet::new(),
+            suspects: BTreeSet::new(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
             index: place::WorkerIndex::default(),
@@ -297,6 +301,7 @@
         entry.may_have_earlier_runs = !self.are_jobs_loaded || !is_earlier_owner_over;
         if entry.outcome.is_none() {
             self.waiting_jobs.insert(entry.job.name.clone());
+            self.suspects.extend(entry.suspects());
         }
         self.jobs.insert(entry.job.name.clone(), entry);
         self.schedule_due = true;
@@ -358,6 +363,7 @@
         self.are_jobs_loaded = true;
         self.is_loading = false;
         for (vm, report) in std::mem::take(&mut self.early_reports) {
+            self.apply_crashes(now, &vm, &report.crashes);
             self.apply_lists(now, &vm, &report);
         }
         self.schedule_due = true;
--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -103,6 +103,7 @@
                 true
             }
             RunEnd::Failed => {
+                self.clear_suspicion(&end.key);
                 self.record_failure(now, name, &end.key, step.gang, step.long_running);
                 !step.long_running
             }
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -11,7 +11,7 @@
 use crate::{
     Job, Outcome, Progress, Queue, TaskKey,
     message::RunKey,
-    progress::{StepProgress, to_ranges},
+    progress::{StepProgress, TaskCrash, to_ranges},
 };
 
 /// State of one task. Only [`JobEntry`] changes its runs and its completion, since it
@@ -22,6 +22,11 @@
     done: bool,
     /// Numbers of the runs that failed.
     pub(super) failures: Vec<u64>,
+    /// Crashes of workers that had just started the task; empty again once a worker has
+    /// survived it.
+    pub(super) crashes: Vec<TaskCrash>,
+    /// Number of the change that added the last crash.
+    pub(super) crash_change: u64,
     /// Runs that exist or may exist, each as VM and run number.
     runs: Vec<(VmName, u64)>,
     /// Newest checkpoint that a run of the task has saved.
@@ -38,6 +43,11 @@
         self.done
     }
 
+    /// Whether the task may crash each worker that starts it.
+    pub(super) const fn is_suspect(&self) -> bool {
+        !self.crashes.is_empty() && !self.done
+    }
+
     pub(super) fn runs(&self) -> &[(VmName, u64)] {
         &self.runs
     }
@@ -79,6 +89,11 @@
         self.done == self.tasks.len()
     }
 
+    /// Whether a task of the step may crash each worker that starts it.
+    pub(super) fn has_suspects(&self) -> bool {
+        self.tasks.iter().any(Task::is_suspect)
+    }
+
     /// Number of tasks that are not done and have no run.
     pub(super) const fn waiting(&self) -> usize {
         self.waiting
@@ -185,6 +200,13 @@
                     task.failures.clone_from(failures);
                 }
             }
+            for (index, crashes) in &saved.crashes {
+                if let Some(task) = step.tasks.get_mut(*index as usize) {
+                    task.avoid
+                        .extend(crashes.iter().map(|crash| crash.vm.clone()));
+                    task.crashes.clone_from(crashes);
+                }
+            }
         }
         let occurrences: Vec<u32> = self.occurrences.keys().copied().collect();
         for occurrence in occurrences {
@@ -215,6 +237,17 @@
             .get_mut(usize::from(key.step))
     }
 
+    /// Whether a task of a step may crash each worker that starts it.
+    pub(super) fn has_suspects(&self, occurrence: u32, step: usize) -> bool {
+        let steps = self.occurrences.get(&occurrence);
+        let step = steps.and_then(|steps| steps.get(step));
+        step.is_some_and(StepState::has_suspects)
+    }
+
+    pub(super) fn task(&self, key: &TaskKey) -> Option<&Task> {
+        self.step(key)?.tasks.get(key.index as usize)
+    }
+
     pub(super) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut Task> {
         self.step_mut(key)?.tasks.get_mut(key.index as usize)
     }
@@ -378,6 +411,21 @@
         found
     }
 
+    /// Tasks that may crash each worker that starts them.
+    pub(super) fn suspects(&self) -> Vec<TaskKey> {
+        let mut found = Vec::new();
+        for (&occurrence, steps) in &self.occurrences {
+            for (number, step) in steps.iter().enumerate() {
+                for (index, task) in step.tasks.iter().enumerate() {
+                    if task.is_suspect() {
+                        found.push(task_key(&self.job.name, occurrence, number, index));
+                    }
+                }
+            }
+        }
+        found
+    }
+
     pub(super) const fn has_runs(&self) -> bool {
         self.run_count > 0
     }
@@ -394,7 +442,8 @@
         for (&occurrence, steps) in &self.occurrences {
             for (number, step) in steps.iter().enumerate() {
                 let saved = step_progress(occurrence, number, step);
-                if !saved.done.is_empty() || !saved.failed.is_empty() {
+                let is_empty = saved.done.is_empty() && saved.failed.is_empty();
+                if !is_empty || !saved.crashes.is_empty() {
                     progress.steps.push(saved);
                 }
             }
@@ -416,17 +465,24 @@
 fn step_progress(occurrence: u32, number: usize, step: &StepState) -> StepProgress {
     let mut done = Vec::new();
     let mut failed = Vec::new();
+    let mut crashes = Vec::new();
     for (index, task) in (0u32..).zip(&step.tasks) {
         if task.done {
             done.push(index);
-        } else if !task.failures.is_empty() {
+            continue;
+        }
+        if !task.failures.is_empty() {
             failed.push((index, task.failures.clone()));
         }
+        if !task.crashes.is_empty() {
+            crashes.push((index, task.crashes.clone()));
+        }
     }
     StepProgress {
         occurrence,
         step: u16::try_from(number).unwrap_or(u16::MAX),
         done: to_ranges(done),
         failed,
+        crashes,
     }
 }
--- a/components/steps/src/owner/journal.rs
+++ b/components/steps/src/owner/journal.rs
@@ -86,6 +86,7 @@
     /// Marks all changes up to this number as durable.
     pub fn confirm_durable(&mut self, change: u64) {
         self.durable_change = self.durable_change.max(change);
+        self.schedule_due |= !self.suspects.is_empty();
         self.advance_recorded_ends();
     }
 
@@ -99,7 +100,8 @@
             if vm.advance_recorded_end(self.durable_change) {
                 self.order_vms.insert(name.clone());
             }
-            if !vm.unrecorded_ends.is_empty() {
+            vm.advance_recorded_crash(self.durable_change);
+            if !vm.unrecorded_ends.is_empty() || !vm.unrecorded_crashes.is_empty() {
                 self.unrecorded_vms.insert(name);
             }
         }
--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -62,6 +62,9 @@
             owner: self.name.clone(),
             echo: clock_reading.map(|(clock_reading, _)| clock_reading.clone()),
             recorded: vm.and_then(|vm| Some((incarnation?, vm.recorded_end))),
+            recorded_crash: vm
+                .filter(|vm| vm.recorded_crash > 0)
+                .map(|vm| (vm.agent_incarnation, vm.recorded_crash)),
         }
     }
 
@@ -87,6 +90,7 @@
             wait_millis: REPORT_POLL_WAIT.as_millis() as u64,
             roles: std::mem::take(&mut entry.roles),
             known_report: entry.listing.applied(),
+            wants_doubts: !self.suspects.is_empty(),
         })
     }
 
@@ -366,7 +370,8 @@
     }
 }
 
-fn members_of(runs: Vec<(VmName, RunKey)>, key: &RunKey) -> Vec<(VmName, RunKey)> {
+/// The runs that belong to the same run of a gang.
+pub(super) fn members_of(runs: Vec<(VmName, RunKey)>, key: &RunKey) -> Vec<(VmName, RunKey)> {
     let mut members = runs;
     members.retain(|(_, other)| {
         other.run == key.run
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -12,7 +12,7 @@
     Owner,
     vm::{Vm, VmStatus},
 };
-use crate::{Step, interference::Weights};
+use crate::{Step, interference::Weights, message::RunKey};
 
 /// Cost of running far from the data, relative to a full worker at 1.
 const REMOTE_DATA_COST: f64 = 2.0;
@@ -42,6 +42,19 @@
     pub(super) required_rack: Option<&'a str>,
     /// Whether a slow worker is better than none.
     pub(super) is_urgent: bool,
+    /// Whether and how the task starts on trial.
+    pub(super) trial: Trial<'a>,
+}
+
+/// Whether a task may start only where its worker would crash for no other reason.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Trial<'a> {
+    /// The task is not suspect.
+    No,
+    /// The task is suspect.
+    Alone,
+    /// The task is a member of a suspect gang, with this run.
+    WithGang(&'a RunKey),
 }
 
 /// Requests that no worker could take in this scheduling pass. Capacity only shrinks
@@ -196,9 +209,19 @@
         }
         let group = (request.service.clone(), required_rack);
         self.examine(now, request, &group, &mut choice);
+        let is_trial = !matches!(request.trial, Trial::No);
+        if choice.best.is_none() && is_trial && self.has_other_worker(request) {
+            return None;
+        }
         choice.best.or(choice.fallback).map(|(_, name)| name)
     }
 
+    /// Whether a worker that is not to be avoided could take the task later.
+    fn has_other_worker(&self, request: &PlacementRequest<'_>) -> bool {
+        let mut vms = self.vms.iter();
+        vms.any(|(name, vm)| !request.avoid.contains(name) && suits(vm, request, &self.zones_out))
+    }
+
     /// Examines the workers of a group until enough of them can take the task.
     fn examine(
         &mut self,
@@ -259,13 +282,13 @@
 /// Index of the rack in a worker's labels; its kind comes first.
 pub(super) const RACK_LABEL_INDEX: usize = 1;
 
-fn is_eligible(
-    vm: &mut Vm,
-    now: Time,
+/// Whether the worker is one that the task may use once there is room.
+pub(super) fn suits(
+    vm: &Vm,
     request: &PlacementRequest<'_>,
     zones_out: &BTreeSet<kernel::AvailabilityZoneName>,
 ) -> bool {
-    if vm.status() != VmStatus::Ready || !vm.full_until.passed(now) {
+    if vm.status() != VmStatus::Ready {
         return false;
     }
     let Some(info) = &vm.info else {
@@ -282,13 +305,27 @@
     if request.step.label.as_ref().is_some_and(|label| !has(label)) {
         return false;
     }
-    if request.required_rack.is_some_and(|rack| !has(rack)) {
+    request.required_rack.is_none_or(has)
+}
+
+fn is_eligible(
+    vm: &mut Vm,
+    now: Time,
+    request: &PlacementRequest<'_>,
+    zones_out: &BTreeSet<kernel::AvailabilityZoneName>,
+) -> bool {
+    if !suits(vm, request, zones_out) || !vm.full_until.passed(now) {
         return false;
     }
     if !request.step.reserved().fits(vm.available()) {
         return false;
     }
-    vm.health.may_take_task(now)
+    let allows_trial = match request.trial {
+        Trial::No => !vm.is_held(now) && !vm.has_open_trial(),
+        Trial::Alone => vm.may_take_trial(None),
+        Trial::WithGang(run) => vm.may_take_trial(Some(run)),
+    };
+    allows_trial && vm.health.may_take_task(now)
 }
 
 /// Cost of running the task on the VM; `None` if a best-effort task should wait
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -8,7 +8,7 @@
 use super::{
     Owner,
     entry::task_key,
-    place::PlacementRequest,
+    place::{PlacementRequest, Trial},
     schedule::count_tasks_per_vm,
     vm::{AssignedRun, Phase, VmStatus},
 };
@@ -80,6 +80,7 @@
             tasks_per_vm: &tasks_per_vm,
             required_rack: None,
             is_urgent: true,
+            trial: Trial::No,
         };
         self.choose_vm(now, &request).is_some()
     }
@@ -180,7 +181,10 @@
         {
             vm.health.record_duration(now, multiple);
         }
-        let may_copy = step.copies && task.runs().len() == 1 && multiple >= COPY_AT_MULTIPLE;
+        let may_copy = step.copies
+            && !task.is_suspect()
+            && task.runs().len() == 1
+            && multiple >= COPY_AT_MULTIPLE;
         if !may_copy && (step.copies || multiple < RESTART_AT_MULTIPLE) {
             return;
         }
@@ -194,6 +198,7 @@
             tasks_per_vm: &tasks_per_vm,
             required_rack: None,
             is_urgent: true,
+            trial: Trial::No,
         };
         let Some(vm) = self.choose_vm(now, &request) else {
             return;
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -83,6 +83,9 @@
         if report.leases_expired {
             self.drop_lost_runs(now, name, LossReason::LeasesExpired);
         }
+        if !self.is_loading {
+            self.apply_crashes(now, name, &report.crashes);
+        }
         if was_attached != is_attached {
             self.schedule_due = true;
         }
@@ -125,6 +128,7 @@
             self.on_run_ended(now, name, end);
         }
         self.apply_running(now, name, report);
+        self.apply_doubts(name, report);
         self.learn_interference(now, name);
     }
 
@@ -138,6 +142,9 @@
             return;
         }
         vm.agent_incarnation = incarnation;
+        vm.processed_crash = 0;
+        vm.unrecorded_crashes.clear();
+        vm.recorded_crash = 0;
         vm.attached = false;
         vm.sent_weights_version = 0;
         vm.reset_polls();
@@ -176,6 +183,7 @@
             zone = %info.zone,
             "new worker incarnation"
         );
+        let was_draining = vm.info.as_ref().is_some_and(|info| info.draining);
         vm.info = Some(info.clone());
         vm.processed_end = 0;
         vm.recorded_end = 0;
@@ -188,6 +196,9 @@
         vm.health = Health::default();
         vm.clock_reading = None;
         vm.listing.reset();
+        if !was_draining {
+            self.record_unreported_crash(now, name);
+        }
         self.drop_lost_runs(now, name, LossReason::NewIncarnation);
         self.schedule_due = true;
     }
@@ -354,6 +365,7 @@
                 true => assigned.idle_since.or(Some(now)),
                 false => None,
             };
+            assigned.agent_incarnation = vm.agent_incarnation;
             self.note_started(&row.key.task.job);
         }
     }
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -11,7 +11,7 @@
 use super::{
     Owner,
     entry::{JobEntry, StepState, Task, task_key},
-    place::{FailedPlacements, PlacementRequest},
+    place::{FailedPlacements, PlacementRequest, Trial},
     vm::{AssignedRun, Phase, Vm},
     window::StartRoom,
 };
@@ -59,6 +59,8 @@
     /// VMs on which such runs may exist.
     unlisted_vms: BTreeSet<VmName>,
     failed: FailedPlacements,
+    /// Number of starts of suspect tasks that wait for a worker or are on trial.
+    suspect_starts: usize,
 }
 
 /// A step whose dependencies are done.
@@ -68,6 +70,8 @@
     number: usize,
     step: &'a Step,
     service: &'a ServiceName,
+    /// Whether a task of the step may crash each worker that starts it.
+    has_suspects: bool,
 }
 
 /// A task that is not done and has no run.
@@ -77,6 +81,8 @@
     avoid: BTreeSet<VmName>,
     /// Whether the task is long-running and has been down for too long.
     is_overdue: bool,
+    /// Whether the task may crash each worker that starts it.
+    is_suspect: bool,
 }
 
 impl Pass {
@@ -101,6 +107,7 @@
         tasks_per_vm: &'a BTreeMap<VmName, u32>,
         required_rack: Option<&'a str>,
         is_urgent: bool,
+        trial: Trial<'a>,
     ) -> PlacementRequest<'a> {
         PlacementRequest {
             service: self.service,
@@ -109,6 +116,7 @@
             tasks_per_vm,
             required_rack,
             is_urgent,
+            trial,
         }
     }
 }
@@ -118,28 +126,37 @@
     step.long_running && (entry.waiting_since(task) + MAX_IDLE).passed(now)
 }
 
-/// Up to `max` tasks of a step that are not done and have no run, overdue ones first.
+/// Up to `max` tasks of a step that are not done and have no run: suspect ones first, since
+/// nothing else may start beside them, then overdue ones.
 fn ready_tasks(now: Time, entry: &JobEntry, ready: &ReadyStep<'_>, max: usize) -> Vec<ReadyTask> {
     let state = ready.state(entry);
     let mut found = Vec::new();
     if state.waiting() == 0 {
         return found;
     }
-    let is_long_running = ready.step.long_running;
+    // The first member of a gang holds the crashes under all of them.
+    let first = state.tasks().first().filter(|_| ready.step.gang);
+    let gang_crashes = first
+        .map(|task| task.crashes.as_slice())
+        .unwrap_or_default();
+    let is_any_order = !ready.step.long_running && !ready.has_suspects;
     for (index, task) in state.tasks().iter().enumerate() {
-        if found.len() == max && !is_long_running {
+        if found.len() == max && is_any_order {
             break;
         }
         if !task.is_waiting() {
             continue;
         }
+        let mut avoid = task.avoid.clone();
+        avoid.extend(gang_crashes.iter().map(|crash| crash.vm.clone()));
         found.push(ReadyTask {
             index,
-            avoid: task.avoid.clone(),
+            avoid,
             is_overdue: is_overdue(now, entry, ready.step, task),
+            is_suspect: task.is_suspect(),
         });
     }
-    found.sort_by_key(|task| !task.is_overdue);
+    found.sort_by_key(|task| (!task.is_suspect, !task.is_overdue));
     found.truncate(max);
     found
 }
@@ -211,6 +228,7 @@
             is_recovering: self.is_recovering(now),
             unlisted_vms: self.unlisted_vms(now),
             failed: FailedPlacements::default(),
+            suspect_starts: self.review_suspects(),
         };
         for rank in self.ranked_jobs(now) {
             let Some(entry) = self.jobs.get(&rank.job) else {
@@ -304,8 +322,10 @@
                     number,
                     step,
                     service: &queue.service,
+                    has_suspects: pass.suspect_starts > 0 && entry.has_suspects(occurrence, number),
                 };
-                match step.gang || step.same_rack {
+                // Suspect tasks start one by one, whichever rack can take them.
+                match step.gang || (step.same_rack && !ready.has_suspects) {
                     true => self.schedule_all_or_none(now, &ready, pass),
                     false => self.schedule_step(now, &ready, pass),
                 }
@@ -331,10 +351,8 @@
         let any_task = ReadyTask::default();
         let no_tasks = BTreeMap::new();
         let is_urgent = is_idle || has_overdue;
-        if pass
-            .failed
-            .cover(&ready.placement_request(&any_task, &no_tasks, None, is_urgent))
-        {
+        let any_request = ready.placement_request(&any_task, &no_tasks, None, is_urgent, Trial::No);
+        if !ready.has_suspects && pass.failed.cover(&any_request) {
             return;
         }
         let is_held_back = pass.is_recovering_job(entry);
@@ -354,11 +372,22 @@
                 return;
             }
             let is_urgent = is_idle || task.is_overdue;
-            let request = ready.placement_request(&task, &tasks_per_vm, None, is_urgent);
-            if pass.failed.cover(&request) {
+            let trial = match task.is_suspect {
+                true => Trial::Alone,
+                false => Trial::No,
+            };
+            let request = ready.placement_request(&task, &tasks_per_vm, None, is_urgent, trial);
+            if task.is_suspect && self.awaits_crash_record(&ready.task(task.index)) {
+                continue;
+            }
+            if !task.is_suspect && pass.failed.cover(&request) {
                 return;
             }
             let Some(vm) = self.choose_vm(now, &request) else {
+                if task.is_suspect {
+                    self.hold_for_trial(now, &request, pass.suspect_starts);
+                    continue;
+                }
                 pass.failed.record(&request);
                 return;
             };
@@ -394,6 +423,9 @@
         if pass.is_recovering_job(entry) && tasks.iter().any(may_run) {
             return;
         }
+        if self.awaits_crash_record(&ready.task(0)) {
+            return;
+        }
         if !pass.room.admits(tasks.iter().any(|task| task.is_overdue)) {
             self.window.hold_back();
             return;
@@ -411,6 +443,10 @@
                 return;
             }
         }
+        if let Some(task) = tasks.iter().find(|task| task.is_suspect) {
+            let request = ready.placement_request(task, &tasks_per_vm, None, true, Trial::Alone);
+            self.hold_for_trial(now, &request, pass.suspect_starts);
+        }
     }
 
     fn try_start_all(
@@ -425,10 +461,18 @@
         let entry = self.jobs.get(ready.job);
         let idle_since = entry.and_then(JobEntry::idle_since);
         let gang_run = self.next_run();
+        let gang_key = RunKey {
+            task: ready.task(0),
+            run: gang_run,
+        };
+        let trial = match ready.step.gang && self.needs_gang_trial(now, &gang_key.task) {
+            true => Trial::WithGang(&gang_key),
+            false => Trial::No,
+        };
         let mut started: Vec<(VmName, RunKey)> = Vec::new();
         let was_due = self.schedule_due;
         for task in tasks {
-            let request = ready.placement_request(task, &tasks_per_vm, rack, true);
+            let request = ready.placement_request(task, &tasks_per_vm, rack, true, trial);
             let Some(vm) = self.choose_vm(now, &request) else {
                 for (vm, key) in started {
                     self.remove_run(now, &vm, &key);
@@ -460,6 +504,7 @@
 
     /// Reserves capacity for a run and queues its start order.
     pub(super) fn order_start(&mut self, now: Time, name: &VmName, key: RunKey, step: &Step) {
+        let is_trial = self.is_suspect(&key.task);
         let Some(entry) = self.jobs.get_mut(&key.task.job) else {
             return;
         };
@@ -481,12 +526,14 @@
             run = key.run,
             vm = %name,
             resumes = checkpoint.is_some(),
+            is_trial,
             job_age_ms = now.since(known_since).as_millis() as u64,
             "starting run"
         );
         let role = role_of(step);
         vm.health.record_start(now);
-        let assigned = AssignedRun::new(Phase::Ordered, now, step.reserved(), role.clone());
+        let mut assigned = AssignedRun::new(Phase::Ordered, now, step.reserved(), role.clone());
+        assigned.is_trial = is_trial;
         vm.add_run(key.clone(), assigned);
         vm.starts.push(StartOrder {
             key,
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -77,6 +77,12 @@
     pub(super) baseline: Option<f64>,
     /// Time since which the run has used no CPU.
     pub(super) idle_since: Option<Time>,
+    /// Whether the task is suspect, so that nothing else may start beside it.
+    pub(super) is_trial: bool,
+    /// Whether the worker is known to have survived the run for long enough.
+    pub(super) has_survived: bool,
+    /// Incarnation of the agent process that knows of the run.
+    pub(super) agent_incarnation: u64,
 }
 
 impl AssignedRun {
@@ -90,9 +96,17 @@
             stop_sent_at: None,
             baseline: None,
             idle_since: None,
+            is_trial: false,
+            has_survived: false,
+            agent_incarnation: 0,
         }
     }
 
+    /// Whether the run is on trial and the worker has not survived it for long enough.
+    pub(super) const fn is_open_trial(&self) -> bool {
+        self.is_trial && !self.has_survived
+    }
+
     pub(super) const fn phase(&self) -> Phase {
         self.phase
     }
@@ -201,6 +215,15 @@
     /// Time before which no task starts here, since the worker refused one for lack of
     /// capacity.
     pub(super) full_until: Time,
+    /// Time until which the worker gets no new tasks but those on trial.
+    pub(super) held_until: Time,
+    /// Number of the last crash that the owner has handled, within the agent process.
+    pub(super) processed_crash: u64,
+    /// Handled crashes that the agent must still report: number of the crash and number of
+    /// the change that must be durable first.
+    pub(super) unrecorded_crashes: VecDeque<(u64, u64)>,
+    /// Number of the last crash whose record is durable.
+    pub(super) recorded_crash: u64,
 }
 
 impl Vm {
@@ -240,6 +263,10 @@
             listing: Listing::default(),
             unknown_runs: BTreeMap::new(),
             full_until: Time::ZERO,
+            held_until: Time::ZERO,
+            processed_crash: 0,
+            unrecorded_crashes: VecDeque::new(),
+            recorded_crash: 0,
         }
     }
 
@@ -310,8 +337,9 @@
         capacity.unwrap_or_default().minus(self.reserved)
     }
 
-    pub(super) fn add_run(&mut self, key: RunKey, run: AssignedRun) {
+    pub(super) fn add_run(&mut self, key: RunKey, mut run: AssignedRun) {
         self.forget_run(&key);
+        run.agent_incarnation = self.agent_incarnation;
         self.reserved = self.reserved.plus(run.reserved);
         self.expected_usage_milli += run.expected_usage_milli();
         self.unanswered_starts += usize::from(run.phase == Phase::Ordered);
--- a/components/steps/src/progress.rs
+++ b/components/steps/src/progress.rs
@@ -1,5 +1,6 @@
 //! Durable state of a job and its state as shown to clients.
 
+use kernel::VmName;
 use serde::{Deserialize, Serialize};
 
 /// How a job ended.
@@ -8,7 +9,7 @@
 pub enum Outcome {
     /// All tasks have completed.
     Completed,
-    /// A task failed as many times as its queue allows.
+    /// A task failed as many times as its queue allows, or crashes its workers.
     Failed,
     /// The submitter cancelled the job.
     Cancelled,
@@ -26,6 +27,17 @@
     Ended(Outcome),
 }
 
+/// A crash of a worker that had just started a run of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrash {
+    /// Number of the run.
+    pub run: u64,
+    /// VM of the worker.
+    pub vm: VmName,
+    /// Whether no other run can have caused the crash.
+    pub is_sole_suspect: bool,
+}
+
 /// Completed and failed tasks of one step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepProgress {
@@ -38,6 +50,9 @@
     /// Numbers of the failed runs of tasks that have not completed, so that a failure
     /// that a worker lists again counts once.
     pub failed: Vec<(u32, Vec<u64>)>,
+    /// Crashes under tasks that have not completed, by index of the task.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<(u32, Vec<TaskCrash>)>,
 }
 
 /// Durable record of a job. Its owner always writes the whole record.
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -13,7 +13,8 @@
 use steps::{
     AgentState, Timing,
     agent::{Heartbeat, PollError, PollReply, RenewalBound, WorkerPoll},
-    message::{ClockReading, OrderResult, Orders, OwnerHeader, Refusal, RunKey},
+    crash::SuspectRun,
+    message::{ActiveRun, ClockReading, OrderResult, Orders, OwnerHeader, Refusal, RunKey},
 };
 
 const START: Time = Time::from_secs(1_000);
@@ -39,6 +40,7 @@
             millis,
         }),
         recorded: None,
+        recorded_crash: None,
     }
 }
 
@@ -297,3 +299,63 @@
     let poll = agent.next_poll(at(120), true).unwrap();
     assert_ne!(poll.wait_millis, 0, "one poll is enough");
 }
+
+/// Starts a run and lets the worker confirm it.
+fn start(agent: &mut AgentState, now: Time, key: &RunKey) {
+    agent.accept_header(now, &header(5, Some(10_000)));
+    agent.admit(now, &orders(5, u64::MAX), key).unwrap();
+    agent.settle_start(key, OrderResult::Done);
+}
+
+fn list(agent: &mut AgentState, now: Time, clock: u64, keys: &[&RunKey]) {
+    let poll = next_poll(agent, now);
+    let row = |key: &&RunKey| ActiveRun {
+        key: (*key).clone(),
+        checkpoint: None,
+        progress_percent: 0,
+        measurement: 100,
+    };
+    let mut reply = reply(clock);
+    reply.running = keys.iter().map(row).collect();
+    agent.apply_reply(now, &poll, reply);
+}
+
+#[test]
+fn an_agent_names_the_runs_in_doubt_at_a_crash_until_their_record_is_durable() {
+    let mut agent = agent();
+    let survived = run("00000000000000aa", 0, 0, 1);
+    let ended = run("00000000000000aa", 0, 1, 2);
+    let recent = run("00000000000000aa", 0, 2, 3);
+    let unconfirmed = run("00000000000000aa", 0, 3, 4);
+    start(&mut agent, at(0), &survived);
+    start(&mut agent, at(500), &ended);
+    list(&mut agent, at(520), 10_520, &[&survived, &ended]);
+    list(&mut agent, at(600), 10_600, &[&survived]);
+    start(&mut agent, at(700), &recent);
+    agent
+        .admit(at(710), &orders(5, u64::MAX), &unconfirmed)
+        .unwrap();
+    agent.settle_start(&unconfirmed, OrderResult::Unsettled);
+    agent.apply_heartbeat(heartbeat(2, 1));
+    let crash = agent.report(at(4_000)).crashes.remove(0);
+    let suspect = |key: RunKey, is_confirmed: bool| SuspectRun { key, is_confirmed };
+    assert_eq!(
+        crash.suspects,
+        [suspect(recent, true), suspect(unconfirmed, false)]
+    );
+    let mut header = header(5, None);
+    header.recorded_crash = Some((agent.incarnation(), crash.number));
+    agent.accept_header(at(4_100), &header);
+    assert_eq!(agent.report(at(4_100)).crashes, []);
+}
+
+#[test]
+fn the_replacement_of_a_draining_worker_is_no_crash() {
+    let mut agent = agent();
+    start(&mut agent, at(0), &key());
+    let mut draining = heartbeat(1, 2);
+    draining.info.draining = true;
+    agent.apply_heartbeat(draining);
+    agent.apply_heartbeat(heartbeat(2, 1));
+    assert_eq!(agent.report(at(100)).crashes, []);
+}
--- a/components/steps/tests/crashes.rs
+++ b/components/steps/tests/crashes.rs
@@ -7,13 +7,17 @@
 use std::time::Duration;
 
 use common::{
-    job, job_name, run,
+    config, entry, job, job_name, run,
     simulation::{Faults, LostProcess, Simulation},
-    step, vm,
+    step, vm, worker_info,
 };
-use kernel::Time;
+use kernel::{Resources, Time};
 use rstest::rstest;
-use steps::{Outcome, Step};
+use steps::{
+    Event, Outcome, Owner, Progress, Step, Timing,
+    crash::{SuspectRun, WorkerCrash},
+    message::{AgentReport, ClockReading, OrderResult, OrdersReply, RunKey},
+};
 
 const MACHINE_COUNT: usize = 6;
 const JOB_COUNT: u64 = 60;
@@ -72,28 +76,162 @@
     }
 }
 
+fn explore(seed: u64, faults_per_second: f64, lost: LostProcess) {
+    let mut simulation = simulation(seed, faults_per_second);
+    simulation.lost_with_worker = lost;
+    submit_jobs(&mut simulation, &DEADLY_JOBS);
+    check_outcomes(&simulation, &DEADLY_JOBS, seed);
+}
+
+fn explore_faulty_worker(seed: u64) {
+    let mut simulation = simulation(seed, 0.0);
+    simulation.faulty_vm = Some(vm(0));
+    submit_jobs(&mut simulation, &[]);
+    check_outcomes(&simulation, &[], seed);
+}
+
 #[rstest]
 fn tasks_that_crash_their_workers_are_given_up_and_those_beside_them_complete(
     #[values(1, 2, 3, 4)] seed: u64,
     #[values(LostProcess::Nothing, LostProcess::Owner, LostProcess::Agent)] lost: LostProcess,
 ) {
-    let mut simulation = simulation(seed, 0.0);
-    simulation.lost_with_worker = lost;
-    submit_jobs(&mut simulation, &DEADLY_JOBS);
-    check_outcomes(&simulation, &DEADLY_JOBS, seed);
+    explore(seed, 0.0, lost);
 }
 
 #[rstest]
 fn tasks_that_crash_their_workers_are_given_up_among_other_faults(#[values(11, 12)] seed: u64) {
-    let mut simulation = simulation(seed, 0.02);
-    submit_jobs(&mut simulation, &DEADLY_JOBS);
-    check_outcomes(&simulation, &DEADLY_JOBS, seed);
+    explore(seed, 0.02, LostProcess::Nothing);
 }
 
 #[rstest]
 fn no_task_is_given_up_for_a_worker_that_crashes_by_itself(#[values(21, 22)] seed: u64) {
-    let mut simulation = simulation(seed, 0.0);
-    simulation.faulty_vm = Some(vm(0));
-    submit_jobs(&mut simulation, &[]);
-    check_outcomes(&simulation, &[], seed);
+    explore_faulty_worker(seed);
+}
+
+/// An owner with three VMs, each with room for one task.
+struct Session {
+    owner: Owner,
+    version: u64,
+    worker_starts: [u64; 3],
+}
+
+impl Session {
+    fn new(epoch: u64, progress: Option<(Progress, i64)>) -> Self {
+        let mut owner = Owner::new(entry(1), epoch, Timing::default(), START);
+        owner.handle(START, START, Event::Config(config()));
+        let gang = Step {
+            gang: true,
+            need: Resources::new(3_000, 1_000, 0),
+            ..step(2, &[])
+        };
+        let job = job(&id(1), "quick", vec![gang]);
+        owner.handle(START, START, Event::Job { job, progress });
+        let mut session = Self {
+            owner,
+            version: 0,
+            worker_starts: [1; 3],
+        };
+        for number in 0..3 {
+            session.owner.handle(START, START, Event::Vm(vm(number)));
+            session.report(START, number, Vec::new());
+        }
+        session
+    }
+
+    fn report(&mut self, now: Time, number: usize, crashes: Vec<WorkerCrash>) {
+        self.version += 1;
+        let worker = worker_info(&format!("w-{number}"), self.worker_starts[number]);
+        let report = Box::new(AgentReport {
+            agent_incarnation: 1,
+            version: self.version,
+            epoch: self.owner.epoch(),
+            confirmed_epoch: self.owner.epoch(),
+            clock_reading: Some(ClockReading {
+                incarnation: worker.incarnation.clone(),
+                millis: 10_000,
+            }),
+            worker: Some(worker),
+            worker_responsive: true,
+            poll: self.version,
+            in_doubt: Some(Vec::new()),
+            crashes,
+            ..AgentReport::default()
+        });
+        let vm = vm(number);
+        self.owner.handle(now, now, Event::Report { vm, report });
+    }
+
+    /// Takes and confirms the starts of the gang; returns its runs with their VMs.
+    fn start_gang(&mut self, now: Time) -> Vec<(usize, RunKey)> {
+        let mut started = Vec::new();
+        for number in 0..3 {
+            let Some(orders) = self.owner.take_orders(now, &vm(number)) else {
+                continue;
+            };
+            for start in &orders.starts {
+                started.push((number, start.key.clone()));
+            }
+            let reply = Some(OrdersReply {
+                agent_incarnation: 1,
+                epoch: self.owner.epoch(),
+                poll: self.version,
+                starts: vec![OrderResult::Done; orders.starts.len()],
+                stops: vec![OrderResult::Done; orders.stops.len()],
+            });
+            let (vm, orders) = (vm(number), Box::new(orders));
+            let event = Event::OrdersAnswered { vm, orders, reply };
+            self.owner.handle(now, now, event);
+        }
+        started
+    }
+
+    /// Crashes the workers of the gang's runs, and makes the records durable.
+    fn crash(&mut self, now: Time, started: Vec<(usize, RunKey)>) -> Option<Progress> {
+        for (number, key) in started {
+            self.worker_starts[number] += 1;
+            let crash = WorkerCrash {
+                number: self.worker_starts[number],
+                incarnation: worker_info(&format!("w-{number}"), 1).incarnation,
+                suspects: vec![SuspectRun {
+                    key,
+                    is_confirmed: true,
+                }],
+            };
+            self.report(now, number, vec![crash]);
+        }
+        let last_change = self.owner.last_change();
+        let change = self.owner.take_changes().pop();
+        self.owner.confirm_durable(last_change);
+        for number in 0..3 {
+            self.report(now, number, Vec::new());
+        }
+        change.map(|change| change.progress)
+    }
+}
+
+#[test]
+fn a_gang_that_crashes_its_workers_is_given_up_also_by_a_later_owner() {
+    let mut session = Session::new(3, None);
+    let started = session.start_gang(START);
+    assert_eq!(started.len(), 2);
+    let progress = session.crash(START + Duration::from_secs(3), started[..1].to_vec());
+    let mut later = Session::new(4, progress.map(|progress| (progress, 1)));
+    let started = later.start_gang(START);
+    assert_eq!(started.len(), 2);
+    let progress = later.crash(START + Duration::from_secs(3), started);
+    assert_eq!(progress.unwrap().outcome, Some(Outcome::Failed));
+}
+
+/// Runs more seeds on demand: `STEPS_SEEDS=100 cargo test -p steps --test crashes`.
+#[test]
+fn additional_seeds() {
+    let count = std::env::var("STEPS_SEEDS").ok();
+    let count: u64 = count.and_then(|text| text.parse().ok()).unwrap_or(0);
+    for seed in 10_000..10_000 + count {
+        for lost in [LostProcess::Nothing, LostProcess::Owner, LostProcess::Agent] {
+            explore(seed, 0.0, lost);
+        }
+        explore(seed, 0.02, LostProcess::Nothing);
+        explore_faulty_worker(seed);
+    }
 }
