A late report of an earlier agent process is ignored

Cause: a restarted agent had confirmed a start; then the last report of its earlier process, older than the start, was handled, and the owner took the run for lost and started the task again.

Change: the owner remembers the agent processes that were replaced and ignores what they still say, reports and answers alike, whatever their numbers.

--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -225,8 +225,8 @@
     /// the effect of the orders. The reply may be the first sign of a restarted agent; one of
     /// an earlier process was sent before any poll of the present one.
     fn poll_after(&mut self, name: &VmName, reply: &OrdersReply) -> u64 {
-        let known = self.vms.get(name).map_or(0, |vm| vm.agent_incarnation);
-        if reply.agent_incarnation < known {
+        let vm = self.vms.get(name);
+        if vm.is_some_and(|vm| vm.earlier_agents.contains(&reply.agent_incarnation)) {
             return 0;
         }
         self.track_agent(name, reply.agent_incarnation);
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -43,9 +43,14 @@
             self.deposed_by = Some(report.epoch);
             return;
         }
-        let Some(had_answered) = self.vms.get(name).map(Vm::has_answered) else {
+        let Some(vm) = self.vms.get(name) else {
             return;
         };
+        if vm.earlier_agents.contains(&report.agent_incarnation) {
+            tracing::info!(vm = %name, agent = report.agent_incarnation, "late report of an earlier agent process ignored");
+            return;
+        }
+        let had_answered = vm.has_answered();
         self.touch_vm(name);
         self.track_agent(name, report.agent_incarnation);
         self.track_worker(now, name, &report);
@@ -141,6 +146,9 @@
         if vm.agent_incarnation == incarnation {
             return;
         }
+        if vm.has_answered() {
+            vm.earlier_agents.insert(vm.agent_incarnation);
+        }
         vm.agent_incarnation = incarnation;
         vm.processed_crash = 0;
         vm.unrecorded_crashes.clear();
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -171,6 +171,9 @@
     /// first report.
     pub(super) agent_incarnation: u64,
     pub(super) report_version: u64,
+    /// Incarnations of agent processes that a later one has replaced. Their numbers say nothing
+    /// about their order, since the time of day may jump back.
+    pub(super) earlier_agents: BTreeSet<u64>,
     pub(super) clock_reading: Option<(ClockReading, Time)>,
     /// When the worker's clock reading was first echoed to the agent in this term.
     pub(super) first_echo_at: Option<Time>,
@@ -239,6 +242,7 @@
             last_answer_at: now,
             agent_incarnation: 0,
             report_version: 0,
+            earlier_agents: BTreeSet::new(),
             clock_reading: None,
             first_echo_at: None,
             last_echo: None,
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -444,6 +444,19 @@
     assert_eq!(session.owner.work().starts_ordered, 2, "the run is lost");
 }
 
+/// A restarted agent has confirmed a start before the last report of its earlier process, which
+/// is older than the start, is handled.
+#[test]
+fn a_late_report_of_an_earlier_agent_does_not_hide_a_run() {
+    let mut session = Session::new(1);
+    session.submit(at(0), JOB, 1);
+    session.report(at(10), 0, |report| report.agent_incarnation = 2);
+    let orders = session.owner.take_orders(at(20), &vm(0)).unwrap();
+    session.answer_from(at(40), 3, orders, 0);
+    session.report(at(50), 0, |report| report.agent_incarnation = 2);
+    assert_eq!(session.owner.work().starts_ordered, 1, "the run goes on");
+}
+
 /// An owner took over and stopped again within the time in which a poll of a lost VM times
 /// out. Its note left the VM out, so the next owner waited for leases there from its own
 /// start on (day machines-stopped, Brenes seed 2559395759, Diagne seed 348422196943).
