Runs of jobs that are not known any more count against a worker's room

A new owner that finds a run of a job that ended before its term stops it, but did not reserve anything for it, since nothing tells any more what it needs; a worker that doesn't check its room could be given too much. The same holds for starts of such jobs whose outcome is unknown.

Change: while a worker lists such a run, it gets no task.

Test: owner.rs, a_run_of_an_ended_job_counts_against_the_room_of_its_worker_until_it_is_gone, fails without the fix (one start). a_task_waits_while_the_room_of_its_worker_has_shrunk passes before and after.

--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -314,7 +314,8 @@
     request: &PlacementRequest<'_>,
     zones_out: &BTreeSet<kernel::AvailabilityZoneName>,
 ) -> bool {
-    if !suits(vm, request, zones_out) || !vm.full_until.passed(now) {
+    let is_full = vm.has_unaccounted_runs || !vm.full_until.passed(now);
+    if is_full || !suits(vm, request, zones_out) {
         return false;
     }
     if !request.step.reserved().fits(vm.available()) {
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -204,6 +204,7 @@
         vm.health = Health::default();
         vm.clock_reading = None;
         vm.listing.reset();
+        vm.has_unaccounted_runs = false;
         if !was_draining {
             self.record_unreported_crash(now, name);
         }
@@ -353,6 +354,12 @@
         for key in gone {
             self.drop_lost_run(now, name, &key, "not listed by the worker any more");
         }
+        if let Some(vm) = self.vms.get_mut(name) {
+            let mut keys = vm.listing.running().keys().chain(&report.unsettled);
+            let had_unaccounted_runs = vm.has_unaccounted_runs;
+            vm.has_unaccounted_runs = keys.any(|key| !vm.runs.contains_key(key));
+            self.schedule_due |= had_unaccounted_runs && !vm.has_unaccounted_runs;
+        }
     }
 
     fn apply_active_run(&mut self, now: Time, name: &VmName, row: &ActiveRun) {
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -215,6 +215,9 @@
     pub(super) listing: Listing,
     /// Reported runs of unknown jobs, with the time of the first report.
     pub(super) unknown_runs: BTreeMap<RunKey, Time>,
+    /// Whether the worker has or may get runs whose needs are unknown, as their jobs are not
+    /// known any more. How much room they leave is unknown too.
+    pub(super) has_unaccounted_runs: bool,
     /// Time before which no task starts here, since the worker refused one for lack of
     /// capacity.
     pub(super) full_until: Time,
@@ -266,6 +269,7 @@
             health: Health::default(),
             listing: Listing::default(),
             unknown_runs: BTreeMap::new(),
+            has_unaccounted_runs: false,
             full_until: Time::ZERO,
             held_until: Time::ZERO,
             processed_crash: 0,
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -457,6 +457,39 @@
     assert_eq!(session.owner.work().starts_ordered, 1, "the run goes on");
 }
 
+#[test]
+fn a_run_of_an_ended_job_counts_against_the_room_of_its_worker_until_it_is_gone() {
+    let mut session = Session::new(1);
+    session.submit(at(0), JOB, 1);
+    let ended_job = "00000000000000bb";
+    session.handle(at(0), Event::Ended(job_name(ended_job), Outcome::Cancelled));
+    let row = ActiveRun {
+        key: run(ended_job, 0, 0, 7),
+        checkpoint: None,
+        progress_percent: 10,
+        measurement: 900,
+    };
+    session.report(at(10), 0, |report| report.running = vec![row]);
+    assert_eq!(session.take_starts(at(20), 0), []);
+    session.report(at(500), 0, |_| ());
+    assert_eq!(session.take_starts(at(510), 0).len(), 1);
+}
+
+#[test]
+fn a_task_waits_while_the_room_of_its_worker_has_shrunk() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    let shrink = |report: &mut AgentReport| {
+        let worker = report.worker.as_mut().unwrap();
+        worker.capacity = kernel::Resources::new(500, 16_000, 0);
+    };
+    session.report(at(10), 0, shrink);
+    session.submit(at(20), JOB, 1);
+    assert_eq!(session.take_starts(at(30), 0), []);
+    session.report(at(500), 0, |_| ());
+    assert_eq!(session.take_starts(at(510), 0).len(), 1);
+}
+
 /// An owner took over and stopped again within the time in which a poll of a lost VM times
 /// out. Its note left the VM out, so the next owner waited for leases there from its own
 /// start on (day machines-stopped, Brenes seed 2559395759, Diagne seed 348422196943).
