A cell whose first read failed is started in the term that was acquired

Cause: an entry that had acquired a cell and could not read it, or got no reply, acquired it once more with the next epoch, and the handover counts only for the epoch after the one that recorded it.

Change: the entry remembers the term that it has acquired, or may have, and starts it once the owner key in the store is its own with that epoch; the end of earlier leases counts from the acquisition. No slot was started with that epoch, so it can be used.

--- a/components/entry/src/cells.rs
+++ b/components/entry/src/cells.rs
@@ -27,7 +27,7 @@
 
 pub use jobs::SubmitOutcome;
 
-use ownership::OwnershipState;
+use ownership::{AcquiredTerm, OwnershipState};
 use slot::Slot;
 
 /// The configuration that the owners of cells schedule by.
@@ -87,6 +87,8 @@
     known_cells: BTreeSet<CellName>,
     cell_by_vm: BTreeMap<VmName, CellName>,
     ownership_states: BTreeMap<CellName, OwnershipState>,
+    /// Terms that this process has acquired, or may have, and has not started yet.
+    acquired_terms: BTreeMap<CellName, AcquiredTerm>,
     capacities: BTreeMap<CellName, CellCapacity>,
     team_sums: BTreeMap<CellName, Arc<TeamSums>>,
     /// When `team_sums` was last computed for each owned cell.
--- a/components/entry/src/cells/ownership.rs
+++ b/components/entry/src/cells/ownership.rs
@@ -52,6 +52,16 @@
     paused_until: Option<Time>,
 }
 
+/// A term that this process has acquired, or may have, and has not started yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AcquiredTerm {
+    epoch: Epoch,
+    acquired_at: Time,
+    lease: LeaseId,
+    /// When every lease that an earlier owner may have granted has ended.
+    earlier_leases_end: Time,
+}
+
 impl Cells {
     /// Renews the lease, reads the owners, and acquires and hands over cells
     /// until [`Cells::stop`].
@@ -249,6 +259,12 @@
         cell: &CellName,
         state: &OwnershipState,
     ) -> Result<(), StoreError> {
+        let acquired = self.shared().acquired_terms.get(cell).copied();
+        if let Some(term) = acquired
+            && self.is_own_term(state.owner.as_ref(), term.epoch)
+        {
+            return self.start_term(cell, term).await;
+        }
         let Some(lease) = self.shared().lease else {
             return Ok(());
         };
@@ -270,21 +286,27 @@
             ],
             otherwise: Vec::new(),
         };
-        let sent = self.now();
+        let term = AcquiredTerm {
+            epoch,
+            acquired_at: self.now(),
+            lease,
+            earlier_leases_end: self.earlier_leases_end(state),
+        };
+        // The reply may be lost, and the first read of the cell may fail.
+        self.shared().acquired_terms.insert(cell.clone(), term);
         if !self.setup.store.txn(txn).await?.succeeded {
+            self.shared().acquired_terms.remove(cell);
             return Ok(());
         }
-        self.start_term(cell, epoch, (sent, lease), state).await
+        self.start_term(cell, term).await
     }
 
     async fn start_term(
         self: &Arc<Self>,
         cell: &CellName,
-        epoch: Epoch,
-        (acquired_at, lease): (Time, LeaseId),
-        state: &OwnershipState,
+        term: AcquiredTerm,
     ) -> Result<(), StoreError> {
-        let earlier_leases_end = self.earlier_leases_end(state);
+        let epoch = term.epoch;
         let found = self.read_cell(cell).await?;
         let recovered = match cell::recover(found.head, &found.chunks, &found.groups) {
             Ok(recovered) => recovered,
@@ -298,13 +320,14 @@
         let ownership = Ownership {
             cell: cell.clone(),
             epoch,
-            acquired_at,
-            earlier_leases_end,
+            acquired_at: term.acquired_at,
+            earlier_leases_end: term.earlier_leases_end,
             recovered,
         };
         let seed = self.setup.seed;
         let owner = Owner::new(ownership, self.setup.timing, seed);
-        let slot = Arc::new(Slot::new(owner, lease));
+        let slot = Arc::new(Slot::new(owner, term.lease));
+        self.shared().acquired_terms.remove(cell);
         self.shared().slots.insert(cell.clone(), slot.clone());
         smol::spawn(self.clone().drive(slot, found.head_value)).detach();
         Ok(())
