A note that leaves out long-running tasks is logged

Beyond 1,000 long-running tasks the handover note names none, and the next owner waits for all VMs, without a line that says so.

--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -154,7 +154,16 @@
             }
         }
         let count = tasks.placements.len() + tasks.unsettled.len();
-        (count <= MAX_TASKS).then_some(tasks)
+        if count > MAX_TASKS {
+            tracing::warn!(
+                epoch = self.epoch,
+                tasks = count,
+                max = MAX_TASKS,
+                "too many long-running tasks for the handover note; the next owner waits for all VMs"
+            );
+            return None;
+        }
+        Some(tasks)
     }
 
     fn may_be_long_running(&self, task: &TaskKey) -> bool {
