Loading the jobs takes time in proportion to their records

The load searched the rest of all updates for the record of each job, so it was quadratic in the jobs with progress; listed as open in the postmortem of LOST. The records are now found by the job's name.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -323,8 +323,9 @@
     }
     let updates = jobs_first(&kvs);
     let read_ms = started_at.elapsed().as_millis() as u64;
-    for number in 0..updates.len() {
-        term.apply_first(&updates[number..]);
+    let progress = progress_records(&updates);
+    for (number, update) in updates.iter().enumerate() {
+        term.apply_update(update, &progress);
         // Replies of agents are handled meanwhile.
         if number % UPDATES_PER_TURN == 0 {
             smol::future::yield_now().await;
@@ -592,20 +593,19 @@
     }
 
     fn apply(self: &Arc<Self>, updates: &[KeyUpdate]) {
-        for number in 0..updates.len() {
-            self.apply_first(&updates[number..]);
+        let progress = progress_records(updates);
+        for update in updates {
+            self.apply_update(update, &progress);
         }
         self.dispatch();
     }
 
-    /// Applies the first of these updates. The progress of a job may follow the job.
-    fn apply_first(self: &Arc<Self>, updates: &[KeyUpdate]) {
-        let Some((first, rest)) = updates.split_first() else {
-            return;
-        };
-        match first {
+    /// Applies an update; `progress` holds the records of all jobs among the updates.
+    fn apply_update(self: &Arc<Self>, update: &KeyUpdate, progress: &ProgressRecords<'_>) {
+        match update {
             KeyUpdate::Job(job) => {
-                let progress = progress_record(&job.name, rest);
+                let record = progress.get(&job.name);
+                let progress = record.map(|(progress, revision)| ((*progress).clone(), *revision));
                 let job = Arc::clone(job);
                 self.apply_event(Event::Job { job, progress });
             }
@@ -723,17 +723,17 @@
     }
 }
 
-/// Returns the progress record of a job in the updates.
-fn progress_record(
-    name: &JobName,
-    updates: &[KeyUpdate],
-) -> Option<(steps::Progress, StoreRevision)> {
-    updates.iter().find_map(|update| match update {
-        KeyUpdate::Progress(job, progress, revision) if job == name => {
-            Some((progress.clone(), *revision))
-        }
-        _ => None,
-    })
+/// Progress records and their revisions, by job.
+type ProgressRecords<'a> = BTreeMap<&'a JobName, (&'a steps::Progress, StoreRevision)>;
+
+fn progress_records(updates: &[KeyUpdate]) -> ProgressRecords<'_> {
+    let mut records = BTreeMap::new();
+    for update in updates {
+        if let KeyUpdate::Progress(job, progress, revision) = update {
+            records.insert(job, (progress, *revision));
+        }
+    }
+    records
 }
 
 async fn send_orders(term: Arc<Term>, vm: VmName, peer: Peer, orders: Orders) {
