The try to record starts of long-running tasks before they are ordered is reverted

Try: the starts of long-running tasks are recorded before they are ordered. Meant for the red cases of a VM that is lost together with a killed owner: a later owner would know from the record of a job on which VMs its long-running tasks may run.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -153,8 +153,6 @@
     has_urgent_changes: bool,
     /// Jobs that may have tasks to start; a pass visits no others.
     waiting_jobs: BTreeSet<JobName>,
-    /// Whether a task may have been started by an earlier owner on a VM named in its record.
-    has_earlier_placements: bool,
     /// Tasks that may crash each worker that starts them.
     suspects: BTreeSet<TaskKey>,
     /// VMs that may have orders to send.
@@ -210,7 +208,6 @@
             dirty: BTreeSet::new(),
             has_urgent_changes: false,
             waiting_jobs: BTreeSet::new(),
-            has_earlier_placements: true,
             suspects: BTreeSet::new(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -29,8 +29,6 @@
     pub(super) crash_change: u64,
     /// Runs that exist or may exist, each as VM and run number.
     runs: Vec<(VmName, u64)>,
-    /// VMs on which an earlier owner may have started the task; `None` if that is not recorded.
-    earlier_vms: Option<BTreeSet<VmName>>,
     /// Newest checkpoint that a run of the task has saved.
     pub(super) checkpoint: Option<Arc<str>>,
     /// VMs on which the task failed, was stuck or ran too slowly.
@@ -50,18 +48,6 @@
         !self.crashes.is_empty() && !self.done
     }
 
-    /// VMs on which an earlier owner may have started the task; `None` if that is not recorded.
-    pub(super) const fn earlier_vms(&self) -> Option<&BTreeSet<VmName>> {
-        self.earlier_vms.as_ref()
-    }
-
-    /// VMs on which the task may run.
-    fn placements(&self) -> BTreeSet<VmName> {
-        let earlier = self.earlier_vms.iter().flatten();
-        let current = self.runs.iter().map(|(vm, _)| vm);
-        earlier.chain(current).cloned().collect()
-    }
-
     pub(super) fn runs(&self) -> &[(VmName, u64)] {
         &self.runs
     }
@@ -214,16 +200,6 @@
                     task.failures.clone_from(failures);
                 }
             }
-            if let Some(placements) = &saved.placements {
-                for task in &mut step.tasks {
-                    task.earlier_vms = Some(BTreeSet::new());
-                }
-                for (index, vms) in placements {
-                    if let Some(task) = step.tasks.get_mut(*index as usize) {
-                        task.earlier_vms = Some(vms.clone());
-                    }
-                }
-            }
             for (index, crashes) in &saved.crashes {
                 if let Some(task) = step.tasks.get_mut(*index as usize) {
                     task.avoid
@@ -450,16 +426,6 @@
         found
     }
 
-    /// Forgets where earlier owners may have started the tasks, once nothing that they started
-    /// can run without a report.
-    pub(super) fn forget_earlier_vms(&mut self) {
-        for step in self.occurrences.values_mut().flatten() {
-            for task in &mut step.tasks {
-                task.earlier_vms = Some(BTreeSet::new());
-            }
-        }
-    }
-
     pub(super) const fn has_runs(&self) -> bool {
         self.run_count > 0
     }
@@ -475,10 +441,9 @@
         }
         for (&occurrence, steps) in &self.occurrences {
             for (number, step) in steps.iter().enumerate() {
-                let is_long_running = self.job.steps[number].long_running;
-                let saved = step_progress(occurrence, number, step, is_long_running);
+                let saved = step_progress(occurrence, number, step);
                 let is_empty = saved.done.is_empty() && saved.failed.is_empty();
-                if !is_empty || !saved.crashes.is_empty() || is_long_running {
+                if !is_empty || !saved.crashes.is_empty() {
                     progress.steps.push(saved);
                 }
             }
@@ -497,16 +462,10 @@
     }
 }
 
-fn step_progress(
-    occurrence: u32,
-    number: usize,
-    step: &StepState,
-    is_long_running: bool,
-) -> StepProgress {
+fn step_progress(occurrence: u32, number: usize, step: &StepState) -> StepProgress {
     let mut done = Vec::new();
     let mut failed = Vec::new();
     let mut crashes = Vec::new();
-    let mut placements = Vec::new();
     for (index, task) in (0u32..).zip(&step.tasks) {
         if task.done {
             done.push(index);
@@ -518,10 +477,6 @@
         if !task.crashes.is_empty() {
             crashes.push((index, task.crashes.clone()));
         }
-        let vms = task.placements();
-        if is_long_running && !vms.is_empty() {
-            placements.push((index, vms));
-        }
     }
     StepProgress {
         occurrence,
@@ -529,6 +484,5 @@
         done: to_ranges(done),
         failed,
         crashes,
-        placements: is_long_running.then_some(placements),
     }
 }
--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -178,11 +178,6 @@
         if unlisted.is_empty() {
             return false;
         }
-        let entry = self.jobs.get(&task.job);
-        let recorded = entry.and_then(|entry| entry.task(task)?.earlier_vms());
-        if recorded.is_some_and(|vms| vms.is_disjoint(unlisted)) {
-            return false;
-        }
         let note = self.handover.as_ref().filter(|_| self.are_jobs_loaded);
         let Some(tasks) = note.and_then(|note| note.long_running.as_ref()) else {
             return true;
--- a/components/steps/src/owner/journal.rs
+++ b/components/steps/src/owner/journal.rs
@@ -1,9 +1,9 @@
 //! Changes that must become durable, and run ends that workers may forget afterwards.
 
-use kernel::{JobName, VmName};
+use kernel::JobName;
 
 use super::Owner;
-use crate::{Progress, message::StartOrder};
+use crate::Progress;
 
 /// Record of one job that must be written to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,17 +30,6 @@
         self.dirty.insert(job.clone());
     }
 
-    /// Queues the start of a long-running task until its record is durable. A later owner then
-    /// knows on which VMs the task may run, also if this one is lost.
-    pub(super) fn record_start(&mut self, name: &VmName, start: StartOrder) {
-        self.mark_dirty(&start.key.task.job);
-        self.has_urgent_changes = true;
-        if let Some(vm) = self.vms.get_mut(name) {
-            vm.unrecorded_starts.push((self.last_change, start));
-            self.unrecorded_vms.insert(name.clone());
-        }
-    }
-
     /// Number of the last change. Once all changes taken after this call are durable,
     /// the caller passes this number to [`Owner::confirm_durable`].
     #[must_use]
@@ -101,22 +90,18 @@
         self.advance_recorded_ends();
     }
 
-    /// Releases starts and run ends that need no record or whose record is durable, so that
+    /// Releases run ends that need no record or whose record is durable, so that
     /// workers may forget them.
     fn advance_recorded_ends(&mut self) {
         for name in std::mem::take(&mut self.unrecorded_vms) {
             let Some(vm) = self.vms.get_mut(&name) else {
                 continue;
             };
-            let has_recorded_end = vm.advance_recorded_end(self.durable_change);
-            if vm.release_recorded_starts(self.durable_change) || has_recorded_end {
+            if vm.advance_recorded_end(self.durable_change) {
                 self.order_vms.insert(name.clone());
             }
             vm.advance_recorded_crash(self.durable_change);
-            let has_unrecorded = !vm.unrecorded_ends.is_empty()
-                || !vm.unrecorded_crashes.is_empty()
-                || !vm.unrecorded_starts.is_empty();
-            if has_unrecorded {
+            if !vm.unrecorded_ends.is_empty() || !vm.unrecorded_crashes.is_empty() {
                 self.unrecorded_vms.insert(name);
             }
         }
--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Owner,
-    vm::{Phase, Vm, VmStatus},
+    vm::{Phase, Vm},
 };
 use crate::message::{
     ClockReading, OrderResult, Orders, OrdersReply, OwnerHeader, Refusal, ReportPoll, RunKey,
@@ -107,7 +107,6 @@
     /// Returns and clears the pending orders for a VM; `None` if there are none.
     pub fn take_orders(&mut self, now: Time, name: &VmName) -> Option<Orders> {
         self.track_renewal(now);
-        self.renew_released_starts(now, name);
         self.drop_stale_starts(now, name);
         let header = self.header(now, name);
         let start_within = self.timing.start_within;
@@ -136,27 +135,6 @@
         })
     }
 
-    /// Decides again on starts that have waited for their records, which may take long.
-    fn renew_released_starts(&mut self, now: Time, name: &VmName) {
-        let Some(vm) = self.vms.get_mut(name) else {
-            return;
-        };
-        let released = std::mem::take(&mut vm.released_starts);
-        let zone = vm.info.as_ref().map(|info| &info.zone);
-        let is_out = zone.is_none_or(|zone| self.zones_out.contains(zone));
-        let may_start = vm.status() == VmStatus::Ready && !is_out;
-        for key in released {
-            if !may_start {
-                self.stop_run(now, name, &key, "worker takes no more tasks");
-                continue;
-            }
-            let vm = self.vms.get_mut(name);
-            if let Some(run) = vm.and_then(|vm| vm.runs.get_mut(&key)) {
-                run.since = now;
-            }
-        }
-    }
-
     /// Takes back queued starts whose validity has ended before they could be sent.
     fn drop_stale_starts(&mut self, now: Time, name: &VmName) {
         let Some(vm) = self.vms.get(name) else {
@@ -178,7 +156,7 @@
         let Some(entry) = self.vms.get_mut(vm) else {
             return;
         };
-        let Some(assigned) = entry.runs.get(key) else {
+        let Some(assigned) = entry.runs.get_mut(key) else {
             return;
         };
         if matches!(assigned.phase(), Phase::Stopping { .. }) {
@@ -186,7 +164,7 @@
         }
         let age_ms = now.since(assigned.since).as_millis() as u64;
         tracing::info!(task = %key.task, run = key.run, %vm, why = reason, age_ms, "stopping run");
-        let is_queued = entry.is_start_queued(key);
+        let is_queued = entry.starts.iter().any(|start| start.key == *key);
         if is_queued && !assigned.start_unanswered {
             self.remove_run(now, vm, key);
             return;
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -223,15 +223,9 @@
             let run = vms.get(vm).and_then(|vm| vm.runs.get(key));
             run.is_some_and(|run| run.phase() == Phase::Ordered)
         });
-        let is_recovering = self.is_recovering(now);
-        if !is_recovering && std::mem::take(&mut self.has_earlier_placements) {
-            for entry in self.jobs.values_mut() {
-                entry.forget_earlier_vms();
-            }
-        }
         let mut pass = Pass {
             room: self.window.room(unanswered, self.reserve_starts.len()),
-            is_recovering,
+            is_recovering: self.is_recovering(now),
             unlisted_vms: self.unlisted_vms(now),
             failed: FailedPlacements::default(),
             suspect_starts: self.review_suspects(),
@@ -541,18 +535,13 @@
         let mut assigned = AssignedRun::new(Phase::Ordered, now, step.reserved(), role.clone());
         assigned.is_trial = is_trial;
         vm.add_run(key.clone(), assigned);
-        let start = StartOrder {
+        vm.starts.push(StartOrder {
             key,
             spec: Arc::clone(&job.spec),
             checkpoint,
             ticket: None,
             role,
-        };
-        if step.long_running {
-            self.record_start(name, start);
-        } else {
-            vm.starts.push(start);
-        }
+        });
         self.touch_vm(name);
     }
 }
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -200,11 +200,6 @@
     /// Number of the last recorded end that has been sent to the agent.
     pub(super) acknowledged_end: u64,
     pub(super) starts: Vec<StartOrder>,
-    /// Starts that may be sent once a record of them is durable: number of the change that must
-    /// be durable first, and order.
-    pub(super) unrecorded_starts: Vec<(u64, StartOrder)>,
-    /// Runs whose starts have been released since the last call with orders.
-    pub(super) released_starts: Vec<RunKey>,
     pub(super) stops: BTreeSet<RunKey>,
     pub(super) roles: Vec<(RunKey, Role)>,
     /// Version of the interference weights that were last sent to the agent.
@@ -265,8 +260,6 @@
             recorded_end: 0,
             acknowledged_end: 0,
             starts: Vec::new(),
-            unrecorded_starts: Vec::new(),
-            released_starts: Vec::new(),
             stops: BTreeSet::new(),
             roles: Vec::new(),
             sent_weights_version: 0,
@@ -375,34 +368,9 @@
         let run = self.forget_run(key)?;
         self.stops.remove(key);
         self.starts.retain(|start| start.key != *key);
-        self.unrecorded_starts
-            .retain(|(_, start)| start.key != *key);
         Some(run)
     }
 
-    /// Whether a start waits to be sent.
-    pub(super) fn is_start_queued(&self, key: &RunKey) -> bool {
-        let unrecorded = self.unrecorded_starts.iter().map(|(_, start)| start);
-        self.starts
-            .iter()
-            .chain(unrecorded)
-            .any(|start| start.key == *key)
-    }
-
-    /// Releases the starts whose record is durable; returns whether any was released.
-    pub(super) fn release_recorded_starts(&mut self, durable_change: u64) -> bool {
-        let count = self.starts.len();
-        for (change, start) in std::mem::take(&mut self.unrecorded_starts) {
-            if change > durable_change {
-                self.unrecorded_starts.push((change, start));
-                continue;
-            }
-            self.released_starts.push(start.key.clone());
-            self.starts.push(start);
-        }
-        self.starts.len() > count
-    }
-
     fn forget_run(&mut self, key: &RunKey) -> Option<AssignedRun> {
         let run = self.runs.remove(key)?;
         self.reserved = self.reserved.minus(run.reserved);
--- a/components/steps/src/progress.rs
+++ b/components/steps/src/progress.rs
@@ -1,7 +1,5 @@
 //! Durable state of a job and its state as shown to clients.
 
-use std::collections::BTreeSet;
-
 use kernel::VmName;
 use serde::{Deserialize, Serialize};
 
@@ -55,10 +53,6 @@
     /// Crashes under tasks that have not completed, by index of the task.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<(u32, Vec<TaskCrash>)>,
-    /// VMs on which tasks may run, by index of the task; written before a start is ordered.
-    /// `None` for tasks that are not long-running, whose starts are not recorded.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub placements: Option<Vec<(u32, BTreeSet<VmName>)>>,
 }
 
 /// Durable record of a job. Its owner always writes the whole record.
