An agent counts the runs in doubt only while an owner asks for them

Found when the change was read again: each reply of a worker listed the runs in doubt twice, also when nobody asks; and a check stood twice.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -374,9 +374,6 @@
         if suspects.is_empty() {
             return;
         }
-        if suspects.is_empty() {
-            return;
-        }
         self.crash_count += 1;
         self.crashes.push_back(WorkerCrash {
             number: self.crash_count,
@@ -655,9 +652,9 @@
             return Vec::new();
         }
         self.last_applied_poll = poll.number;
-        let in_doubt = self.tracked.in_doubt().len();
+        let in_doubt = self.wants_doubts.then(|| self.tracked.in_doubt().len());
         self.tracked.apply_running(now, &reply.running);
-        if self.wants_doubts && self.tracked.in_doubt().len() < in_doubt {
+        if in_doubt.is_some_and(|before| self.tracked.in_doubt().len() < before) {
             self.version += 1;
         }
         if self.stop_check.is_some_and(|check| poll.number >= check) {
