Ends and runs of unknown jobs are logged

An owner releases the end of a run of a job that it does not know, without a trace. The line says whether the job is known to have ended, and how long the term has lasted.

--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -76,9 +76,20 @@
     ) -> bool {
         let key = &end.key.task;
         let Some(entry) = self.jobs.get_mut(&key.job) else {
+            tracing::warn!(
+                task = %key,
+                run = end.key.run,
+                vm = %name,
+                how = ?end.how,
+                end = end.number,
+                has_ended = self.ended_jobs.contains_key(&key.job),
+                term_ms = now.since(self.term_start).as_millis() as u64,
+                "end of a run of an unknown job"
+            );
             return false;
         };
         let Some(step) = entry.job.steps.get(usize::from(key.step)).cloned() else {
+            tracing::warn!(task = %key, run = end.key.run, vm = %name, "end of a run of an unknown step");
             return false;
         };
         entry.started = true;
@@ -88,6 +99,7 @@
             self.waiting_jobs.insert(key.job.clone());
         }
         let Some(task) = entry.task_mut(key) else {
+            tracing::warn!(task = %key, run = end.key.run, vm = %name, "end of a run of an unknown task");
             return false;
         };
         if end.checkpoint.is_some() {
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -460,7 +460,10 @@
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
-        let since = *vm.unknown_runs.entry(key.clone()).or_insert(now);
+        let since = *vm.unknown_runs.entry(key.clone()).or_insert_with(|| {
+            tracing::info!(task = %key.task, run = key.run, vm = %name, has_ended, "run of an unknown job");
+            now
+        });
         if (has_ended || (since + UNKNOWN_RUN_GRACE).passed(now)) && vm.stops.insert(key.clone()) {
             tracing::warn!(task = %key.task, run = key.run, vm = %name, "stopping run of an unknown job");
         }
