An agent reports at once that the leases of a lost worker have expired

The agent knew at 38.102 s that all leases there had expired, removed its key and was gone at 38.194 s. The owner heard nothing of it and waited until 45.571 s, the longest that a lease may last on a VM that does not answer.

The check of the leases that runs between polls raised the version of the report without waking the call of the owner that waits for it, which went on for up to a second. Only a reply or a failed poll of the worker woke it.

--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -52,7 +52,11 @@
     let now = shared.clock.now();
     let (unconfirmed, unrecorded) = {
         let mut agent_state = shared.agent_state();
+        let version_before = agent_state.version();
         agent_state.check_lease_expiry(now);
+        if agent_state.version() != version_before {
+            shared.report_changed.notify(usize::MAX);
+        }
         (
             agent_state.is_unconfirmed(),
             agent_state.has_unrecorded_ends(),
