--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1139,3 +1139,46 @@
     assert_eq!(listed[0].vm, vm(1));
     assert!(listed[0].left_millis < 4_500);
 }
+
+/// A later owner may have renewed the leases there.
+#[test]
+fn a_silent_vm_counts_as_empty_only_with_a_later_proof_of_ownership() {
+    let mut session = Session::new(2);
+    session.handle(START, Event::JobsLoaded);
+    session.report(at(0), 0, |_| ());
+    session.report(at(0), 1, |_| ());
+    session.submit(at(0), JOB, 1);
+    let orders = session.owner.take_orders(at(0), &vm(0));
+    let (silent, other) = match orders.is_some() {
+        true => (0, 1),
+        false => (1, 0),
+    };
+    let orders = orders.or_else(|| session.owner.take_orders(at(0), &vm(1)));
+    session.answer(at(10), silent, orders.unwrap(), true);
+    session.handle(at(10), Event::OwnershipProved(at(10)));
+    let failure = PollFailure::default();
+    session.handle(at(2_000), Event::Unreachable(vm(silent), failure));
+    for millis in [2_000, 5_000, 9_000] {
+        session.report(at(millis), other, |_| ());
+        session.owner.handle(at(millis), at(millis), Event::Tick);
+        assert_eq!(session.take_starts(at(millis), other), [], "at {millis} ms");
+    }
+    session.handle(at(9_010), Event::OwnershipProved(at(9_005)));
+    session.handle(at(9_020), Event::Tick);
+    assert_eq!(session.take_starts(at(9_020), other).len(), 1);
+}
+
+#[test]
+fn a_new_owner_gives_up_a_vm_that_never_answered_only_with_a_later_proof_of_ownership() {
+    let mut session = Session::new(2);
+    session.submit(at(0), JOB, 1);
+    session.handle(START, Event::JobsLoaded);
+    for millis in [10, 5_000, 9_500] {
+        session.report(at(millis), 0, |_| ());
+        session.owner.handle(at(millis), at(millis), Event::Tick);
+        assert_eq!(session.take_starts(at(millis), 0), [], "at {millis} ms");
+    }
+    session.handle(at(9_510), Event::OwnershipProved(at(9_505)));
+    session.handle(at(9_520), Event::Tick);
+    assert_eq!(session.take_starts(at(9_520), 0).len(), 1);
+}
