A restarted agent that knows only an earlier worker waits for earlier leases

An agent that had just started heard the late heartbeat of a worker that had crashed. Its poll was answered by another incarnation at that address, and the agent reported at once that all leases there had expired. The present worker may still run what the earlier process of the agent had granted, so an owner would have started these tasks a second time.

--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -262,6 +262,20 @@
 
 /// Guards against two runs of a task: a restarted agent heard of its worker, got no answer to
 /// two polls and reported that all leases there had expired (`explore`, seed 10063).
+/// The late heartbeat of an earlier worker made a restarted agent report that nothing ran, while
+/// the present worker did.
+#[test]
+fn a_restarted_agent_that_knows_only_an_earlier_worker_waits_for_earlier_leases() {
+    let mut agent = AgentState::new(Timing::default(), START);
+    agent.apply_heartbeat(heartbeat(1, 1));
+    assert!(agent.accept_header(START, &header(5, None)));
+    let poll = next_poll(&mut agent, at(10));
+    agent.apply_error(at(10), &poll, PollError::OtherIncarnation);
+    assert!(agent.worker().is_none());
+    assert!(!agent.report(at(20)).leases_expired);
+    assert!(agent.report(at(5_000)).leases_expired);
+}
+
 #[test]
 fn a_restarted_agent_whose_worker_does_not_answer_waits_for_earlier_leases() {
     let mut agent = AgentState::new(Timing::default(), START);
