Starts without an answer are settled once the leases of a silent worker have expired

A worker that fell silent as a start was sent kept the task of that start from starting elsewhere: its agent went on to list the start as unsettled after it had reported that all leases had expired, so the owner dropped the run, took it up again at once and waited for a stop that a silent worker does not confirm.

A start is void when its lease has ended, since the worker refuses it as late, and the agent takes all leases for expired only after the longest one. The agent drops such starts at the next reply of the worker for the same reason.

Found by reading; the test failed before.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -733,6 +733,8 @@
             self.note_crash();
             self.leases_expired = true;
             self.running.clear();
+            // The worker would refuse these starts as late.
+            self.unsettled.clear();
             self.version += 1;
         }
     }
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -276,6 +276,24 @@
     assert!(agent.report(at(5_000)).leases_expired);
 }
 
+/// The owner stopped a start that no worker could carry out any more again and again, and its
+/// task waited until the silent worker was back.
+#[test]
+fn a_start_without_an_answer_is_settled_once_the_leases_have_expired() {
+    let mut agent = agent();
+    agent.admit(at(0), &orders(5, u64::MAX), &key()).unwrap();
+    agent.settle_start(&key(), OrderResult::Unsettled);
+    for _ in 0..2 {
+        let poll = next_poll(&mut agent, at(100));
+        agent.apply_error(at(100), &poll, PollError::Unresponsive);
+    }
+    assert_eq!(agent.report(at(100)).unsettled, [key()]);
+    agent.check_lease_expiry(at(5_000));
+    let report = agent.report(at(5_000));
+    assert!(report.leases_expired);
+    assert!(report.unsettled.is_empty());
+}
+
 #[test]
 fn a_restarted_agent_whose_worker_does_not_answer_waits_for_earlier_leases() {
     let mut agent = AgentState::new(Timing::default(), START);
