A start confirmed before an earlier poll is answered is listed for the next owner

The answer to a start may overtake that of a poll which the worker handled before. If a new owner had called the agent in between, its first report held the run neither as running nor as unsettled, and the new owner could start the task on another VM. A worker that checks fencing tokens refuses such a start; others carry it out.

The agent now keeps a start until the reply to a poll that was sent after the answer, and lists it for an owner of a later epoch. The owner that ordered the start knows of it.

Found by reading; the test failed before.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -128,6 +128,11 @@
     /// Whether an earlier attempt got no answer, so that a refusal of the newest one
     /// does not settle the start.
     has_lost_attempt: bool,
+    /// Last poll that was sent before the worker's answer; `None` without an answer. The
+    /// worker may have answered that poll before it carried out the start.
+    answered_after: Option<u64>,
+    /// Epoch of the owner that ordered the start.
+    epoch: u64,
 }
 
 /// Decision state of the agent on the VM of one worker.
@@ -644,6 +649,7 @@
                 self.roles.remove(&end.key);
                 self.pacer.remove(&end.key);
                 self.tracked.remove(&end.key);
+                self.unsettled.remove(&end.key);
                 self.ended.insert(end.number, end);
                 self.version += 1;
             }
@@ -665,7 +671,7 @@
             self.version += 1;
         }
         self.running = reply.running;
-        self.settle_listed(reply.clock_millis);
+        self.settle_listed(poll.number, reply.clock_millis);
         self.has_more_ends = reply.has_more_ends;
         let capacity_milli = self.capacity_milli();
         self.pacer.decide(
@@ -784,6 +790,8 @@
         let start = UnsettledStart {
             until_millis,
             has_lost_attempt: self.unsettled.contains_key(key),
+            answered_after: None,
+            epoch: self.epoch,
         };
         self.unsettled.insert(key.clone(), start);
         self.tracked.record_sent(now, key);
@@ -801,8 +809,15 @@
             OrderResult::Refused(_) => !self.unsettled.get(key).is_some_and(has_lost_attempt),
             OrderResult::Unsettled => false,
         };
-        if is_settled {
-            self.unsettled.remove(key);
+        match self.unsettled.get_mut(key) {
+            // The next poll lists the run or its end.
+            Some(start) if result == OrderResult::Done => {
+                start.answered_after = Some(self.last_poll);
+            }
+            Some(_) if is_settled => {
+                self.unsettled.remove(key);
+            }
+            _ => {}
         }
         match result {
             OrderResult::Done => self.tracked.record_confirmed(key),
@@ -859,12 +874,13 @@
 
     /// Drops the unsettled starts that the worker has carried out, and those that it
     /// would refuse as late now.
-    fn settle_listed(&mut self, clock_millis: u64) {
+    fn settle_listed(&mut self, poll: u64, clock_millis: u64) {
         let (running, ended) = (&self.running, &self.ended);
         let tracked = &mut self.tracked;
         self.unsettled.retain(|key, start| {
             let is_listed = running.iter().any(|row| row.key == *key)
                 || ended.values().any(|end| end.key == *key);
+            let is_listed = is_listed || start.answered_after.is_some_and(|last| poll > last);
             let is_too_late = clock_millis > start.until_millis;
             if is_too_late {
                 tracked.remove_unlisted(key);
@@ -926,6 +942,11 @@
                 millis: self.clock_at(now)?,
             })
         });
+        // An owner knows which of its own starts were confirmed.
+        let is_unknown =
+            |start: &UnsettledStart| start.answered_after.is_none() || start.epoch < self.epoch;
+        let unsettled = self.unsettled.iter();
+        let unsettled = unsettled.filter(|(_, start)| is_unknown(start));
         let leases_expired =
             self.leases_expired || (self.worker.is_none() && self.earlier_leases_end.passed(now));
         AgentReport {
@@ -941,7 +962,7 @@
             running: self.running.clone(),
             ended: self.ended.values().cloned().collect(),
             has_more_ends: self.has_more_ends,
-            unsettled: self.unsettled.keys().cloned().collect(),
+            unsettled: unsettled.map(|(key, _)| key.clone()).collect(),
             crashes: self.crashes.iter().cloned().collect(),
             in_doubt: self.wants_doubts.then(|| self.runs_in_doubt()),
             ..AgentReport::default()
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -294,6 +294,24 @@
     assert!(report.unsettled.is_empty());
 }
 
+/// A start that the worker carried out after a poll, and whose answer arrived before that of the
+/// poll, was in no list of the first report to the next owner.
+#[test]
+fn a_start_that_is_confirmed_before_an_earlier_poll_is_in_the_next_report() {
+    let mut agent = agent();
+    let orders = orders(5, u64::MAX);
+    agent.admit(at(0), &orders, &key()).unwrap();
+    assert!(agent.accept_header(at(5), &header(6, None)));
+    let poll = next_poll(&mut agent, at(5));
+    agent.settle_start(&key(), OrderResult::Done);
+    agent.apply_reply(at(10), &poll, reply(10_010));
+    let report = agent.report(at(10));
+    assert_eq!(report.confirmed_epoch, 6);
+    assert_eq!(report.unsettled, [key()]);
+    list(&mut agent, at(20), 10_020, &[&key()]);
+    assert!(agent.report(at(20)).unsettled.is_empty());
+}
+
 #[test]
 fn a_restarted_agent_whose_worker_does_not_answer_waits_for_earlier_leases() {
     let mut agent = AgentState::new(Timing::default(), START);
