An owner gives no orders once its ownership was not proved in time

Cause: only the task that renews the lease ended the term, between two calls to the store. A call under way takes up to 1.4 s while the store does not answer.

Change: the owner itself compares the time of the last proof with the limit each time it hands out orders.

--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -25,6 +25,12 @@
         !(self.proved_at + self.timing.renewal).passed(now)
     }
 
+    /// Whether this process may still give orders. Its term ends without a proof, and a call
+    /// to the store that is under way must not delay that.
+    fn may_order(&self, now: Time) -> bool {
+        !(self.proved_at + self.timing.ownership).passed(now)
+    }
+
     /// Logs when agents may no longer renew leases and when they may again.
     pub(super) fn track_renewal(&mut self, now: Time) {
         let proof_age_ms = now.since(self.proved_at).as_millis() as u64;
@@ -104,9 +110,13 @@
         self.order_vms.iter().filter(may_send).cloned().collect()
     }
 
-    /// Returns and clears the pending orders for a VM; `None` if there are none.
+    /// Returns and clears the pending orders for a VM; `None` if there are none, or if this
+    /// process may not give any.
     pub fn take_orders(&mut self, now: Time, name: &VmName) -> Option<Orders> {
         self.track_renewal(now);
+        if !self.may_order(now) {
+            return None;
+        }
         self.drop_stale_starts(now, name);
         let header = self.header(now, name);
         let start_within = self.timing.start_within;
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1186,3 +1186,16 @@
     session.handle(at(9_520), Event::Tick);
     assert_eq!(session.take_starts(at(9_520), 0).len(), 1);
 }
+
+#[test]
+fn an_owner_whose_ownership_was_not_proved_in_time_gives_no_orders() {
+    let mut session = Session::new(1);
+    session.handle(START, Event::JobsLoaded);
+    for millis in [0, 2_000, 4_000, 6_000] {
+        session.report(at(millis), 0, |_| ());
+    }
+    session.submit(at(6_010), JOB, 1);
+    assert_eq!(session.take_starts(at(6_010), 0), []);
+    session.handle(at(6_020), Event::OwnershipProved(at(6_015)));
+    assert_eq!(session.take_starts(at(6_030), 0).len(), 1);
+}
