--- a/components/steps/tests/common/mod.rs
+++ b/components/steps/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub(crate) mod processor;
+pub(crate) mod session;
 pub(crate) mod simulation;
 pub(crate) mod worker;
 
--- a/components/steps/tests/late_jobs.rs
+++ b/components/steps/tests/late_jobs.rs
@@ -4,51 +4,23 @@
 
 mod common;
 
-use std::time::Duration;
-
-use common::{config, entry, job, job_name, run, step, vm, worker_info};
-use kernel::Time;
+use common::{
+    job, job_name, run,
+    session::{JOB, Session, active, at, ended},
+    step, vm, worker_info,
+};
 use rstest::rstest;
 use steps::{
-    Event, Outcome, Owner, Timing,
+    Event, Outcome,
     crash::{SuspectRun, WorkerCrash},
-    message::{
-        ActiveRun, AgentReport, ClockReading, EndedRun, OrderResult, Orders, OrdersReply, RunEnd,
-        RunKey,
-    },
+    message::{EndedRun, RunEnd, RunKey},
 };
 
-const START: Time = Time::from_secs(1_000);
-const EPOCH: u64 = 3;
-const JOB: &str = "00000000000000aa";
-
-fn at(millis: u64) -> Time {
-    START + Duration::from_millis(millis)
-}
-
 /// Run number as an earlier owner gives it.
 fn earlier_run(count: u64) -> RunKey {
     run(JOB, 0, 0, (2 << 24) + count)
 }
 
-fn active(key: &RunKey) -> ActiveRun {
-    ActiveRun {
-        key: key.clone(),
-        checkpoint: None,
-        progress_percent: 10,
-        measurement: 900,
-    }
-}
-
-fn ended(number: u64, key: &RunKey, how: RunEnd) -> EndedRun {
-    EndedRun {
-        number,
-        key: key.clone(),
-        how,
-        checkpoint: None,
-    }
-}
-
 fn crash(number: u64, started_at: u64, key: &RunKey) -> WorkerCrash {
     WorkerCrash {
         number,
@@ -60,109 +32,6 @@
     }
 }
 
-/// An owner and the agents of two workers.
-struct Session {
-    owner: Owner,
-    version: u64,
-}
-
-impl Session {
-    fn loading() -> Self {
-        let mut owner = Owner::new(entry(1), EPOCH, Timing::default(), START);
-        owner.handle(START, START, Event::Config(config()));
-        for number in 0..2 {
-            owner.handle(START, START, Event::Vm(vm(number)));
-        }
-        owner.handle(START, START, Event::LoadingJobs);
-        Self { owner, version: 0 }
-    }
-
-    fn loaded() -> Self {
-        let mut session = Self::loading();
-        session.handle(START, Event::JobsLoaded);
-        session
-    }
-
-    fn handle(&mut self, now: Time, event: Event) {
-        self.owner.handle(now, now, event);
-    }
-
-    fn report(&mut self, now: Time, number: usize, change: impl FnOnce(&mut AgentReport)) {
-        self.version += 1;
-        let worker = worker_info(&format!("w-{number}"), 1);
-        let mut report = AgentReport {
-            agent_incarnation: 1,
-            version: self.version,
-            epoch: EPOCH,
-            confirmed_epoch: EPOCH,
-            clock_reading: Some(ClockReading {
-                incarnation: worker.incarnation.clone(),
-                millis: 10_000,
-            }),
-            worker: Some(worker),
-            worker_responsive: true,
-            poll: self.version,
-            ..AgentReport::default()
-        };
-        change(&mut report);
-        let report = Box::new(report);
-        let vm = vm(number);
-        self.handle(now, Event::Report { vm, report });
-    }
-
-    /// Passes on a job with one task, without a record.
-    fn job_arrives(&mut self, now: Time) {
-        let job = job(JOB, "quick", vec![step(1, &[])]);
-        self.handle(
-            now,
-            Event::Job {
-                job,
-                progress: None,
-            },
-        );
-    }
-
-    fn take_starts(&mut self, now: Time) -> Vec<RunKey> {
-        let mut keys = Vec::new();
-        for number in 0..2 {
-            let orders = self.owner.take_orders(now, &vm(number));
-            let starts = orders.map(|orders| orders.starts).unwrap_or_default();
-            keys.extend(starts.into_iter().map(|start| start.key));
-        }
-        keys
-    }
-
-    fn confirm_stops(&mut self, now: Time, number: usize, orders: Orders) {
-        let reply = Some(OrdersReply {
-            agent_incarnation: 1,
-            epoch: EPOCH,
-            poll: self.version,
-            starts: vec![OrderResult::Done; orders.starts.len()],
-            stops: vec![OrderResult::Done; orders.stops.len()],
-        });
-        let (vm, orders) = (vm(number), Box::new(orders));
-        self.handle(now, Event::OrdersAnswered { vm, orders, reply });
-    }
-
-    /// Number of the last end of VM 0 that its worker may forget.
-    fn recorded_end(&mut self, now: Time) -> u64 {
-        let poll = self.owner.next_report_poll(now, &vm(0)).unwrap();
-        poll.header.recorded.unwrap().1
-    }
-
-    /// Number of the last crash of VM 0 that its agent may forget.
-    fn recorded_crash(&mut self, now: Time) -> Option<u64> {
-        let poll = self.owner.next_report_poll(now, &vm(0)).unwrap();
-        poll.header.recorded_crash.map(|(_, number)| number)
-    }
-
-    fn outcome(&mut self) -> Option<Outcome> {
-        let changes = self.owner.take_changes();
-        let of_job = changes.iter().find(|change| change.job == job_name(JOB));
-        of_job.and_then(|change| change.progress.outcome)
-    }
-}
-
 #[test]
 fn a_task_that_was_done_before_its_job_arrived_does_not_start_again() {
     let mut session = Session::loaded();
@@ -256,7 +125,7 @@
     let orders = session.owner.take_orders(at(1_610), &vm(0)).unwrap();
     assert_eq!(orders.stops, [key.clone()]);
     if is_confirmed {
-        session.confirm_stops(at(1_620), 0, orders);
+        session.answer(at(1_620), 0, orders);
     }
     session.job_arrives(at(1_630));
     assert_eq!(session.take_starts(at(1_640)), []);
@@ -275,7 +144,7 @@
     assert_eq!(orders.stops, [key.clone()]);
     session.job_arrives(at(90));
     assert_eq!(session.take_starts(at(100)), []);
-    session.confirm_stops(at(110), 0, orders);
+    session.answer(at(110), 0, orders);
     session.report(at(120), 0, |_| ());
     session.report(at(160), 0, |_| ());
     assert_eq!(session.take_starts(at(600)).len(), 1);
