Failing tests: a worker that starts again under its name

A call names the worker for which it is meant, and a worker that restarts may have the same name, so a call for the earlier incarnation that is carried out late acts on the next one. Three faults:

- A poll names the last recorded end in each call.
The next incarnation numbers its ends from 1, so a poll that reaches it makes it forget ends that nobody has read; the run is then taken for lost, and its task starts again after it was done.
- The owner drops a start that the next incarnation may carry out, and starts the task elsewhere.
- The agent forgets unsettled starts at the restart, so the next owner does not know of them either.

--- /dev/null
+++ b/components/steps/tests/restarts.rs
@@ -0,0 +1,232 @@
+//! A worker that starts again under the name that it had. Calls for its earlier incarnation
+//! may still reach it.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod common;
+
+use common::{
+    entry, job_name, run,
+    session::{JOB, Session, active, at, ended},
+    vm, worker_info,
+};
+use rstest::rstest;
+use steps::{
+    AgentState, Timing,
+    agent::{Heartbeat, PollReply},
+    message::{
+        AgentReport, ClockReading, OrderResult, Orders, OrdersReply, OwnerHeader, RunEnd, RunKey,
+    },
+};
+
+fn restarted(report: &mut AgentReport) {
+    report.worker = Some(worker_info("w-0", 2));
+    report.clock_reading = Some(ClockReading {
+        incarnation: worker_info("w-0", 2).incarnation,
+        millis: 100,
+    });
+}
+
+/// A session in which a start has been sent to VM 0, and the orders.
+fn with_sent_start() -> (Session, RunKey, Orders) {
+    let mut session = Session::loaded();
+    session.report(at(0), 0, |_| ());
+    session.report(at(0), 1, |report| {
+        let worker = report.worker.as_mut().unwrap();
+        worker.draining = true;
+    });
+    session.job_arrives(at(10));
+    let orders = session.owner.take_orders(at(10), &vm(0)).unwrap();
+    let key = orders.starts[0].key.clone();
+    (session, key, orders)
+}
+
+/// How much the owner knows of a start when the worker restarts.
+#[derive(Clone, Copy, Debug)]
+enum Knowledge {
+    Sent,
+    Unanswered,
+    Unsettled,
+    Confirmed,
+}
+
+/// The new incarnation may have carried out a start that was sent to the earlier one.
+#[rstest]
+fn a_start_that_the_next_incarnation_may_carry_out_is_stopped_first(
+    #[values(
+        Knowledge::Sent,
+        Knowledge::Unanswered,
+        Knowledge::Unsettled,
+        Knowledge::Confirmed
+    )]
+    knowledge: Knowledge,
+) {
+    let (mut session, key, orders) = with_sent_start();
+    let reply = |result| OrdersReply {
+        agent_incarnation: 1,
+        epoch: 3,
+        poll: 2,
+        starts: vec![result],
+        stops: Vec::new(),
+    };
+    match knowledge {
+        Knowledge::Sent => {}
+        Knowledge::Unanswered => session.reply(at(20), 0, orders, None),
+        Knowledge::Unsettled => {
+            let reply = reply(OrderResult::Unsettled);
+            session.reply(at(20), 0, orders, Some(reply));
+        }
+        Knowledge::Confirmed => {
+            session.reply(at(20), 0, orders, Some(reply(OrderResult::Done)));
+        }
+    }
+    session.report(at(30), 0, restarted);
+    session.report(at(30), 1, |_| ());
+    assert_eq!(
+        session.owner.runs_of(&job_name(JOB)),
+        [(vm(0), key.clone())]
+    );
+    let orders = session.owner.take_orders(at(40), &vm(0)).unwrap();
+    assert_eq!(
+        (orders.starts.len(), &orders.stops),
+        (0, &vec![key.clone()])
+    );
+    session.report(at(50), 0, |report| {
+        restarted(report);
+        report.running = vec![active(&key)];
+    });
+    assert_eq!(session.take_starts(at(60)), []);
+    session.answer(at(60), 0, orders);
+    session.report(at(160), 0, |report| {
+        restarted(report);
+        report.ended = vec![ended(1, &key, RunEnd::Stopped)];
+    });
+    assert_eq!(session.take_starts(at(170)).len(), 1);
+}
+
+#[test]
+fn a_run_that_the_earlier_incarnation_has_listed_is_lost_with_it() {
+    let (mut session, key, orders) = with_sent_start();
+    session.answer(at(20), 0, orders);
+    session.report(at(25), 0, |report| report.running = vec![active(&key)]);
+    session.report(at(30), 0, restarted);
+    session.report(at(30), 1, |_| ());
+    let starts = session.take_starts(at(40));
+    assert_eq!(starts.len(), 1);
+    assert!(starts[0].run > key.run);
+}
+
+#[test]
+fn a_start_is_dropped_with_a_worker_of_another_name() {
+    let (mut session, key, _) = with_sent_start();
+    session.report(at(30), 0, |report| {
+        report.worker = Some(worker_info("w-other", 2));
+    });
+    session.report(at(30), 1, |_| ());
+    let starts = session.take_starts(at(40));
+    assert_eq!(starts.len(), 1);
+    assert!(starts[0].run > key.run);
+}
+
+fn header(epoch: u64, recorded: Option<u64>) -> OwnerHeader {
+    let incarnation = worker_info("w", 1).incarnation;
+    OwnerHeader {
+        epoch,
+        owner: entry(epoch),
+        echo: Some(ClockReading {
+            incarnation: incarnation.clone(),
+            millis: 10_000,
+        }),
+        recorded: recorded.map(|number| (incarnation, number)),
+        recorded_crash: None,
+    }
+}
+
+fn heartbeat(started_at: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        info: worker_info("w", started_at),
+        sequence,
+    }
+}
+
+fn reply(started_at: u64) -> PollReply {
+    PollReply {
+        has_more_ends: false,
+        clock_millis: 10_000,
+        started_at: Some(started_at),
+        running: Vec::new(),
+        ended: Vec::new(),
+    }
+}
+
+/// An agent whose worker has answered once under epoch 5.
+fn agent() -> AgentState {
+    let mut agent = AgentState::new(Timing::default(), at(0));
+    agent.apply_heartbeat(heartbeat(1, 1));
+    assert!(agent.accept_header(at(0), &header(5, None)));
+    let poll = agent.next_poll(at(0), false).unwrap();
+    agent.apply_reply(at(0), &poll, reply(1));
+    assert!(agent.accept_header(at(0), &header(5, None)));
+    agent
+}
+
+/// The ends of each incarnation are numbered from 1. One that receives a poll for the earlier
+/// incarnation must not forget its own ends.
+#[test]
+fn polls_name_recorded_ends_only_until_the_worker_has_forgotten_them() {
+    let mut agent = agent();
+    agent.accept_header(at(10), &header(5, Some(3)));
+    let unanswered = agent.next_poll(at(10), false).unwrap();
+    assert_eq!(unanswered.recorded, 3);
+    let poll = agent.next_poll(at(20), false).unwrap();
+    assert_eq!(poll.recorded, 3);
+    agent.apply_reply(at(30), &poll, reply(1));
+    assert_eq!(agent.next_poll(at(40), false).unwrap().recorded, 0);
+    agent.accept_header(at(50), &header(5, Some(4)));
+    assert_eq!(agent.next_poll(at(50), false).unwrap().recorded, 4);
+}
+
+/// The next owner does not know of the start, so it must be told.
+#[rstest]
+fn an_unsettled_start_outlives_a_restart_of_its_worker(#[values(false, true)] by_heartbeat: bool) {
+    let mut agent = agent();
+    let key = run(JOB, 0, 0, 1);
+    let orders = Orders {
+        header: header(5, None),
+        incarnation: worker_info("w", 1).incarnation,
+        start_by_millis: u64::MAX,
+        starts: Vec::new(),
+        stops: Vec::new(),
+    };
+    agent.admit(at(0), &orders, &key).unwrap();
+    agent.settle_start(&key, OrderResult::Unsettled);
+    if by_heartbeat {
+        agent.apply_heartbeat(heartbeat(2, 1));
+    } else {
+        let poll = agent.next_poll(at(10), false).unwrap();
+        agent.apply_reply(at(20), &poll, reply(2));
+    }
+    assert_eq!(agent.report(at(30)).unsettled, [key.clone()]);
+    agent.settle_stop(&key, OrderResult::Done);
+    assert_eq!(agent.report(at(40)).unsettled, []);
+}
+
+#[test]
+fn an_unsettled_start_ends_with_a_worker_of_another_name() {
+    let mut agent = agent();
+    let key = run(JOB, 0, 0, 1);
+    let orders = Orders {
+        header: header(5, None),
+        incarnation: worker_info("w", 1).incarnation,
+        start_by_millis: u64::MAX,
+        starts: Vec::new(),
+        stops: Vec::new(),
+    };
+    agent.admit(at(0), &orders, &key).unwrap();
+    agent.settle_start(&key, OrderResult::Unsettled);
+    agent.apply_heartbeat(Heartbeat {
+        info: worker_info("w-other", 2),
+        sequence: 1,
+    });
+    assert_eq!(agent.report(at(30)).unsettled, []);
+}
