A poll names recorded ends only until the worker has forgotten them

A worker may start again under its name and numbers its ends from 1 then. Each poll named the last recorded end of the earlier incarnation, and the name is all that tells the two apart in a call. So each poll that reached the next incarnation, one sent before the agent noticed the restart or one carried out late, made it forget its own ends up to that number. Nobody had read them: the run was taken for lost, and its task started again after it was done.

The worker has forgotten the ends for good once it has answered a poll, so the following polls name none. What is left is a poll that is the first to name an end and reaches the next incarnation.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -60,7 +60,8 @@
     /// Until when all runs may continue, on the worker's clock; `None` renews no
     /// lease.
     pub until_millis: Option<u64>,
-    /// Number of the last end that the worker may forget.
+    /// Number of the last end that the worker may forget; 0 if it has already forgotten all
+    /// that it may.
     pub recorded: u64,
     /// Time that the worker may hold the poll until a run ends, in milliseconds.
     pub wait_millis: u64,
@@ -170,6 +171,8 @@
     last_applied_poll: u64,
     /// Number of the last end that the worker may forget, since its record is durable.
     recorded: u64,
+    /// Number of the last end that the worker is known to have forgotten.
+    forgotten: u64,
     running: Vec<ActiveRun>,
     /// Whether the worker may have ended runs that it has not listed.
     has_more_ends: bool,
@@ -221,6 +224,7 @@
             stop_check: None,
             last_applied_poll: 0,
             recorded: 0,
+            forgotten: 0,
             running: Vec::new(),
             has_more_ends: false,
             ended: BTreeMap::new(),
@@ -400,6 +404,7 @@
         self.leases_expired = false;
         self.confirmed_epoch = 0;
         self.recorded = 0;
+        self.forgotten = 0;
         self.running.clear();
         self.has_more_ends = false;
         self.ended.clear();
@@ -571,12 +576,14 @@
             true if self.is_pacing() => PACING_POLL_WAIT_MILLIS,
             true => POLL_WAIT_MILLIS,
         };
+        // A poll may reach the next incarnation of the worker, whose ends have other numbers.
+        let has_news = self.recorded > self.forgotten;
         Some(WorkerPoll {
             number: self.last_poll,
             incarnation,
             epoch: self.epoch,
             until_millis,
-            recorded: self.recorded,
+            recorded: if has_news { self.recorded } else { 0 },
             wait_millis,
         })
     }
@@ -632,6 +639,7 @@
         }
         self.unanswered_polls = 0;
         self.leases_expired = false;
+        self.forgotten = self.forgotten.max(poll.recorded);
         if poll.number > self.last_applied_poll {
             self.clock = Some((reply.clock_millis, now));
         }
