A start that a restarted worker may carry out is stopped before its task starts again

A worker may start again under its name. A start sent to the earlier incarnation and carried out late reaches the next one, which takes it: the name is the one that the call is meant for, the token is not too low, and the lease, on the earlier clock, lies in the future. The owner dropped such runs as soon as it heard of the restart, as the next incarnation would refuse them, and started the tasks elsewhere: two runs at the same time.

Now only runs that the worker has listed are dropped. The others, whatever became of the order, are stopped first; a stop keeps a run that is not there from starting. That costs one call and one poll before the task starts again.

--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -18,8 +18,11 @@
 enum LossReason {
     /// The worker is unresponsive and all of its leases have expired.
     LeasesExpired,
-    /// The worker restarted. The new incarnation refuses orders for the previous one.
+    /// Another worker has replaced the one of the runs, and refuses orders for it.
     NewIncarnation,
+    /// The worker restarted under its name, so it may carry out orders for the previous
+    /// incarnation.
+    Restarted,
     /// The worker has left. A later one refuses orders for it.
     WorkerLeft,
     /// The agent has been unreachable for longer than any lease or order lasts.
@@ -30,7 +33,8 @@
     const fn text(self) -> &'static str {
         match self {
             Self::LeasesExpired => "leases expired",
-            Self::NewIncarnation => "worker restarted",
+            Self::NewIncarnation => "worker replaced",
+            Self::Restarted => "worker restarted",
             Self::WorkerLeft => "worker left",
             Self::AgentUnreachable => "agent unreachable",
         }
@@ -200,6 +204,11 @@
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
+        let worker = &info.incarnation.worker;
+        let reason = match vm.incarnation() {
+            Some(known) if known.worker == *worker => LossReason::Restarted,
+            _ => LossReason::NewIncarnation,
+        };
         vm.info = Some(info.clone());
         vm.processed_end = 0;
         vm.recorded_end = 0;
@@ -213,10 +222,29 @@
         vm.clock_reading = None;
         vm.listing.reset();
         vm.has_unaccounted_runs = false;
-        self.drop_lost_runs(now, name, LossReason::NewIncarnation);
+        self.drop_lost_runs(now, name, reason);
+        if reason == LossReason::Restarted {
+            self.stop_remaining_runs(now, name);
+        }
         self.schedule_due = true;
     }
 
+    /// Stops the runs that a restarted worker may start on an order for its previous
+    /// incarnation. A stop that the previous one confirmed does not hold for it.
+    fn stop_remaining_runs(&mut self, now: Time, name: &VmName) {
+        let runs = self.vms.get(name).map(|vm| vm.runs.keys().cloned());
+        let keys: Vec<RunKey> = runs.into_iter().flatten().collect();
+        for key in keys {
+            self.stop_run(now, name, &key, "worker restarted before it listed the run");
+            if let Some(vm) = self.vms.get_mut(name)
+                && vm.runs.contains_key(&key)
+            {
+                vm.set_phase(&key, Phase::Stopping { after_poll: None });
+                vm.stops.insert(key);
+            }
+        }
+    }
+
     pub(super) fn on_unreachable(&mut self, now: Time, name: &VmName, failure: &PollFailure) {
         let Some(vm) = self.vms.get_mut(name) else {
             return;
@@ -288,10 +316,16 @@
         };
         let mut keys = Vec::new();
         for (key, assigned) in &vm.runs {
-            // A worker that answers again may still carry out a pending start order;
-            // the reply to that order decides.
-            let is_ordered = assigned.phase() == Phase::Ordered;
-            if reason != LossReason::LeasesExpired || !is_ordered {
+            let is_lost = match reason {
+                // A worker that answers again may still carry out a pending start order;
+                // the reply to that order decides.
+                LossReason::LeasesExpired => assigned.phase() != Phase::Ordered,
+                LossReason::Restarted => assigned.is_listed,
+                LossReason::NewIncarnation
+                | LossReason::WorkerLeft
+                | LossReason::AgentUnreachable => true,
+            };
+            if is_lost {
                 keys.push(key.clone());
             }
         }
@@ -386,6 +420,7 @@
                 false => None,
             };
             assigned.agent_incarnation = vm.agent_incarnation;
+            assigned.is_listed = true;
             self.note_started(&row.key.task.job);
         }
     }
@@ -414,7 +449,8 @@
         let role = super::schedule::role_of(&step);
         if let Some(vm) = self.vms.get_mut(name) {
             let phase = Phase::Present { after_poll: 0 };
-            let assigned = AssignedRun::new(phase, now, step.reserved(), role.clone());
+            let mut assigned = AssignedRun::new(phase, now, step.reserved(), role.clone());
+            assigned.is_listed = true;
             vm.add_run(key.clone(), assigned);
             if role != Role::Plain {
                 vm.roles.push((key.clone(), role));
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -81,6 +81,8 @@
     pub(super) is_trial: bool,
     /// Whether the worker is known to have survived the run for long enough.
     pub(super) has_survived: bool,
+    /// Whether the worker has listed the run.
+    pub(super) is_listed: bool,
     /// Incarnation of the agent process that knows of the run.
     pub(super) agent_incarnation: u64,
 }
@@ -98,6 +100,7 @@
             idle_since: None,
             is_trial: false,
             has_survived: false,
+            is_listed: false,
             agent_incarnation: 0,
         }
     }
--- a/components/steps/tests/restarts.rs
+++ b/components/steps/tests/restarts.rs
@@ -206,7 +206,7 @@
         let poll = agent.next_poll(at(10), false).unwrap();
         agent.apply_reply(at(20), &poll, reply(2));
     }
-    assert_eq!(agent.report(at(30)).unsettled, [key.clone()]);
+    assert_eq!(agent.report(at(30)).unsettled, std::slice::from_ref(&key));
     agent.settle_stop(&key, OrderResult::Done);
     assert_eq!(agent.report(at(40)).unsettled, []);
 }
