An agent remembers unsettled starts when its worker restarts under its name

The restarted worker may still carry them out, and an owner that did not order them learns of them only from the agent. Such an owner stops each of them first; the stop, the worker's lists or the end of the lease settle it as before.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -327,8 +327,11 @@
                 zone = %beat.info.zone,
                 "new worker incarnation"
             );
+            let name = &beat.info.incarnation.worker;
+            let known = self.worker.as_ref();
+            let is_restart = known.is_some_and(|known| known.incarnation.worker == *name);
             self.note_crash();
-            self.reset_worker();
+            self.reset_worker(is_restart);
         }
         if self.worker.as_ref() == Some(&beat.info) {
             return;
@@ -350,7 +353,7 @@
             return;
         }
         tracing::info!(worker, "worker has left");
-        self.reset_worker();
+        self.reset_worker(false);
         self.worker = None;
         self.leases_expired = true;
         self.version += 1;
@@ -393,7 +396,12 @@
         }
     }
 
-    fn reset_worker(&mut self) {
+    /// Forgets the state of the worker's incarnation. One that restarts under its name may
+    /// still carry out the unsettled starts.
+    fn reset_worker(&mut self, is_restart: bool) {
+        if !is_restart {
+            self.unsettled.clear();
+        }
         self.tracked = TrackedRuns::default();
         self.clock = None;
         self.echo = None;
@@ -408,7 +416,6 @@
         self.running.clear();
         self.has_more_ends = false;
         self.ended.clear();
-        self.unsettled.clear();
         self.roles.clear();
         self.pacer = Pacer::default();
         self.sent_lists = None;
@@ -629,7 +636,7 @@
                 worker.incarnation.started_at = born;
             }
             self.heartbeat_sequence = 0;
-            self.reset_worker();
+            self.reset_worker(true);
             self.version += 1;
             return Vec::new();
         }
