--- a/components/steps/tests/late_jobs.rs
+++ b/components/steps/tests/late_jobs.rs
@@ -123,7 +123,7 @@
         session.report(at(now), 1, |_| ());
     }
     let orders = session.owner.take_orders(at(1_610), &vm(0)).unwrap();
-    assert_eq!(orders.stops, [key.clone()]);
+    assert_eq!(orders.stops, std::slice::from_ref(&key));
     if is_confirmed {
         session.answer(at(1_620), 0, orders);
     }
@@ -141,7 +141,7 @@
     session.report(at(10), 0, |report| report.unsettled = vec![key.clone()]);
     session.report(at(10), 1, |_| ());
     let orders = session.owner.take_orders(at(20), &vm(0)).unwrap();
-    assert_eq!(orders.stops, [key.clone()]);
+    assert_eq!(orders.stops, std::slice::from_ref(&key));
     session.job_arrives(at(90));
     assert_eq!(session.take_starts(at(100)), []);
     session.answer(at(110), 0, orders);
