Failing tests: late departures, and starts confirmed between two polls

- A departure that arrives after the worker has started again under its name is taken for one of the new incarnation: its runs go on, and their tasks start elsewhere.
- A start that the worker confirms after it has answered a poll, and before the agent reports, is in neither list of the report.
A new owner whose poll that was takes the worker for free of the run and starts the task elsewhere, where workers check no tokens.

--- a/components/steps/tests/restarts.rs
+++ b/components/steps/tests/restarts.rs
@@ -186,19 +186,22 @@
     assert_eq!(agent.next_poll(at(50), false).unwrap().recorded, 4);
 }
 
-/// The next owner does not know of the start, so it must be told.
-#[rstest]
-fn an_unsettled_start_outlives_a_restart_of_its_worker(#[values(false, true)] by_heartbeat: bool) {
-    let mut agent = agent();
-    let key = run(JOB, 0, 0, 1);
-    let orders = Orders {
+fn orders() -> Orders {
+    Orders {
         header: header(5, None),
         incarnation: worker_info("w", 1).incarnation,
         start_by_millis: u64::MAX,
         starts: Vec::new(),
         stops: Vec::new(),
-    };
-    agent.admit(at(0), &orders, &key).unwrap();
+    }
+}
+
+/// The next owner does not know of the start, so it must be told.
+#[rstest]
+fn an_unsettled_start_outlives_a_restart_of_its_worker(#[values(false, true)] by_heartbeat: bool) {
+    let mut agent = agent();
+    let key = run(JOB, 0, 0, 1);
+    agent.admit(at(0), &orders(), &key).unwrap();
     agent.settle_start(&key, OrderResult::Unsettled);
     if by_heartbeat {
         agent.apply_heartbeat(heartbeat(2, 1));
@@ -215,14 +218,7 @@
 fn an_unsettled_start_ends_with_a_worker_of_another_name() {
     let mut agent = agent();
     let key = run(JOB, 0, 0, 1);
-    let orders = Orders {
-        header: header(5, None),
-        incarnation: worker_info("w", 1).incarnation,
-        start_by_millis: u64::MAX,
-        starts: Vec::new(),
-        stops: Vec::new(),
-    };
-    agent.admit(at(0), &orders, &key).unwrap();
+    agent.admit(at(0), &orders(), &key).unwrap();
     agent.settle_start(&key, OrderResult::Unsettled);
     agent.apply_heartbeat(Heartbeat {
         info: worker_info("w-other", 2),
@@ -230,3 +226,53 @@
     });
     assert_eq!(agent.report(at(30)).unsettled, []);
 }
+
+/// A worker reports that it drains before it leaves.
+#[rstest]
+fn a_late_departure_of_the_earlier_incarnation_is_ignored(#[values(false, true)] is_real: bool) {
+    let mut agent = agent();
+    let mut next = heartbeat(2, 1);
+    next.info.draining = is_real;
+    agent.apply_heartbeat(next);
+    agent.worker_left("w");
+    assert_eq!(agent.worker().is_none(), is_real);
+}
+
+/// A worker that checks no tokens carries out a start of the last owner after a poll for the
+/// next one, and confirms it before the agent reports to that owner.
+#[test]
+fn a_confirmed_start_is_reported_before_the_worker_has_listed_it() {
+    let mut agent = agent();
+    let key = run(JOB, 0, 0, 1);
+    agent.admit(at(0), &orders(), &key).unwrap();
+    assert!(agent.accept_header(at(1), &header(6, None)));
+    let poll = agent.next_poll(at(1), false).unwrap();
+    agent.apply_reply(at(3), &poll, reply(1));
+    agent.settle_start(&key, OrderResult::Done);
+    let report = agent.report(at(4));
+    assert_eq!(report.confirmed_epoch, 6);
+    assert_eq!(report.unsettled, std::slice::from_ref(&key));
+    let poll = agent.next_poll(at(5), false).unwrap();
+    let listed = PollReply {
+        running: vec![active(&key)],
+        ..reply(1)
+    };
+    agent.apply_reply(at(6), &poll, listed);
+    let report = agent.report(at(7));
+    assert_eq!((report.running.len(), report.unsettled.len()), (1, 0));
+}
+
+/// A run may also end and be recorded between two polls.
+#[test]
+fn a_confirmed_start_is_settled_by_any_later_poll() {
+    let mut agent = agent();
+    let key = run(JOB, 0, 0, 1);
+    agent.admit(at(0), &orders(), &key).unwrap();
+    let sent_before = agent.next_poll(at(1), false).unwrap();
+    agent.settle_start(&key, OrderResult::Done);
+    agent.apply_reply(at(3), &sent_before, reply(1));
+    assert_eq!(agent.report(at(4)).unsettled, std::slice::from_ref(&key));
+    let sent_after = agent.next_poll(at(5), false).unwrap();
+    agent.apply_reply(at(6), &sent_after, reply(1));
+    assert_eq!(agent.report(at(7)).unsettled, []);
+}
