An agent reports a confirmed start until a later poll can have shown it

The worker may confirm a start between the poll that a report is based on and the report. The run was then in neither of the report's lists. The owner that ordered it knows of it all the same, but to a new owner whose first poll that was, the worker was free of it, and it started the task elsewhere; only workers that check tokens refused the late start. Now the start stays listed as unsettled until the worker lists the run or its end, or answers a poll that was sent after the confirmation.

An owner that knows the run ignores the row; another one stops the run, as it does with other unsettled starts.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -121,7 +121,7 @@
     }
 }
 
-/// A start whose outcome is unknown.
+/// A start whose outcome is unknown, or whose run the worker has not listed yet.
 #[derive(Clone, Copy, Debug)]
 struct UnsettledStart {
     /// End of the lease that was granted, on the worker's clock.
@@ -129,6 +129,9 @@
     /// Whether an earlier attempt got no answer, so that a refusal of the newest one
     /// does not settle the start.
     has_lost_attempt: bool,
+    /// Number of the last poll that was sent before the worker confirmed the start; `None`
+    /// if it has not. Later polls show the run.
+    confirmed_after: Option<u64>,
 }
 
 /// Decision state of the agent on the VM of one worker.
@@ -177,7 +180,7 @@
     /// Whether the worker may have ended runs that it has not listed.
     has_more_ends: bool,
     ended: BTreeMap<u64, EndedRun>,
-    /// Starts that were sent to the worker and whose outcome is unknown.
+    /// Starts that were sent to the worker and that its lists do not show yet.
     unsettled: BTreeMap<RunKey, UnsettledStart>,
     /// Runs of the worker, with the time for which it has survived them.
     tracked: TrackedRuns,
@@ -659,6 +662,7 @@
                 self.roles.remove(&end.key);
                 self.pacer.remove(&end.key);
                 self.tracked.remove(&end.key);
+                self.unsettled.remove(&end.key);
                 self.ended.insert(end.number, end);
                 self.version += 1;
             }
@@ -680,7 +684,7 @@
             self.version += 1;
         }
         self.running = reply.running;
-        self.settle_listed(reply.clock_millis);
+        self.settle_listed(poll.number, reply.clock_millis);
         self.has_more_ends = reply.has_more_ends;
         let capacity_milli = self.capacity_milli();
         self.pacer.decide(
@@ -795,6 +799,7 @@
         let start = UnsettledStart {
             until_millis,
             has_lost_attempt: self.unsettled.contains_key(key),
+            confirmed_after: None,
         };
         self.unsettled.insert(key.clone(), start);
         self.tracked.record_sent(now, key);
@@ -808,10 +813,15 @@
     pub fn settle_start(&mut self, key: &RunKey, result: OrderResult) {
         let has_lost_attempt = |start: &UnsettledStart| start.has_lost_attempt;
         let is_settled = match result {
-            OrderResult::Done | OrderResult::Refused(Refusal::Old) => true,
+            OrderResult::Refused(Refusal::Old) => true,
             OrderResult::Refused(_) => !self.unsettled.get(key).is_some_and(has_lost_attempt),
-            OrderResult::Unsettled => false,
+            OrderResult::Done | OrderResult::Unsettled => false,
         };
+        if result == OrderResult::Done
+            && let Some(start) = self.unsettled.get_mut(key)
+        {
+            start.confirmed_after = Some(self.last_poll);
+        }
         if is_settled {
             self.unsettled.remove(key);
         }
@@ -868,14 +878,17 @@
         self.doubts_polled_at = now;
     }
 
-    /// Drops the unsettled starts that the worker has carried out, and those that it
-    /// would refuse as late now.
-    fn settle_listed(&mut self, clock_millis: u64) {
+    /// Drops the unsettled starts whose outcome the lists of a poll show, and those that the
+    /// worker would refuse as late now.
+    fn settle_listed(&mut self, poll: u64, clock_millis: u64) {
         let (running, ended) = (&self.running, &self.ended);
         let tracked = &mut self.tracked;
         self.unsettled.retain(|key, start| {
             let is_listed = running.iter().any(|row| row.key == *key)
                 || ended.values().any(|end| end.key == *key);
+            if let Some(confirmed_after) = start.confirmed_after {
+                return !is_listed && poll <= confirmed_after;
+            }
             let is_too_late = clock_millis > start.until_millis;
             if is_too_late {
                 tracked.remove_unlisted(key);
