A late departure of an earlier worker incarnation is ignored

A departure names the worker in its path only, and a worker may start again under its name. One that arrived late was taken for the departure of the new incarnation: the agent reported that nothing ran there, the owner dropped all of its runs and started their tasks elsewhere, while the worker went on with them.

A departure that names the start of its incarnation now counts only if it is not an earlier one. One that does not name it counts only if the worker has reported that it drains, as workers do before a planned end. One that is ignored wrongly costs the wait until the leases have expired, since the worker does not answer polls any more.

The test had one case that failed before; it now has a case for each of the four situations, all at least as strict.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -110,9 +110,9 @@
         self.poll_wanted.notify(usize::MAX);
     }
 
-    fn apply_departure(&self, worker: &str) {
+    fn apply_departure(&self, worker: &str, started_at: Option<u64>) {
         let mut agent_state = self.agent_state();
-        agent_state.worker_left(worker);
+        agent_state.worker_left(worker, started_at);
         let is_vacant = agent_state.worker().is_none();
         drop(agent_state);
         if is_vacant {
@@ -266,7 +266,9 @@
                 shared.apply_heartbeat(heartbeat);
             }
         }
-        Ok(WorkerCall::Left(worker)) => shared.apply_departure(&worker),
+        Ok(WorkerCall::Left { worker, started_at }) => {
+            shared.apply_departure(&worker, started_at);
+        }
         Err(error) => {
             tracing::warn!(%error, path = head.uri.path(), "can't decode a call of the worker");
             return status(StatusCode::BAD_REQUEST);
--- a/components/stepd/src/edge.rs
+++ b/components/stepd/src/edge.rs
@@ -93,8 +93,14 @@
 pub enum WorkerCall {
     /// The worker is alive.
     Heartbeat(Heartbeat),
-    /// The worker of this name has left.
-    Left(Arc<str>),
+    /// The worker has left.
+    Left {
+        /// The name of the worker.
+        worker: Arc<str>,
+        /// The start of the incarnation that left in milliseconds since 1970; `None` if the
+        /// call does not name it.
+        started_at: Option<u64>,
+    },
 }
 
 /// A decoded item that an operator has written.
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -346,16 +346,33 @@
         self.version += 1;
     }
 
-    /// Handles the departure of the worker, after which no run exists.
-    pub fn worker_left(&mut self, worker: &str) {
-        let is_known = self
-            .worker
-            .as_ref()
-            .is_some_and(|known| known.incarnation.worker.as_ref() == worker);
-        if !is_known {
+    /// Handles the departure of the worker, after which no run exists. `started_at` is the
+    /// start of the incarnation that left, if the departure names it. A late departure of an
+    /// earlier incarnation is ignored: a worker reports that it drains before it leaves.
+    pub fn worker_left(&mut self, worker: &str, started_at: Option<u64>) {
+        let known = self.worker.as_ref();
+        let Some(known) = known.filter(|known| known.incarnation.worker.as_ref() == worker) else {
+            return;
+        };
+        let known_started_at = known.incarnation.started_at;
+        let is_current = match started_at {
+            Some(started_at) => started_at >= known_started_at,
+            None => known.draining,
+        };
+        if !is_current {
+            tracing::info!(
+                worker,
+                born = started_at,
+                known_born = known_started_at,
+                "late departure of an earlier worker incarnation ignored"
+            );
             return;
         }
-        tracing::info!(worker, "worker has left");
+        tracing::info!(worker, born = started_at, "worker has left");
+        self.remove_worker();
+    }
+
+    fn remove_worker(&mut self) {
         self.reset_worker(false);
         self.worker = None;
         self.leases_expired = true;
@@ -717,7 +734,7 @@
             PollError::OtherIncarnation => {
                 tracing::info!(worker = %poll.incarnation.worker, "poll answered by another incarnation of the worker");
                 self.note_crash();
-                self.worker_left(&poll.incarnation.worker.clone());
+                self.remove_worker();
             }
             PollError::Fenced => {
                 tracing::warn!(
--- a/components/steps/tests/restarts.rs
+++ b/components/steps/tests/restarts.rs
@@ -227,15 +227,23 @@
     assert_eq!(agent.report(at(30)).unsettled, []);
 }
 
-/// A worker reports that it drains before it leaves.
+/// A worker reports that it drains before it leaves. Its departure may name the incarnation.
 #[rstest]
-fn a_late_departure_of_the_earlier_incarnation_is_ignored(#[values(false, true)] is_real: bool) {
+#[case::earlier(Some(1), true, false)]
+#[case::current(Some(2), false, true)]
+#[case::unnamed_without_drain(None, false, false)]
+#[case::unnamed_after_drain(None, true, true)]
+fn a_late_departure_of_the_earlier_incarnation_is_ignored(
+    #[case] started_at: Option<u64>,
+    #[case] is_draining: bool,
+    #[case] is_gone: bool,
+) {
     let mut agent = agent();
     let mut next = heartbeat(2, 1);
-    next.info.draining = is_real;
+    next.info.draining = is_draining;
     agent.apply_heartbeat(next);
-    agent.worker_left("w");
-    assert_eq!(agent.worker().is_none(), is_real);
+    agent.worker_left("w", started_at);
+    assert_eq!(agent.worker().is_none(), is_gone);
 }
 
 /// A worker that checks no tokens carries out a start of the last owner after a poll for the
