--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -60,7 +60,8 @@
     /// Until when all runs may continue, on the worker's clock; `None` renews no
     /// lease.
     pub until_millis: Option<u64>,
-    /// Number of the last end that the worker may forget.
+    /// Number of the last end that the worker may forget; 0 if it has already forgotten all
+    /// that it may.
     pub recorded: u64,
     /// Time that the worker may hold the poll until a run ends, in milliseconds.
     pub wait_millis: u64,
@@ -120,7 +121,7 @@
     }
 }
 
-/// A start whose outcome is unknown.
+/// A start whose outcome is unknown, or whose run the worker has not listed yet.
 #[derive(Clone, Copy, Debug)]
 struct UnsettledStart {
     /// End of the lease that was granted, on the worker's clock.
@@ -128,11 +129,9 @@
     /// Whether an earlier attempt got no answer, so that a refusal of the newest one
     /// does not settle the start.
     has_lost_attempt: bool,
-    /// Last poll that was sent before the worker's answer; `None` without an answer. The
-    /// worker may have answered that poll before it carried out the start.
-    answered_after: Option<u64>,
-    /// Epoch of the owner that ordered the start.
-    epoch: u64,
+    /// Number of the last poll that was sent before the worker confirmed the start; `None`
+    /// if it has not. Later polls show the run.
+    confirmed_after: Option<u64>,
 }
 
 /// Decision state of the agent on the VM of one worker.
@@ -175,11 +174,13 @@
     last_applied_poll: u64,
     /// Number of the last end that the worker may forget, since its record is durable.
     recorded: u64,
+    /// Number of the last end that the worker is known to have forgotten.
+    forgotten: u64,
     running: Vec<ActiveRun>,
     /// Whether the worker may have ended runs that it has not listed.
     has_more_ends: bool,
     ended: BTreeMap<u64, EndedRun>,
-    /// Starts that were sent to the worker and whose outcome is unknown.
+    /// Starts that were sent to the worker and that its lists do not show yet.
     unsettled: BTreeMap<RunKey, UnsettledStart>,
     /// Runs of the worker, with the time for which it has survived them.
     tracked: TrackedRuns,
@@ -226,6 +227,7 @@
             stop_check: None,
             last_applied_poll: 0,
             recorded: 0,
+            forgotten: 0,
             running: Vec::new(),
             has_more_ends: false,
             ended: BTreeMap::new(),
@@ -328,8 +330,11 @@
                 zone = %beat.info.zone,
                 "new worker incarnation"
             );
+            let name = &beat.info.incarnation.worker;
+            let known = self.worker.as_ref();
+            let is_restart = known.is_some_and(|known| known.incarnation.worker == *name);
             self.note_crash();
-            self.reset_worker();
+            self.reset_worker(is_restart);
         }
         if self.worker.as_ref() == Some(&beat.info) {
             return;
@@ -341,17 +346,34 @@
         self.version += 1;
     }
 
-    /// Handles the departure of the worker, after which no run exists.
-    pub fn worker_left(&mut self, worker: &str) {
-        let is_known = self
-            .worker
-            .as_ref()
-            .is_some_and(|known| known.incarnation.worker.as_ref() == worker);
-        if !is_known {
+    /// Handles the departure of the worker, after which no run exists. `started_at` is the
+    /// start of the incarnation that left, if the departure names it. A late departure of an
+    /// earlier incarnation is ignored: a worker reports that it drains before it leaves.
+    pub fn worker_left(&mut self, worker: &str, started_at: Option<u64>) {
+        let known = self.worker.as_ref();
+        let Some(known) = known.filter(|known| known.incarnation.worker.as_ref() == worker) else {
+            return;
+        };
+        let known_started_at = known.incarnation.started_at;
+        let is_current = match started_at {
+            Some(started_at) => started_at >= known_started_at,
+            None => known.draining,
+        };
+        if !is_current {
+            tracing::info!(
+                worker,
+                born = started_at,
+                known_born = known_started_at,
+                "late departure of an earlier worker incarnation ignored"
+            );
             return;
         }
-        tracing::info!(worker, "worker has left");
-        self.reset_worker();
+        tracing::info!(worker, born = started_at, "worker has left");
+        self.remove_worker();
+    }
+
+    fn remove_worker(&mut self) {
+        self.reset_worker(false);
         self.worker = None;
         self.leases_expired = true;
         self.version += 1;
@@ -394,7 +416,12 @@
         }
     }
 
-    fn reset_worker(&mut self) {
+    /// Forgets the state of the worker's incarnation. One that restarts under its name may
+    /// still carry out the unsettled starts.
+    fn reset_worker(&mut self, is_restart: bool) {
+        if !is_restart {
+            self.unsettled.clear();
+        }
         self.tracked = TrackedRuns::default();
         self.clock = None;
         self.echo = None;
@@ -405,10 +432,10 @@
         self.leases_expired = false;
         self.confirmed_epoch = 0;
         self.recorded = 0;
+        self.forgotten = 0;
         self.running.clear();
         self.has_more_ends = false;
         self.ended.clear();
-        self.unsettled.clear();
         self.roles.clear();
         self.pacer = Pacer::default();
         self.sent_lists = None;
@@ -576,12 +603,14 @@
             true if self.is_pacing() => PACING_POLL_WAIT_MILLIS,
             true => POLL_WAIT_MILLIS,
         };
+        // A poll may reach the next incarnation of the worker, whose ends have other numbers.
+        let has_news = self.recorded > self.forgotten;
         Some(WorkerPoll {
             number: self.last_poll,
             incarnation,
             epoch: self.epoch,
             until_millis,
-            recorded: self.recorded,
+            recorded: if has_news { self.recorded } else { 0 },
             wait_millis,
         })
     }
@@ -627,7 +656,7 @@
                 worker.incarnation.started_at = born;
             }
             self.heartbeat_sequence = 0;
-            self.reset_worker();
+            self.reset_worker(true);
             self.version += 1;
             return Vec::new();
         }
@@ -637,6 +666,7 @@
         }
         self.unanswered_polls = 0;
         self.leases_expired = false;
+        self.forgotten = self.forgotten.max(poll.recorded);
         if poll.number > self.last_applied_poll {
             self.clock = Some((reply.clock_millis, now));
         }
@@ -704,7 +734,7 @@
             PollError::OtherIncarnation => {
                 tracing::info!(worker = %poll.incarnation.worker, "poll answered by another incarnation of the worker");
                 self.note_crash();
-                self.worker_left(&poll.incarnation.worker.clone());
+                self.remove_worker();
                 // The other incarnation may run what an earlier agent process granted.
                 self.leases_expired = self.earlier_leases_end.passed(now);
             }
@@ -739,8 +769,6 @@
             self.note_crash();
             self.leases_expired = true;
             self.running.clear();
-            // The worker would refuse these starts as late.
-            self.unsettled.clear();
             self.version += 1;
         }
     }
@@ -790,8 +818,7 @@
         let start = UnsettledStart {
             until_millis,
             has_lost_attempt: self.unsettled.contains_key(key),
-            answered_after: None,
-            epoch: self.epoch,
+            confirmed_after: None,
         };
         self.unsettled.insert(key.clone(), start);
         self.tracked.record_sent(now, key);
@@ -805,19 +832,17 @@
     pub fn settle_start(&mut self, key: &RunKey, result: OrderResult) {
         let has_lost_attempt = |start: &UnsettledStart| start.has_lost_attempt;
         let is_settled = match result {
-            OrderResult::Done | OrderResult::Refused(Refusal::Old) => true,
+            OrderResult::Refused(Refusal::Old) => true,
             OrderResult::Refused(_) => !self.unsettled.get(key).is_some_and(has_lost_attempt),
-            OrderResult::Unsettled => false,
+            OrderResult::Done | OrderResult::Unsettled => false,
         };
-        match self.unsettled.get_mut(key) {
-            // The next poll lists the run or its end.
-            Some(start) if result == OrderResult::Done => {
-                start.answered_after = Some(self.last_poll);
-            }
-            Some(_) if is_settled => {
-                self.unsettled.remove(key);
-            }
-            _ => {}
+        if result == OrderResult::Done
+            && let Some(start) = self.unsettled.get_mut(key)
+        {
+            start.confirmed_after = Some(self.last_poll);
+        }
+        if is_settled {
+            self.unsettled.remove(key);
         }
         match result {
             OrderResult::Done => self.tracked.record_confirmed(key),
@@ -872,15 +897,17 @@
         self.doubts_polled_at = now;
     }
 
-    /// Drops the unsettled starts that the worker has carried out, and those that it
-    /// would refuse as late now.
+    /// Drops the unsettled starts whose outcome the lists of a poll show, and those that the
+    /// worker would refuse as late now.
     fn settle_listed(&mut self, poll: u64, clock_millis: u64) {
         let (running, ended) = (&self.running, &self.ended);
         let tracked = &mut self.tracked;
         self.unsettled.retain(|key, start| {
             let is_listed = running.iter().any(|row| row.key == *key)
                 || ended.values().any(|end| end.key == *key);
-            let is_listed = is_listed || start.answered_after.is_some_and(|last| poll > last);
+            if let Some(confirmed_after) = start.confirmed_after {
+                return !is_listed && poll <= confirmed_after;
+            }
             let is_too_late = clock_millis > start.until_millis;
             if is_too_late {
                 tracked.remove_unlisted(key);
@@ -942,11 +969,9 @@
                 millis: self.clock_at(now)?,
             })
         });
-        // An owner knows which of its own starts were confirmed.
-        let is_unknown =
-            |start: &UnsettledStart| start.answered_after.is_none() || start.epoch < self.epoch;
-        let unsettled = self.unsettled.iter();
-        let unsettled = unsettled.filter(|(_, start)| is_unknown(start));
+        // A worker that is back after its leases have expired refuses these starts as late, unless
+        // it has restarted under its name.
+        let unsettled = self.unsettled.keys().filter(|_| !self.leases_expired);
         let leases_expired =
             self.leases_expired || (self.worker.is_none() && self.earlier_leases_end.passed(now));
         AgentReport {
@@ -962,7 +987,7 @@
             running: self.running.clone(),
             ended: self.ended.values().cloned().collect(),
             has_more_ends: self.has_more_ends,
-            unsettled: unsettled.map(|(key, _)| key.clone()).collect(),
+            unsettled: unsettled.cloned().collect(),
             crashes: self.crashes.iter().cloned().collect(),
             in_doubt: self.wants_doubts.then(|| self.runs_in_doubt()),
             ..AgentReport::default()
