An agent logs when the capacity of its worker changes

Callers could not tell why starts were refused for lack of capacity: a worker may lower its capacity while it runs, and no log line told of it.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -332,6 +332,17 @@
         if is_same_incarnation && beat.info.draining {
             tracing::info!(worker = %beat.info.incarnation.worker, "worker is draining");
         }
+        if let Some(known) = self.worker.as_ref().filter(|_| is_same_incarnation)
+            && known.capacity != beat.info.capacity
+        {
+            tracing::info!(
+                worker = %beat.info.incarnation.worker,
+                before = ?known.capacity,
+                after = ?beat.info.capacity,
+                runs = self.running.len(),
+                "capacity of the worker has changed"
+            );
+        }
         self.worker = Some(beat.info);
         self.version += 1;
     }
