Tests of workers of a cell that lower their capacity; one is red

A worker of a cell may register anew with less capacity than its tasks have reserved. It gets no tasks until there is room, but where only the accelerators are short: then it gets tasks that need none, and its agent refuses each of them. The red case is the last one.

--- a/components/cell/tests/owner.rs
+++ b/components/cell/tests/owner.rs
@@ -611,3 +611,76 @@
         assert!(session.log.contains(expected), "{}", session.log);
     }
 }
+
+/// Tasks that were started before go on; a worker may also register anew with less capacity.
+#[rstest]
+#[case::same_agent(false)]
+#[case::restarted_agent(true)]
+fn a_worker_with_less_capacity_than_its_tasks_gets_none_until_there_is_room(
+    #[case] is_restarted: bool,
+) {
+    let mut session = Session::start(both_zones_in());
+    let vm = vm_info("vm-1", "plateau", "plateau", 6);
+    session.heartbeat(&vm, 0, &[]);
+    session.heartbeat(&vm, 1, &[]);
+    session.submit(job("night", 2, 2));
+    session.advance(SECOND);
+    session.heartbeat(&vm, 1, &[]);
+    let running = |index| (run("night", index, 1), TaskPhase::Running);
+    let tasks = [running(0), running(1)];
+    session.heartbeat(&vm, 1, &tasks);
+
+    let smaller = vm_info("vm-1", "plateau", "plateau", 3);
+    let smaller = match is_restarted {
+        true => restarted(&smaller),
+        false => smaller,
+    };
+    session.heartbeat(&smaller, 1, &tasks);
+    session.submit(job("day", 1, 1));
+    session.advance(SECOND);
+    let answer = session.heartbeat(&smaller, 1, &tasks);
+    assert_eq!(started_runs(&answer.orders), Vec::<String>::new());
+    assert!(
+        !answer
+            .orders
+            .iter()
+            .any(|order| matches!(order, Order::Stop(_)))
+    );
+
+    let done = (run("night", 0, 1), TaskPhase::Succeeded);
+    session.heartbeat(&smaller, 1, &[done.clone(), running(1)]);
+    session.advance(SECOND);
+    let answer = session.heartbeat(&smaller, 1, &[done, running(1)]);
+    assert_eq!(started_runs(&answer.orders), ["day/0@1"]);
+}
+
+#[test]
+fn a_worker_with_too_few_accelerators_gets_no_tasks_that_need_none() {
+    let mut session = Session::start(both_zones_in());
+    let with_accelerators = |accelerators| VmInfo {
+        capacity: Resources::new(8_000, 65_536, accelerators),
+        ..vm_info("vm-1", "plateau", "plateau", 8)
+    };
+    let vm = with_accelerators(2);
+    session.heartbeat(&vm, 0, &[]);
+    session.heartbeat(&vm, 1, &[]);
+    let mut accelerated = job("night", 2, 2);
+    accelerated.need.accelerators = 1;
+    session.submit(accelerated);
+    session.advance(SECOND);
+    session.heartbeat(&vm, 1, &[]);
+    let running = |index| (run("night", index, 1), TaskPhase::Running);
+    let tasks = [running(0), running(1)];
+    session.heartbeat(&vm, 1, &tasks);
+
+    session.heartbeat(&with_accelerators(1), 1, &tasks);
+    session.submit(job("day", 1, 1));
+    session.advance(SECOND);
+    let answer = session.heartbeat(&with_accelerators(1), 1, &tasks);
+    assert_eq!(started_runs(&answer.orders), Vec::<String>::new());
+
+    session.heartbeat(&with_accelerators(2), 1, &tasks);
+    session.advance(SECOND);
+    let answer = session.heartbeat(&with_accelerators(2), 1, &tasks);
+    assert_eq!(started_runs(&answer.orders), ["day/0@1"]);
+}
