--- a/components/steps/tests/capacity.rs
+++ b/components/steps/tests/capacity.rs
@@ -6,11 +6,17 @@
 
 use std::time::Duration;
 
-use common::{config, entry, job, job_name, step, vm, worker_info};
+use common::{
+    config, entry, job, job_name,
+    simulation::{Faults, Simulation},
+    step, vm, worker_info,
+};
 use kernel::{Resources, Time};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use steps::{
-    AgentState, Event, Owner, Step, Timing,
+    AgentState, Event, Outcome, Owner, Step, Timing,
     agent::{Heartbeat, PollReply},
     message::{
         ActiveRun, AgentReport, ClockReading, OrderResult, Orders, OrdersReply, OwnerHeader,
@@ -322,3 +328,56 @@
     assert_eq!(agent.worker().unwrap().capacity, SHRUNK);
     assert_eq!(agent.report(at(10)).worker.unwrap().capacity, SHRUNK);
 }
+
+/// Workers change their capacity several times a second, and most starts wait for room.
+fn explore(seed: u64, faults_per_second: f64) {
+    let faults = Faults {
+        fencing: true,
+        per_second: faults_per_second,
+        until: at(20_000),
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut simulation = Simulation::new(seed, 4, faults);
+    for number in 0..200u64 {
+        simulation.run_until(at(1_000 + 100 * number));
+        let milli = rng.random_range(1_000..=4_000);
+        let capacity = Resources::new(milli, milli * 4, 0);
+        simulation.resize(&vm(rng.random_range(0..4)), capacity);
+        if number % 2 == 0 {
+            let steps = vec![step(3, &[]), step(2, &[0])];
+            simulation.submit(job(&format!("{number:016x}"), "quick", steps), false);
+        }
+    }
+    for number in 0..4 {
+        simulation.resize(&vm(number), FULL);
+    }
+    simulation.run_until(at(80_000));
+    assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+    for number in (0..200u64).step_by(2) {
+        let outcome = simulation.outcome(&job_name(&format!("{number:016x}")));
+        assert_eq!(
+            outcome,
+            Some(Outcome::Completed),
+            "seed {seed}: job {number}"
+        );
+    }
+}
+
+#[rstest]
+fn no_start_brings_a_worker_over_its_capacity(
+    #[values(1, 2, 3, 4)] seed: u64,
+    #[values(0.0, 0.05)] faults_per_second: f64,
+) {
+    explore(seed, faults_per_second);
+}
+
+/// Runs more seeds on demand: `STEPS_SEEDS=100 cargo test -p steps --test capacity`.
+#[test]
+fn additional_seeds() {
+    let count = std::env::var("STEPS_SEEDS").ok();
+    let count: u64 = count.and_then(|text| text.parse().ok()).unwrap_or(0);
+    for seed in 10_000..10_000 + count {
+        explore(seed, 0.0);
+        explore(seed, 0.05);
+    }
+}
--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -10,11 +10,11 @@
     time::Duration,
 };
 
-use kernel::{JobName, Time, VmName};
+use kernel::{JobName, Resources, Time, VmName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use steps::{
-    AgentState, Event, Job, Outcome, Owner, Progress, TaskKey, Timing,
+    AgentState, Event, Job, Outcome, Owner, Progress, Step, TaskKey, Timing,
     message::{AgentReport, OrderResult, Orders, OrdersReply, Refusal, ReportPoll, RunKey},
     owner::{Handover, PollFailure, RecordWrite},
 };
@@ -44,6 +44,8 @@
     RecordsWritten(u64, u64, Vec<RecordWrite>),
     /// The worker crashes, unless its incarnation has ended before.
     Crash(VmName, u64),
+    /// The owner crashes, if it has this epoch.
+    LoseOwner(u64),
     Elect,
 }
 
@@ -133,6 +135,8 @@
     /// How long a crashed worker is down.
     pub(crate) crash_span: Duration,
     pub(crate) lost_with_worker: LostProcess,
+    /// Number of the crash under each task after which the owner is lost, and after what time.
+    pub(crate) owner_lost_after: Option<(u32, Duration)>,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: usize,
 }
@@ -182,6 +186,7 @@
             faulty_vm: None,
             crash_span: Duration::from_secs(3),
             lost_with_worker: LostProcess::Nothing,
+            owner_lost_after: None,
             violations: Vec::new(),
             starts: 0,
         }
@@ -207,6 +212,12 @@
         self.deadly.insert(task, (0, 0));
     }
 
+    /// Changes the capacity of a worker, of which its next heartbeat tells.
+    pub(crate) fn resize(&mut self, name: &VmName, capacity: Resources) {
+        let machine = self.machines.get_mut(name).unwrap();
+        machine.worker.info.capacity = capacity;
+    }
+
     pub(crate) fn cancel(&mut self, name: &JobName) {
         if let Some(stored) = self.store.get_mut(name) {
             stored.cancelled = true;
@@ -319,9 +330,11 @@
         if !is_faulty && deadly.is_none() {
             return;
         }
+        let mut crash_number = 0;
         if let Some((crashes, starts)) = deadly {
             *starts += u32::from(*crashes >= MOST_CRASHES);
             *crashes += 1;
+            crash_number = *crashes;
             if *starts >= TOO_MANY_STARTS {
                 let (at, starts) = (self.now, *starts);
                 self.violations.push(format!(
@@ -331,14 +344,14 @@
         }
         let started_at = self.machines[name].worker.info.incarnation.started_at;
         self.send(CRASH_AFTER, Message::Crash(name.clone(), started_at));
+        if let Some((number, after)) = self.owner_lost_after
+            && number == crash_number
+        {
+            self.send(CRASH_AFTER + after, Message::LoseOwner(self.epoch));
+        }
         match self.lost_with_worker {
             LostProcess::Nothing => {}
-            LostProcess::Owner => {
-                self.owner = None;
-                self.polled_vms.clear();
-                self.writing = false;
-                self.send(Duration::from_millis(500), Message::Elect);
-            }
+            LostProcess::Owner => self.crash_owner(),
             LostProcess::Agent => {
                 let machine = self.machines.get_mut(name).unwrap();
                 machine.agent = AgentState::new(self.timing, self.now);
@@ -347,6 +360,13 @@
         }
     }
 
+    fn crash_owner(&mut self) {
+        self.owner = None;
+        self.polled_vms.clear();
+        self.writing = false;
+        self.send(Duration::from_millis(500), Message::Elect);
+    }
+
     /// Removes the owner: it stops in an orderly way, is cut off from the store, or
     /// crashes.
     fn lose_owner(&mut self) {
@@ -454,6 +474,11 @@
                     self.crash_worker(&name, self.crash_span, 1.0);
                 }
             }
+            Message::LoseOwner(epoch) => {
+                if self.is_current(epoch) {
+                    self.crash_owner();
+                }
+            }
             Message::ReportPoll(epoch, name, poll) => {
                 let now = self.now;
                 let machine = self.machines.get_mut(&name).unwrap();
@@ -535,6 +560,7 @@
                 continue;
             }
             let result = self.start_run(&name, &start.key, grant.epoch, grant.until_millis);
+            self.check_capacity(&name, &start.key);
             let machine = self.machines.get_mut(&name).unwrap();
             machine.agent.settle_start(&start.key, result);
             starts.push(result);
@@ -585,6 +611,33 @@
         result
     }
 
+    /// Checks that a worker has room for a run that has just started, according to the last
+    /// heartbeat.
+    fn check_capacity(&mut self, name: &VmName, key: &RunKey) {
+        let machine = &self.machines[name];
+        let Some(worker) = machine.agent.worker() else {
+            return;
+        };
+        let is_started_now = machine.worker.started_at(key) == Some(self.now);
+        if !is_started_now || worker.incarnation != machine.worker.info.incarnation {
+            return;
+        }
+        let need = |key: &RunKey| {
+            let stored = self.store.get(&key.task.job);
+            let step = stored.map(|stored| &stored.job.steps[usize::from(key.task.step)]);
+            step.map(Step::reserved).unwrap_or_default()
+        };
+        let runs = machine.worker.runs();
+        let reserved = runs.fold(Resources::NONE, |sum, key| sum.plus(need(key)));
+        if !reserved.fits(worker.capacity) {
+            let (at, capacity) = (self.now, worker.capacity);
+            self.violations.push(format!(
+                "{at}: {} brings {name} over its capacity: {reserved:?} of {capacity:?}",
+                key.task
+            ));
+        }
+    }
+
     /// Checks the invariants on a run that has just started.
     fn check_start(&mut self, name: &VmName, key: &RunKey) {
         let task = &key.task;
--- a/components/steps/tests/common/worker.rs
+++ b/components/steps/tests/common/worker.rs
@@ -90,6 +90,10 @@
         self.runs.keys()
     }
 
+    pub(crate) fn started_at(&self, key: &RunKey) -> Option<Time> {
+        self.runs.get(key).map(|run| run.started_at)
+    }
+
     /// Returns whether the end with this number is recorded, so that the worker may
     /// forget it.
     pub(crate) fn is_recorded(&self, number: u64) -> bool {
--- a/components/steps/tests/crashes.rs
+++ b/components/steps/tests/crashes.rs
@@ -112,6 +112,19 @@
     explore(seed, 0.0, lost, down_secs);
 }
 
+/// The worker is back 3 s after its crash; the agent then reports it.
+#[rstest]
+fn tasks_are_given_up_though_the_owner_is_lost_after_a_crash(
+    #[values(7, 8)] seed: u64,
+    #[values(1, 2, 3)] crash: u32,
+    #[values(0, 400, 3_000, 3_040, 3_100, 3_700)] after_millis: u64,
+) {
+    let mut simulation = simulation(seed, 0.0);
+    simulation.owner_lost_after = Some((crash, Duration::from_millis(after_millis)));
+    submit_jobs(&mut simulation, &DEADLY_JOBS, SETTLED_LATE);
+    check_outcomes(&simulation, &DEADLY_JOBS, seed);
+}
+
 #[rstest]
 fn tasks_that_crash_their_workers_are_given_up_among_other_faults(#[values(11, 12)] seed: u64) {
     explore(seed, 0.02, LostProcess::Nothing, 3);
