An owner takes back the starts that a worker has no capacity for any more

A worker that checks no capacity starts whatever it is sent (LIMIT). An owner that heard of a lower capacity went on to send the starts that it had decided on before: those that waited for open calls, and those whose first order got no answer. Nothing compared them with the capacity after the decision.

They are now taken back, the newest first, until what runs there fits; the other members of a gang are stopped. A start that was sent before may have been carried out, so it is stopped and leaves no room until that is confirmed. Tasks at work go on: no rule asks to move them, and a stop would count against their availability. The owner logs the change of capacity.

--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -152,6 +152,23 @@
         }
     }
 
+    /// Takes back waiting starts, the newest first, until the worker has the capacity for its
+    /// runs. A start that has been sent before may have been carried out, so it is stopped and
+    /// leaves no room yet.
+    pub(super) fn take_back_starts(&mut self, now: Time, name: &VmName) {
+        let Some(vm) = self.vms.get(name) else {
+            return;
+        };
+        let waiting = vm.starts.iter().rev().map(|start| start.key.clone());
+        for key in waiting.collect::<Vec<_>>() {
+            if !self.vms.get(name).is_some_and(Vm::is_over_capacity) {
+                return;
+            }
+            self.stop_run(now, name, &key, "capacity of the worker has fallen");
+            self.stop_gang(now, &key);
+        }
+    }
+
     pub(super) fn stop_run(&mut self, now: Time, vm: &VmName, key: &RunKey, reason: &'static str) {
         let Some(entry) = self.vms.get_mut(vm) else {
             return;
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -78,13 +78,19 @@
         vm.attached = report.worker.is_some() && report.confirmed_epoch == self.epoch;
         vm.worker_responsive = report.worker_responsive;
         vm.leases_expired = report.leases_expired;
+        let earlier_capacity = vm.info.as_ref().map(|info| info.capacity);
         if report.worker.is_some() {
             vm.info = report.worker.take();
         }
+        let capacity = vm.info.as_ref().map(|info| info.capacity);
         let is_attached = vm.attached;
         if was_attached != is_attached {
             tracing::info!(vm = %name, attached = is_attached, "worker attached to or detached from this term");
         }
+        if capacity != earlier_capacity {
+            tracing::info!(vm = %name, ?earlier_capacity, ?capacity, "capacity of the worker has changed");
+            self.take_back_starts(now, name);
+        }
         if report.leases_expired {
             self.drop_lost_runs(now, name, LossReason::LeasesExpired);
         }
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -348,6 +348,12 @@
         capacity.unwrap_or_default().minus(self.reserved)
     }
 
+    /// Whether the runs need more than the worker has, since its capacity has fallen.
+    pub(super) fn is_over_capacity(&self) -> bool {
+        let capacity = self.info.as_ref().map(|info| info.capacity);
+        !self.reserved.fits(capacity.unwrap_or_default())
+    }
+
     pub(super) fn add_run(&mut self, key: RunKey, mut run: AssignedRun) {
         self.forget_run(&key);
         run.agent_incarnation = self.agent_incarnation;
