An agent refuses starts that were decided on a higher capacity

A start may be under way as the heartbeat with a lower capacity arrives. The agent passed it on, though it knew better than the owner, and a worker that checks no capacity started it (LIMIT).

Orders now name the capacity that they were decided on, and the agent refuses their starts for lack of room while the worker has less of any resource; the owner hears of the new capacity with the next report. An owner of an earlier version names none, and its starts are passed on as before. Not chosen: to tell the agent what each run needs, so that it can add them up; it has the runs of earlier owners and processes too, whose needs it does not know.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use kernel::{EntryName, Time};
+use kernel::{EntryName, Resources, Time};
 
 use crate::{
     Timing,
@@ -782,6 +782,11 @@
         if worker.incarnation != orders.incarnation || worker.draining || is_unresponsive {
             return Err(Refusal::Worker);
         }
+        // A worker may start whatever it is sent, and only the owner knows what each run needs.
+        let has_less = |expected: Resources| !expected.fits(worker.capacity);
+        if orders.capacity.is_some_and(has_less) {
+            return Err(Refusal::Room);
+        }
         let clock = self.clock_at(now).ok_or(Refusal::Worker)?;
         if clock > orders.start_by_millis {
             return Err(Refusal::Late);
--- a/components/steps/src/message.rs
+++ b/components/steps/src/message.rs
@@ -294,6 +294,10 @@
     /// Latest reading of the worker's clock at which the agent may still send a start
     /// to the worker.
     pub start_by_millis: u64,
+    /// Capacity of the worker that the starts were decided on; `None` from an owner that
+    /// does not tell.
+    #[serde(default)]
+    pub capacity: Option<Resources>,
     /// Runs to start.
     pub starts: Vec<StartOrder>,
     /// Runs to stop.
--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -130,6 +130,7 @@
             header,
             incarnation,
             start_by_millis,
+            capacity: vm.info.as_ref().map(|info| info.capacity),
             starts,
             stops,
         })
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -82,6 +82,7 @@
         header: header(epoch, None),
         incarnation: worker_info("w", 1).incarnation,
         start_by_millis,
+        capacity: None,
         starts: Vec::new(),
         stops: vec![run("00000000000000aa", 0, 0, 1)],
     }
