A worker that is short of one resource takes no tasks at all

What is free was the capacity less the reservations, resource by resource and never below zero. So a worker whose runs exceed its accelerators, since its capacity has fallen, still offered its processor time, and each start there left it over its capacity (LIMIT); in a cell the agent refused each of them. The same in steps and in cells, so both say now that nothing is free.

a_worker_short_of_one_resource_gets_no_tasks_that_need_others (steps) and a_worker_with_too_few_accelerators_gets_no_tasks_that_need_none (cell) failed before.

--- a/components/place/src/worker.rs
+++ b/components/place/src/worker.rs
@@ -124,7 +124,11 @@
             .fold(Resources::default(), |sum, reservation| {
                 sum.plus(reservation.reserved)
             });
-        self.free = self.worker.capacity.minus(used);
+        let is_over_capacity = !used.fits(self.worker.capacity);
+        self.free = match is_over_capacity {
+            true => Resources::NONE,
+            false => self.worker.capacity.minus(used),
+        };
     }
 
     /// Recomputes the expected slowdown of the services from the reservations.
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -342,8 +342,11 @@
         self.has_orders() && self.open_calls < max_open
     }
 
-    /// Capacity that is free for new tasks.
+    /// Capacity that is free for new tasks: none while the worker is short of any resource.
     pub(super) fn available(&self) -> Resources {
+        if self.is_over_capacity() {
+            return Resources::NONE;
+        }
         let capacity = self.info.as_ref().map(|info| info.capacity);
         capacity.unwrap_or_default().minus(self.reserved)
     }
