A restarted agent keeps the roles that it is told before its worker's first heartbeat

Users saw a serving task over its target for 4 s by the best-effort tasks beside it (HARM). Its agent had been killed 24 s before. It was back within 0.2 s and answered the owner, which told it the roles of the runs there. Then its worker's next heartbeat came, up to a second later: to the agent a new incarnation, for which it clears all that it knows, roles too. The owner does not tell them twice, so the agent took the tasks for plain ones and set no pace.

Roles that came while no worker was known are kept now. Run numbers do not repeat, so a role of another worker's run does no harm.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -324,7 +324,13 @@
                 "new worker incarnation"
             );
             self.note_crash();
+            // What an owner has told an agent that has just started is about this worker.
+            let roles = match self.worker {
+                None => std::mem::take(&mut self.roles),
+                Some(_) => BTreeMap::new(),
+            };
             self.reset_worker();
+            self.roles = roles;
         }
         if self.worker.as_ref() == Some(&beat.info) {
             return;
