An owner sends roles again whose poll got no answer

A report poll takes the roles of adopted runs, and those for a restarted agent, with it. The weights of such a poll were sent again, the roles not. The owner now sends those of all runs there with the next poll.

--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -163,13 +163,7 @@
         vm.attached = false;
         vm.sent_weights_version = 0;
         vm.reset_polls();
-        let mut roles = Vec::new();
-        for (key, assigned) in &vm.runs {
-            if assigned.role != Role::Plain {
-                roles.push((key.clone(), assigned.role.clone()));
-            }
-        }
-        vm.roles = roles;
+        vm.queue_roles();
     }
 
     /// Resets state that depends on the worker's incarnation: a new one has none of
@@ -227,8 +221,9 @@
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
-        // The weights of the poll may not have arrived.
+        // The weights and roles of the poll may not have arrived.
         vm.sent_weights_version = 0;
+        vm.queue_roles();
         if !vm.unreachable {
             tracing::warn!(
                 vm = %name,
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -414,6 +414,17 @@
         }
     }
 
+    /// Sends the roles of all runs with the next poll, since the agent may not know them.
+    pub(super) fn queue_roles(&mut self) {
+        let mut roles = Vec::new();
+        for (key, assigned) in &self.runs {
+            if assigned.role != Role::Plain {
+                roles.push((key.clone(), assigned.role.clone()));
+            }
+        }
+        self.roles = roles;
+    }
+
     /// Notes that the agent has restarted and counts its polls from zero.
     pub(super) fn reset_polls(&mut self) {
         for run in self.runs.values_mut() {
