--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use kernel::{EntryName, Time};
+use kernel::{EntryName, Resources, Time};
 
 use crate::{
     Timing,
@@ -334,7 +334,13 @@
             let known = self.worker.as_ref();
             let is_restart = known.is_some_and(|known| known.incarnation.worker == *name);
             self.note_crash();
+            // What an owner has told an agent that has just started is about this worker.
+            let roles = match self.worker {
+                None => std::mem::take(&mut self.roles),
+                Some(_) => BTreeMap::new(),
+            };
             self.reset_worker(is_restart);
+            self.roles = roles;
         }
         if self.worker.as_ref() == Some(&beat.info) {
             return;
@@ -342,6 +348,17 @@
         if is_same_incarnation && beat.info.draining {
             tracing::info!(worker = %beat.info.incarnation.worker, "worker is draining");
         }
+        if let Some(known) = self.worker.as_ref().filter(|_| is_same_incarnation)
+            && known.capacity != beat.info.capacity
+        {
+            tracing::info!(
+                worker = %beat.info.incarnation.worker,
+                before = ?known.capacity,
+                after = ?beat.info.capacity,
+                runs = self.running.len(),
+                "capacity of the worker has changed"
+            );
+        }
         self.worker = Some(beat.info);
         self.version += 1;
     }
@@ -809,6 +826,11 @@
         if worker.incarnation != orders.incarnation || worker.draining || is_unresponsive {
             return Err(Refusal::Worker);
         }
+        // A worker may start whatever it is sent, and only the owner knows what each run needs.
+        let has_less = |expected: Resources| !expected.fits(worker.capacity);
+        if orders.capacity.is_some_and(has_less) {
+            return Err(Refusal::Room);
+        }
         let clock = self.clock_at(now).ok_or(Refusal::Worker)?;
         if clock > orders.start_by_millis {
             return Err(Refusal::Late);
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -82,13 +82,19 @@
         vm.attached = report.worker.is_some() && report.confirmed_epoch == self.epoch;
         vm.worker_responsive = report.worker_responsive;
         vm.leases_expired = report.leases_expired;
+        let earlier_capacity = vm.info.as_ref().map(|info| info.capacity);
         if report.worker.is_some() {
             vm.info = report.worker.take();
         }
+        let capacity = vm.info.as_ref().map(|info| info.capacity);
         let is_attached = vm.attached;
         if was_attached != is_attached {
             tracing::info!(vm = %name, attached = is_attached, "worker attached to or detached from this term");
         }
+        if capacity != earlier_capacity {
+            tracing::info!(vm = %name, ?earlier_capacity, ?capacity, "capacity of the worker has changed");
+            self.take_back_starts(now, name);
+        }
         if report.leases_expired {
             self.drop_lost_runs(now, name, LossReason::LeasesExpired);
         }
@@ -161,13 +167,7 @@
         vm.attached = false;
         vm.sent_weights_version = 0;
         vm.reset_polls();
-        let mut roles = Vec::new();
-        for (key, assigned) in &vm.runs {
-            if assigned.role != Role::Plain {
-                roles.push((key.clone(), assigned.role.clone()));
-            }
-        }
-        vm.roles = roles;
+        vm.queue_roles();
     }
 
     /// Resets state that depends on the worker's incarnation: a new one has none of
@@ -248,8 +248,9 @@
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
-        // The weights of the poll may not have arrived.
+        // The weights and roles of the poll may not have arrived.
         vm.sent_weights_version = 0;
+        vm.queue_roles();
         if !vm.unreachable {
             tracing::warn!(
                 vm = %name,
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -351,12 +351,21 @@
         self.has_orders() && self.open_calls < max_open
     }
 
-    /// Capacity that is free for new tasks.
+    /// Capacity that is free for new tasks: none while the worker is short of any resource.
     pub(super) fn available(&self) -> Resources {
+        if self.is_over_capacity() {
+            return Resources::NONE;
+        }
         let capacity = self.info.as_ref().map(|info| info.capacity);
         capacity.unwrap_or_default().minus(self.reserved)
     }
 
+    /// Whether the runs need more than the worker has, since its capacity has fallen.
+    pub(super) fn is_over_capacity(&self) -> bool {
+        let capacity = self.info.as_ref().map(|info| info.capacity);
+        !self.reserved.fits(capacity.unwrap_or_default())
+    }
+
     pub(super) fn add_run(&mut self, key: RunKey, mut run: AssignedRun) {
         self.forget_run(&key);
         run.agent_incarnation = self.agent_incarnation;
@@ -414,6 +423,17 @@
         }
     }
 
+    /// Sends the roles of all runs with the next poll, since the agent may not know them.
+    pub(super) fn queue_roles(&mut self) {
+        let mut roles = Vec::new();
+        for (key, assigned) in &self.runs {
+            if assigned.role != Role::Plain {
+                roles.push((key.clone(), assigned.role.clone()));
+            }
+        }
+        self.roles = roles;
+    }
+
     /// Notes that the agent has restarted and counts its polls from zero.
     pub(super) fn reset_polls(&mut self) {
         for run in self.runs.values_mut() {
--- a/components/steps/tests/restarts.rs
+++ b/components/steps/tests/restarts.rs
@@ -191,6 +191,7 @@
         header: header(5, None),
         incarnation: worker_info("w", 1).incarnation,
         start_by_millis: u64::MAX,
+        capacity: None,
         starts: Vec::new(),
         stops: Vec::new(),
     }
