The handover note passes the clock readings on

Cause: an agent renews leases only after an owner has echoed a reading of its worker's clock that it reported to that owner before. So each owner had to call an agent twice.

The note for the next owner now holds the newest reading of each worker's clock with its age, and the owner's first call to an agent echoes it until the agent has answered. An owner that has not heard an agent passes on what it was told.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -37,7 +37,7 @@
 mod work;
 
 pub use entry::JobEntry;
-pub use handover::{Handover, LongRunningTasks, UnreachableVm};
+pub use handover::{Handover, LongRunningTasks, PassedReading, UnreachableVm};
 pub use journal::RecordWrite;
 pub use vm::VmStatus;
 pub use work::{Backlog, WorkCounts};
--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -10,6 +10,12 @@
 //! A task that was down when the previous owner stopped need not wait for VMs that do not
 //! answer, since nobody has started it. The note therefore names the VMs on which
 //! long-running tasks may run. A task of another kind may also have been done there.
+//!
+//! An agent renews leases for a limited time after a clock reading that an owner echoes. The
+//! note passes the newest readings on, so the first call of the next owner echoes one, and an
+//! owner that gets around all agents only once keeps their leases alive. A reading is older
+//! than the last answer to the owner that received it, so it extends no lease beyond the wait
+//! that the next owner counts for a VM that does not answer.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -24,10 +30,12 @@
     orders::REPORT_POLL_WAIT,
     vm::{Phase, Vm},
 };
-use crate::TaskKey;
+use crate::{TaskKey, message::ClockReading};
 
 /// The most long-running tasks that a note names, which bounds its size.
 const MAX_TASKS: usize = 1_000;
+/// The most clock readings that a note holds, which bounds its size.
+const MAX_READINGS: usize = 5_000;
 
 /// A VM whose agent does not answer, with the time for which tasks may still run
 /// there.
@@ -39,6 +47,15 @@
     pub left_millis: u64,
 }
 
+/// The newest reading of a worker's clock that an owner has received.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedReading {
+    /// The reading.
+    pub reading: ClockReading,
+    /// Time in milliseconds since the reading arrived.
+    pub age_millis: u64,
+}
+
 /// Long-running tasks that are not certainly down.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LongRunningTasks {
@@ -61,6 +78,9 @@
     /// VMs whose agents did not answer.
     #[serde(rename = "silent")]
     pub unreachable: Vec<UnreachableVm>,
+    /// Readings that let agents renew leases once the next owner calls them.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub readings: BTreeMap<VmName, PassedReading>,
     /// State of long-running tasks; `None` if the owner did not know it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub long_running: Option<LongRunningTasks>,
@@ -114,10 +134,63 @@
             epoch: self.epoch,
             renewal_left_millis: millis(self.earlier_renewed_until().remaining(now)),
             unreachable,
+            readings: self.passed_readings(now),
             long_running: self.long_running_tasks(now),
         }
     }
 
+    /// The newest clock readings, also those that this owner was told and has no newer ones
+    /// for.
+    fn passed_readings(&self, now: Time) -> BTreeMap<VmName, PassedReading> {
+        let mut readings = Vec::new();
+        for (name, vm) in &self.vms {
+            if let Some((reading, read_at)) = &vm.clock_reading {
+                let age_millis = millis(now.since(*read_at));
+                readings.push((age_millis, name, reading));
+            }
+        }
+        let in_term = millis(now.since(self.term_start));
+        for (name, told) in self.handover.iter().flat_map(|note| &note.readings) {
+            let vm = self.vms.get(name);
+            if vm.is_none_or(|vm| !vm.has_answered()) {
+                let age_millis = told.age_millis.saturating_add(in_term);
+                readings.push((age_millis, name, &told.reading));
+            }
+        }
+        // An older one extends no lease.
+        let useful = millis(self.timing.contact_grace + self.timing.lease);
+        readings.retain(|(age_millis, ..)| *age_millis <= useful);
+        readings.sort_by_key(|(age_millis, ..)| *age_millis);
+        if readings.len() > MAX_READINGS {
+            tracing::warn!(
+                epoch = self.epoch,
+                readings = readings.len(),
+                max = MAX_READINGS,
+                "too many clock readings for the handover note; the oldest ones are left out"
+            );
+            readings.truncate(MAX_READINGS);
+        }
+        let passed = readings.into_iter().map(|(age_millis, name, reading)| {
+            let reading = reading.clone();
+            (
+                name.clone(),
+                PassedReading {
+                    reading,
+                    age_millis,
+                },
+            )
+        });
+        passed.collect()
+    }
+
+    /// Reading of the clock of a VM's worker that the previous owner passed on; `None` once
+    /// the agent has answered this owner.
+    pub(super) fn told_reading(&self, name: &VmName) -> Option<&ClockReading> {
+        let vm = self.vms.get(name)?;
+        let note = self.handover.as_ref().filter(|_| !vm.has_answered())?;
+        note.readings.get(name).map(|told| &told.reading)
+    }
+
     /// Long-running tasks that are not certainly down; `None` if this owner does not know.
     fn long_running_tasks(&self, now: Time) -> Option<LongRunningTasks> {
         if !self.are_jobs_loaded {
--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -51,16 +51,18 @@
         }
     }
 
-    fn header(&self, now: Time, vm: &VmName) -> OwnerHeader {
-        let vm = self.vms.get(vm);
+    fn header(&self, now: Time, name: &VmName) -> OwnerHeader {
+        let vm = self.vms.get(name);
         let clock_reading = vm
             .and_then(|vm| vm.clock_reading.as_ref())
+            .map(|(clock_reading, _)| clock_reading)
+            .or_else(|| self.told_reading(name))
             .filter(|_| self.may_renew(now));
         let incarnation = vm.and_then(|vm| vm.incarnation().cloned());
         OwnerHeader {
             epoch: self.epoch,
             owner: self.name.clone(),
-            echo: clock_reading.map(|(clock_reading, _)| clock_reading.clone()),
+            echo: clock_reading.cloned(),
             recorded: vm.and_then(|vm| Some((incarnation?, vm.recorded_end))),
             recorded_crash: vm
                 .filter(|vm| vm.recorded_crash > 0)
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1139,3 +1139,55 @@
     assert_eq!(listed[0].vm, vm(1));
     assert!(listed[0].left_millis < 4_500);
 }
+
+fn echo_to(session: &mut Session, now: Time, number: usize) -> Option<ClockReading> {
+    let poll = session.owner.next_report_poll(now, &vm(number)).unwrap();
+    poll.header.echo
+}
+
+/// Guards against owners replaced before they have called any agent twice.
+#[test]
+fn the_first_call_of_an_owner_echoes_the_clock_reading_that_the_note_passes_on() {
+    let mut before = Session::new(2);
+    before.report(at(0), 0, |_| ());
+    before.report(at(3_000), 1, |_| ());
+    before.handle(at(3_000), Event::OwnershipProved(at(3_000)));
+    let told = echo_to(&mut before, at(3_000), 0);
+    let handover = before.owner.handover(at(3_000));
+
+    let mut between = Session::with_handover(handover, EPOCH + 1, at(3_100));
+    assert!(echo_to(&mut between, at(3_100), 0).is_some());
+    between.report(at(3_200), 1, |report| {
+        report.epoch = EPOCH + 1;
+        report.clock_reading.as_mut().unwrap().millis = 13_200;
+    });
+    let newest = echo_to(&mut between, at(3_200), 1).unwrap();
+    assert_eq!(newest.millis, 13_200);
+    assert_eq!(echo_to(&mut between, at(4_700), 0), None, "no recent proof");
+
+    let handover = between.owner.handover(at(4_100));
+    let mut after = Session::with_handover(handover, EPOCH + 2, at(4_200));
+    assert_eq!(echo_to(&mut after, at(4_200), 0), told);
+    assert_eq!(echo_to(&mut after, at(4_200), 1), Some(newest));
+    let left = after.owner.handover(at(7_300)).readings;
+    assert!(!left.contains_key(&vm(0)), "it extends no lease any more");
+    assert!(left.contains_key(&vm(1)));
+}
+
+/// Guards against an owner that waits anew for leases that it has only passed on.
+#[test]
+fn an_echo_of_a_reading_from_the_note_does_not_prolong_the_wait_for_a_vm() {
+    let mut before = Session::new(2);
+    before.report(at(0), 0, |_| ());
+    before.report(at(0), 1, |_| ());
+    before.handle(at(100), Event::Unreachable(vm(1), PollFailure::default()));
+    let handover = before.owner.handover(at(3_000));
+    let mut session = Session::with_handover(handover, EPOCH + 1, at(3_100));
+    assert!(echo_to(&mut session, at(3_100), 1).is_some());
+    session.report(at(3_200), 0, |report| {
+        (report.epoch, report.confirmed_epoch) = (EPOCH + 1, EPOCH + 1);
+    });
+    let expired_at = at(110) + Timing::default().unreachable_agent_timeout();
+    session.handle(expired_at, Event::Tick);
+    assert_eq!(session.take_starts(expired_at, 0).len(), 1);
+}
