A new owner counts the wait for silent VMs from the expiry of the key

Cause: without a note the next owner took it that the one before might let agents renew leases for 1.5 s more, and counted 7.5 s from then. But the key of an owner that was killed lasts for 3 s from a proof, and the owner renews nothing later than 1.5 s after its last proof. So its last renewal is at least 1.4 s older than the expiry (both clocks 2% off), and nothing that it started runs 6.1 s after the start of the next term, on whichever VM.

That holds only if the key has expired.

Ruled out: a record before each start, and reports of the other agents: that no answering VM runs a task does not tell that the silent one does not.

--- a/components/steps/tests/common/processor.rs
+++ b/components/steps/tests/common/processor.rs
@@ -559,10 +559,11 @@
 
     /// What a new owner learns from the store before the jobs.
     fn read_agents(&self) -> Vec<Event> {
-        let handover = self.handover.iter().cloned();
+        let note = self.handover.as_ref();
+        let note = note.filter(|note| note.epoch + 1 == self.epoch).cloned();
+        let end = note.map_or(Event::KeyExpired, Event::HandedOver);
         let vms = self.registered.iter().cloned();
-        let handover = handover.map(Event::HandedOver);
-        handover.chain(vms.map(Event::Vm)).collect()
+        std::iter::once(end).chain(vms.map(Event::Vm)).collect()
     }
 
     /// Queues what the owner wants to send and arms its timer.
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1191,3 +1191,66 @@
     session.handle(expired_at, Event::Tick);
     assert_eq!(session.take_starts(expired_at, 0).len(), 1);
 }
+
+/// Time at which an owner that found the key of the one before expired starts a task although a
+/// VM does not answer.
+fn wait_after_expired_key(told: Option<Event>) -> u64 {
+    let mut session = Session::new(0);
+    if let Some(event) = told {
+        session.handle(START, event);
+    }
+    session.submit(START, JOB, 1);
+    session.handle(at(10), Event::Vm(vm(0)));
+    session.handle(at(10), Event::Vm(vm(1)));
+    session.report(at(20), 0, |_| ());
+    for millis in (100..10_000).step_by(10) {
+        session.handle(at(millis), Event::Tick);
+        if !session.take_starts(at(millis), 0).is_empty() {
+            return millis;
+        }
+    }
+    unreachable!("no start");
+}
+
+/// Guards against a wait that counts a lost owner's time to renew leases from the end of its key.
+#[test]
+fn a_new_owner_waits_less_long_if_the_key_of_the_one_before_has_expired() {
+    let timing = Timing::default();
+    let timeout = timing.unreachable_agent_timeout();
+    let in_millis = |span: Duration| span.as_millis() as u64;
+    let unknown = wait_after_expired_key(None);
+    let expired = wait_after_expired_key(Some(Event::KeyExpired));
+    assert!(unknown >= in_millis(timing.renewal + timeout));
+    let last_renewal = timing.last_renewal_before_expiry();
+    assert!(last_renewal <= timing.owner_key - timing.renewal);
+    assert!(expired >= in_millis(timeout - last_renewal));
+    assert!(expired <= in_millis(timeout - last_renewal) + 20);
+}
+
+/// A note of the process before is newer than its key.
+#[test]
+fn an_owner_that_is_told_of_an_expired_key_heeds_a_note() {
+    let note = Handover {
+        epoch: EPOCH - 1,
+        ..Handover::default()
+    };
+    let mut session = Session::with_handover(note, EPOCH, START);
+    session.handle(START, Event::KeyExpired);
+    session.report(at(20), 0, |_| ());
+    let timeout = Timing::default().unreachable_agent_timeout();
+    session.handle(START + timeout - Duration::from_millis(20), Event::Tick);
+    assert_eq!(session.take_starts(START + timeout, 0), []);
+    session.handle(at(20) + timeout, Event::Tick);
+    assert_eq!(session.take_starts(at(20) + timeout, 0).len(), 1);
+}
+
+/// Guards against an owner that counts its first proof from after its key was written.
+#[test]
+fn the_first_proof_of_an_owner_may_be_older_than_its_term() {
+    let mut owner = Owner::new(entry(1), EPOCH, Timing::default(), at(1_000)).with_proof(START);
+    owner.handle(at(1_000), at(1_000), Event::Vm(vm(0)));
+    let mut session = Session { owner, version: 0 };
+    session.report(at(1_010), 0, |_| ());
+    assert!(echo_to(&mut session, at(1_400), 0).is_some());
+    assert_eq!(echo_to(&mut session, at(1_600), 0), None);
+}
