--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -4,7 +4,6 @@
 
 use futures_lite::FutureExt;
 use kernel::Time;
-use steps::owner::Handover;
 use store::{
     Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn,
     backoff::Backoff,
@@ -94,37 +93,17 @@
         return Ok(false);
     };
     let settings = &shared.settings;
-    let own = match serde_json::from_slice::<OwnerRecord>(&kv.value) {
-        Ok(record) => Some(record).filter(|record| {
-            record.entry == settings.name && record.address == settings.internal_address
-        }),
+    let is_own = match serde_json::from_slice::<OwnerRecord>(&kv.value) {
+        Ok(record) => record.entry == settings.name && record.address == settings.internal_address,
         Err(error) => {
             tracing::error!(%error, "can't decode the key of the owner; waiting until it expires");
-            None
+            false
         }
     };
-    let Some((record, lease)) = own.zip(kv.lease) else {
+    let Some(lease) = kv.lease.filter(|_| is_own) else {
         return Ok(false);
     };
-    // That process has let agents renew leases until now, so its key has not expired.
-    let note = Handover {
-        epoch: record.epoch,
-        ..Handover::default()
-    };
-    let value =
-        serde_json::to_vec(&note).map_err(|error| StoreError::not_run(error.to_string()))?;
-    let txn = Txn {
-        compares: vec![Compare::ModifiedAt(keys::OWNER.to_owned(), kv.modified)],
-        ops: vec![
-            Op::Delete(KeyRange::one(keys::OWNER)),
-            Op::put(keys::HANDOVER, value),
-        ],
-        otherwise: Vec::new(),
-    };
-    if !shared.store.txn(txn).await?.succeeded {
-        return Ok(false);
-    }
-    revoke(&*shared.store, lease).await;
+    shared.store.revoke(lease).await?;
     tracing::info!("key of this entry's earlier process released; it owned the jobs");
     Ok(true)
 }
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -109,12 +109,11 @@
     tracing::info!(epoch, "this entry owns the jobs");
     let name = shared.settings.name.clone();
     let started_at = shared.clock.now();
-    let owner = Owner::new(name, epoch, timing, started_at).with_proof(claim.proved_at);
     let term = Arc::new(Term {
         clock: shared.clock,
         store: Arc::clone(&shared.store),
         secrets,
-        owner: Mutex::new(owner),
+        owner: Mutex::new(Owner::new(name, epoch, timing, started_at)),
         early_updates: Mutex::new(Some(Vec::new())),
         agents: Mutex::default(),
         proved_at: Mutex::new(claim.proved_at),
@@ -274,29 +273,28 @@
         return Ok(Some(term.owner().handover(term.now())));
     }
     let found = term.store.range(KeyRange::one(keys::HANDOVER), 1).await?;
-    let note = read_handover(&found.kvs).map_err(|error| StoreError::not_run(error.to_string()))?;
+    let note = read_handover(&found.kvs);
     Ok(note.and_then(|note| note.passed_on(term.claim.record.epoch)))
 }
 
-/// Applies the handover of the previous owner. Whoever deletes the key of an owner that may
-/// have called agents leaves one, so without it the key has expired.
+/// Applies the handover of the previous owner, if there is one.
 fn apply_handover(term: &Term, kvs: &[KeyValue]) {
-    match read_handover(kvs) {
-        Ok(Some(handover)) if handover.epoch + 1 == term.claim.record.epoch => {
-            term.apply_event(Event::HandedOver(handover));
-        }
-        Ok(_) => term.apply_event(Event::KeyExpired),
+    if let Some(handover) = read_handover(kvs) {
+        term.apply_event(Event::HandedOver(handover));
+    }
+}
+
+fn read_handover(kvs: &[KeyValue]) -> Option<Handover> {
+    let kv = kvs.iter().find(|kv| kv.key == keys::HANDOVER)?;
+    match serde_json::from_slice(&kv.value) {
+        Ok(handover) => Some(handover),
         Err(error) => {
             tracing::error!(%error, "can't decode the handover of the previous owner");
+            None
         }
     }
 }
 
-fn read_handover(kvs: &[KeyValue]) -> Result<Option<Handover>, serde_json::Error> {
-    let kv = kvs.iter().find(|kv| kv.key == keys::HANDOVER);
-    kv.map(|kv| serde_json::from_slice(&kv.value)).transpose()
-}
-
 /// Loads all jobs, then applies the updates received meanwhile.
 async fn load_jobs(shared: &Shared, term: &Arc<Term>) {
     let started_at = Instant::now();
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -67,9 +67,6 @@
     OwnershipProved(Time),
     /// Handover note of the previous owner, which stopped in an orderly way.
     HandedOver(Handover),
-    /// The key of the previous owner was not deleted but expired, so its last proof of the
-    /// ownership is as old as the key lasts.
-    KeyExpired,
     /// The jobs are being read from the store. Agents are called meanwhile, so that leases
     /// are renewed, but their runs are compared with the jobs only afterwards.
     LoadingJobs,
@@ -146,8 +143,6 @@
     /// Handover note of the previous owner; `None` if that owner did not stop in an
     /// orderly way.
     handover: Option<Handover>,
-    /// Whether the key of the previous owner expired.
-    has_key_expired: bool,
     /// Number of the last change that must become durable.
     last_change: u64,
     /// Number of the last change known to be durable.
@@ -208,7 +203,6 @@
             proved_at: now,
             renewal_withheld_since: None,
             handover: None,
-            has_key_expired: false,
             last_change: 0,
             durable_change: 0,
             dirty: BTreeSet::new(),
@@ -232,13 +226,6 @@
         }
     }
 
-    /// Returns this owner with the time of its first proof, before which the key of this term
-    /// had no lease. Without it the start of the term counts.
-    #[must_use]
-    pub fn with_proof(self, proved_at: Time) -> Self {
-        Self { proved_at, ..self }
-    }
-
     /// Epoch of this term.
     #[must_use]
     pub const fn epoch(&self) -> u64 {
@@ -269,7 +256,6 @@
                 self.track_renewal(now);
             }
             Event::HandedOver(handover) => self.on_handover(handover),
-            Event::KeyExpired => self.on_key_expired(),
             Event::LoadingJobs => self.is_loading = true,
             Event::JobsLoaded => self.on_jobs_loaded(now),
             Event::Vm(vm) => self.on_vm(now, vm),
--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -272,22 +272,10 @@
         self.schedule_due = true;
     }
 
-    pub(super) fn on_key_expired(&mut self) {
-        tracing::info!(
-            epoch = self.epoch,
-            "key of the previous owner expired without a handover note"
-        );
-        self.has_key_expired = true;
-        self.schedule_due = true;
-    }
-
     /// Time until which the previous owner may have let agents renew leases.
     pub(super) fn earlier_renewed_until(&self) -> Time {
         match &self.handover {
             Some(note) => self.term_start + Duration::from_millis(note.renewal_left_millis),
-            None if self.has_key_expired => {
-                self.term_start - self.timing.last_renewal_before_expiry()
-            }
             None => self.term_start + self.timing.renewal,
         }
     }
@@ -298,14 +286,10 @@
         if vm.attached {
             return vm.last_answer_at + timeout;
         }
-        let earlier_renewed_until = self.earlier_renewed_until();
-        if vm.has_answered() {
-            return vm.last_answer_at.max(earlier_renewed_until) + timeout;
+        match self.noted_expiry(name) {
+            Some(expire_at) if !vm.has_answered() => expire_at,
+            _ => vm.last_answer_at.max(self.earlier_renewed_until()) + timeout,
         }
-        // The VM may be known for less long than the term lasts.
-        let before_term = self.term_start.since(earlier_renewed_until);
-        let renewed_until = earlier_renewed_until.max(vm.last_answer_at - before_term);
-        self.noted_expiry(name).unwrap_or(renewed_until + timeout)
     }
 
     /// Time after which, according to the note of the previous owner, nothing that it may
--- a/components/steps/src/timing.rs
+++ b/components/steps/src/timing.rs
@@ -49,7 +49,7 @@
 const RENEWAL: Duration = Duration::from_millis(1500);
 /// Below the bounds for draining (2 s) and cancelling (3 s).
 const START_WITHIN: Duration = Duration::from_millis(1200);
-/// Lowest rate of a clock: at most 2% slow.
+/// Lowest rate of a worker's clock: at most 2% slow.
 const SLOWEST_CLOCK: f64 = 0.98;
 
 impl Default for Timing {
@@ -78,14 +78,6 @@
         (self.contact_grace + self.lease).div_f64(SLOWEST_CLOCK) + self.kill_slack
     }
 
-    /// Minimum time from an owner's last renewal of leases to the expiry of its key, since it
-    /// renews none without a recent proof that the key is there.
-    #[must_use]
-    pub fn last_renewal_before_expiry(&self) -> Duration {
-        let owner_key = self.owner_key.mul_f64(SLOWEST_CLOCK);
-        owner_key.saturating_sub(self.renewal.div_f64(SLOWEST_CLOCK))
-    }
-
     /// Minimum time that passes on a worker's clock during `span`.
     #[must_use]
     pub fn min_elapsed_on_worker(span: Duration) -> Duration {
--- a/components/steps/tests/common/processor.rs
+++ b/components/steps/tests/common/processor.rs
@@ -559,11 +559,10 @@
 
     /// What a new owner learns from the store before the jobs.
     fn read_agents(&self) -> Vec<Event> {
-        let note = self.handover.as_ref();
-        let note = note.filter(|note| note.epoch + 1 == self.epoch).cloned();
-        let end = note.map_or(Event::KeyExpired, Event::HandedOver);
+        let handover = self.handover.iter().cloned();
         let vms = self.registered.iter().cloned();
-        std::iter::once(end).chain(vms.map(Event::Vm)).collect()
+        let handover = handover.map(Event::HandedOver);
+        handover.chain(vms.map(Event::Vm)).collect()
     }
 
     /// Queues what the owner wants to send and arms its timer.
--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -132,8 +132,6 @@
     pub(crate) faulty_vm: Option<VmName>,
     /// How long a crashed worker is down.
     pub(crate) crash_span: Duration,
-    /// Whether the key of an owner that does not stop in an orderly way lasts until it expires.
-    pub(crate) do_keys_expire: bool,
     pub(crate) lost_with_worker: LostProcess,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: usize,
@@ -183,7 +181,6 @@
             deadly: BTreeMap::new(),
             faulty_vm: None,
             crash_span: Duration::from_secs(3),
-            do_keys_expire: false,
             lost_with_worker: LostProcess::Nothing,
             violations: Vec::new(),
             starts: 0,
@@ -375,26 +372,15 @@
         }
         self.polled_vms.clear();
         self.writing = false;
-        let mut pause = Duration::from_millis(self.rng.random_range(300..3_000));
-        if self.do_keys_expire && !self.is_handed_over() {
-            // An entry notices the expiry within the time that it waits otherwise.
-            pause = self.timing.owner_key + pause / 10;
-        }
+        let pause = Duration::from_millis(self.rng.random_range(300..3_000));
         self.send(pause, Message::Elect);
     }
 
-    /// Whether the last owner has left a note.
-    fn is_handed_over(&self) -> bool {
-        let note = self.handover.as_ref();
-        note.is_some_and(|note| note.epoch == self.epoch)
-    }
-
     fn elect(&mut self) {
         if !self.store_down_until.passed(self.now) {
             self.send(Duration::from_millis(200), Message::Elect);
             return;
         }
-        let has_key_expired = self.do_keys_expire && !self.is_handed_over();
         self.epoch += 1;
         let mut owner = Owner::new(entry(self.epoch), self.epoch, self.timing, self.now);
         let now = self.now;
@@ -402,9 +388,6 @@
         if let Some(handover) = self.handover.clone() {
             owner.handle(now, now, Event::HandedOver(handover));
         }
-        if has_key_expired {
-            owner.handle(now, now, Event::KeyExpired);
-        }
         for (name, stored) in &self.store {
             if let Some(outcome) = stored.outcome {
                 owner.handle(now, now, Event::Ended(name.clone(), outcome));
--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -26,10 +26,6 @@
 }
 
 fn explore_with(seed: u64, per_second: f64, fencing: bool) {
-    explore_keys(seed, per_second, fencing, false);
-}
-
-fn explore_keys(seed: u64, per_second: f64, fencing: bool, do_keys_expire: bool) {
     let start = Time::from_secs(1_000);
     let faults = Faults {
         fencing,
@@ -37,7 +33,6 @@
         until: start + FAULT_TIME,
     };
     let mut simulation = Simulation::new(seed, MACHINE_COUNT, faults);
-    simulation.do_keys_expire = do_keys_expire;
     for number in 0u64..24 {
         simulation.run_until(start + Duration::from_secs(number));
         let id = format!("{number:016x}");
@@ -74,12 +69,8 @@
     );
 }
 
-fn explore_long_running(seed: u64, per_second: f64, fencing: bool) {
-    explore_long_running_keys(seed, per_second, fencing, false);
-}
-
 /// Long-running tasks end from time to time and must run again, also after changes of owner.
-fn explore_long_running_keys(seed: u64, per_second: f64, fencing: bool, do_keys_expire: bool) {
+fn explore_long_running(seed: u64, per_second: f64, fencing: bool) {
     let start = Time::from_secs(1_000);
     let faults = Faults {
         fencing,
@@ -87,7 +78,6 @@
         until: start + FAULT_TIME,
     };
     let mut simulation = Simulation::new(seed, MACHINE_COUNT, faults);
-    simulation.do_keys_expire = do_keys_expire;
     for number in 0u64..3 {
         let watch = Step {
             long_running: true,
@@ -111,16 +101,6 @@
     explore_long_running(seed, 0.15, fencing);
 }
 
-/// The wait after an owner whose key has expired is the shortest one without a note.
-#[rstest]
-fn after_an_owner_whose_key_has_expired_no_invariant_is_violated(
-    #[values(51, 52, 53, 54, 55, 56, 57, 58)] seed: u64,
-    #[values(true, false)] fencing: bool,
-) {
-    explore_keys(seed, 0.15, fencing, true);
-    explore_long_running_keys(seed, 0.15, fencing, true);
-}
-
 #[rstest]
 fn without_faults_all_jobs_complete(#[values(1, 2)] seed: u64) {
     explore(seed, 0.0);
@@ -184,8 +164,6 @@
             explore_with(seed, 0.05, fencing);
             explore_with(seed, 0.15, fencing);
             explore_long_running(seed, 0.15, fencing);
-            explore_keys(seed, 0.15, fencing, true);
-            explore_long_running_keys(seed, 0.15, fencing, true);
         }
     }
 }
