An owner that can't load the jobs hands them over

An owner whose reads have failed for 3 s, as long as the key of a lost owner lasts, now hands over in the orderly way if another entry is announced, and lets all others go first for 1.5 s. The note of the previous owner is passed on as in any short term, and agents are called meanwhile.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -164,7 +164,11 @@
     let hands_over = is_orderly && !term.is_over();
     let is_released = hands_over && hand_over(&term, timing.owner_key).await;
     if is_stepping_down {
-        shared.candidacy().finish_hand_over(shared.clock.now());
+        let now = shared.clock.now();
+        match term.is_loaded() {
+            true => shared.candidacy().finish_hand_over(now),
+            false => shared.candidacy().finish_failed_load(now),
+        }
     }
     term.end();
     tracing::info!(
@@ -302,16 +306,28 @@
         tracing::info!(%error, "can't read the keys of the agents; calling them once the jobs are loaded");
     }
     let mut backoff = store::backoff::Backoff::with_random_seed();
+    // The store may refuse the reads of this entry alone.
+    let give_up_at = term.now() + shared.settings.timing.owner_key;
     let kvs = loop {
-        match read_all(shared).await {
+        let error = match read_all(shared).await {
             Ok(kvs) => break kvs,
-            Err(error) => {
-                if backoff.failures() == 0 {
-                    tracing::warn!(%error, "can't load the jobs; trying again");
-                }
-                smol::Timer::after(backoff.next_delay()).await;
-            }
-        }
+            Err(error) => error,
+        };
+        if backoff.failures() == 0 {
+            tracing::warn!(%error, "can't load the jobs; trying again");
+        }
+        let has_other_entry = shared.index().has_other_entry(&shared.settings.name);
+        if give_up_at.passed(term.now()) && has_other_entry {
+            tracing::warn!(
+                %error,
+                epoch = term.claim.record.epoch,
+                failed_reads = backoff.failures() + 1,
+                waited_ms = started_at.elapsed().as_millis() as u64,
+                "can't load the jobs; handing them over to another entry"
+            );
+            term.step_down();
+        }
+        smol::Timer::after(backoff.next_delay()).await;
     };
     if let Some(config) = shared.config.load_full() {
         term.handle(Event::Config(config));
@@ -546,7 +562,7 @@
         self.over_signal.notify(usize::MAX);
     }
 
-    /// Ends the term in the orderly way, so that a larger entry can own the jobs.
+    /// Ends the term in the orderly way, so that another entry can own the jobs.
     pub(super) fn step_down(&self) {
         self.is_stepping_down.store(true, Ordering::Relaxed);
         self.over_signal.notify(usize::MAX);
--- a/components/steps/src/candidacy.rs
+++ b/components/steps/src/candidacy.rs
@@ -81,6 +81,8 @@
     next_hand_over_at: Time,
     /// Until when this entry lets larger ones go first after it has handed over.
     yields_until: Time,
+    /// Until when this entry lets all others go first, since it could not load the jobs.
+    unfit_until: Time,
 }
 
 impl Candidacy {
@@ -94,6 +96,7 @@
             hold_off: HOLD_OFF,
             next_hand_over_at: Time::ZERO,
             yields_until: Time::ZERO,
+            unfit_until: Time::ZERO,
         }
     }
 
@@ -127,7 +130,7 @@
             None => Duration::ZERO,
         };
         CampaignDelay {
-            wait: extra + random,
+            wait: extra.max(self.unfit_until.remaining(now)) + random,
             yields_to,
         }
     }
@@ -163,6 +166,11 @@
         self.hold_off(now);
     }
 
+    /// Notes that this entry has handed the jobs over since it could not load them.
+    pub fn finish_failed_load(&mut self, now: Time) {
+        self.unfit_until = now + HAND_OVER_DELAY;
+    }
+
     fn hold_off(&mut self, now: Time) {
         if (self.next_hand_over_at + MAX_HOLD_OFF).passed(now) {
             self.hold_off = HOLD_OFF;
--- a/components/steps/tests/candidacy.rs
+++ b/components/steps/tests/candidacy.rs
@@ -140,3 +140,16 @@
     let later = now + Duration::from_secs(5);
     assert_eq!(candidacy.hand_over_target(later).unwrap().name, entry(2));
 }
+
+/// Guards against an entry that at once becomes the owner again.
+#[test]
+fn an_entry_that_could_not_load_the_jobs_lets_entries_of_any_size_go_first() {
+    let mut candidacy = candidacy(&[(Some(LARGE), 1), (Some(SMALL), 2)]);
+    let now = Time::from_secs(10);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    candidacy.finish_failed_load(now);
+    let longest = Duration::from_millis(250);
+    assert!(candidacy.campaign_delay(now, &mut rng).wait > longest);
+    let later = now + Duration::from_secs(2);
+    assert!(candidacy.campaign_delay(later, &mut rng).wait <= longest);
+}
