A deposed owner does not delete the keys of agents

The deletion compared only the revision of the agent's key. It now compares the epoch too, like the other writes of an owner, so it has no effect once a later owner has taken over, however late it is carried out.

Ruled out: the handover note (there was none), and leases reported as expired (none were).

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -703,15 +703,25 @@
             return;
         };
         let key = keys::agent(vm);
+        // A later owner may know that the agent is alive.
+        let epoch = keys::EPOCH.to_owned();
         let txn = Txn {
-            compares: vec![Compare::ModifiedAt(key.clone(), agent.revision)],
+            compares: vec![
+                Compare::ModifiedAt(epoch, self.claim.epoch_revision),
+                Compare::ModifiedAt(key.clone(), agent.revision),
+            ],
             ops: vec![Op::Delete(KeyRange::one(key))],
             otherwise: Vec::new(),
         };
         let (store, vm) = (Arc::clone(&self.store), vm.clone());
         smol::spawn(async move {
-            if let Err(error) = store.txn(txn).await {
-                tracing::info!(%vm, %error, "can't delete the key of an agent that is gone; a later owner may wait for it");
+            match store.txn(txn).await {
+                Ok(reply) => {
+                    tracing::info!(%vm, is_deleted = reply.succeeded, "key of an agent that is gone");
+                }
+                Err(error) => {
+                    tracing::info!(%vm, %error, "can't delete the key of an agent that is gone; a later owner may wait for it");
+                }
             }
         })
         .detach();
