Log lines tell what a best-effort job's time went on

A job that was late could not be traced: a start said neither what had held it back nor which image it ran, and nothing said how much of a run's time a pace had taken. One line a decision:

- `job known`: the size and the longest chain of a job, once a term;
- `starting run`: the image, and what last held back a start of the step (the window, capacity, or the speed that every free worker would give);
- `best-effort run ended`, by the agent: the time that the run was listed, the part lost to its pace and the part lost in all by the CPU time it got.

No decision changes.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -299,6 +299,7 @@
         // Loading the jobs may take longer than an earlier owner goes on.
         let is_earlier_owner_over = (self.term_start + self.timing.ownership).passed(now);
         entry.may_have_earlier_runs = !self.are_jobs_loaded || !is_earlier_owner_over;
+        entry.log_known();
         if entry.outcome.is_none() {
             self.waiting_jobs.insert(entry.job.name.clone());
             self.suspects.extend(entry.suspects());
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -58,6 +58,17 @@
     }
 }
 
+/// What holds back the start of a task whose step is ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HeldBackBy {
+    /// Too many starts have no reply yet.
+    Window,
+    /// No worker has enough free capacity.
+    Capacity,
+    /// Every worker with enough free capacity would run the best-effort task too slowly.
+    Speed,
+}
+
 /// State of one step in one occurrence of the job.
 #[derive(Clone, Debug)]
 pub(super) struct StepState {
@@ -66,6 +77,8 @@
     done: usize,
     /// Number of tasks that are not done and have no run.
     waiting: usize,
+    /// What last held back a start of the step.
+    held_back_by: Option<HeldBackBy>,
     /// Durations of the completed tasks in milliseconds, shortest first.
     durations_millis: Vec<u64>,
 }
@@ -77,6 +90,7 @@
             tasks: vec![Task::default(); count],
             done: 0,
             waiting: count,
+            held_back_by: None,
             durations_millis: Vec::new(),
         }
     }
@@ -177,6 +191,22 @@
         entry
     }
 
+    /// Logs what later lines about the job refer to.
+    pub(super) fn log_known(&self) {
+        let steps = &self.job.steps;
+        tracing::info!(
+            job = %self.job.name,
+            queue = %self.job.queue,
+            tasks = steps.iter().map(|step| u64::from(step.count)).sum::<u64>(),
+            steps = steps.len(),
+            longest_chain_ms = self.longest_chain.as_millis() as u64,
+            best_effort = steps.iter().any(|step| step.best_effort),
+            long_running = self.job.is_long_running(),
+            restored = self.record_revision.is_some(),
+            "job known"
+        );
+    }
+
     fn restore(&mut self, progress: &Progress, now: Time) {
         self.outcome = progress.outcome;
         self.ended_at = progress.outcome.map(|_| now);
@@ -343,6 +373,19 @@
         false
     }
 
+    /// Notes that a start of the step was held back.
+    pub(super) fn hold_back(&mut self, occurrence: u32, step: usize, by: HeldBackBy) {
+        let steps = self.occurrences.get_mut(&occurrence);
+        if let Some(state) = steps.and_then(|steps| steps.get_mut(step)) {
+            state.held_back_by = Some(by);
+        }
+    }
+
+    /// What last held back a start of the task's step.
+    pub(super) fn held_back_by(&mut self, key: &TaskKey) -> Option<HeldBackBy> {
+        self.step_mut(key)?.held_back_by
+    }
+
     /// Notes that a run of the task has ended or was lost.
     pub(super) fn note_interruption(&mut self, now: Time, key: &TaskKey) {
         if let Some(task) = self.task_mut(key) {
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Owner,
+    entry::HeldBackBy,
     vm::{Vm, VmStatus},
 };
 use crate::{Step, interference::Weights, message::RunKey};
@@ -69,6 +70,7 @@
     label: Option<Arc<str>>,
     reserved: Resources,
     best_effort: Option<BestEffortNeed>,
+    held_back_by: HeldBackBy,
 }
 
 /// The needs of a best-effort task, which may wait for a worker that is fast enough.
@@ -80,7 +82,7 @@
 }
 
 impl FailedPlacements {
-    pub(super) fn record(&mut self, request: &PlacementRequest<'_>) {
+    pub(super) fn record(&mut self, request: &PlacementRequest<'_>, held_back_by: HeldBackBy) {
         let step = request.step;
         // Another request may not have these restrictions.
         if step.per_worker.is_some() || request.required_rack.is_some() {
@@ -95,12 +97,15 @@
                 cpu_milli: step.need.cpu_milli,
                 is_urgent: request.is_urgent,
             }),
+            held_back_by,
         });
     }
 
-    /// Whether the request needs at least as much as one that has failed.
-    pub(super) fn cover(&self, request: &PlacementRequest<'_>) -> bool {
-        self.0.iter().any(|failed| failed.covers(request))
+    /// Why a request that needs at most as much as this one has failed; `None` if there was
+    /// none.
+    pub(super) fn cover(&self, request: &PlacementRequest<'_>) -> Option<HeldBackBy> {
+        let covering = self.0.iter().find(|failed| failed.covers(request));
+        covering.map(|failed| failed.held_back_by)
     }
 }
 
@@ -186,16 +191,18 @@
     fallback: Option<(f64, VmName)>,
     /// Number of workers that can take the task and are not to be avoided.
     scored: usize,
+    /// Whether a worker was left out only because the task would be too slow there.
+    is_too_slow: bool,
 }
 
 impl Owner {
-    /// Returns the cheapest VM with free capacity among the most promising ones. A VM to
-    /// be avoided is chosen only if there is no other.
+    /// Returns the cheapest VM with free capacity among the most promising ones, or why
+    /// there is none. A VM to be avoided is chosen only if there is no other.
     pub(super) fn choose_vm(
         &mut self,
         now: Time,
         request: &PlacementRequest<'_>,
-    ) -> Option<VmName> {
+    ) -> Result<VmName, HeldBackBy> {
         for name in std::mem::take(&mut self.index_vms) {
             self.index.update(&name, self.vms.get(&name));
         }
@@ -211,9 +218,13 @@
         self.examine(now, request, &group, &mut choice);
         let is_trial = !matches!(request.trial, Trial::No);
         if choice.best.is_none() && is_trial && self.has_other_worker(request) {
-            return None;
+            return Err(HeldBackBy::Capacity);
         }
-        choice.best.or(choice.fallback).map(|(_, name)| name)
+        let found = choice.best.or(choice.fallback);
+        found.map(|(_, name)| name).ok_or(match choice.is_too_slow {
+            true => HeldBackBy::Speed,
+            false => HeldBackBy::Capacity,
+        })
     }
 
     /// Whether a worker that is not to be avoided could take the task later.
@@ -248,6 +259,7 @@
                 continue;
             }
             let Some(cost) = cost(vm, now, request, self.interference.weights()) else {
+                choice.is_too_slow = true;
                 continue;
             };
             let is_avoided = request.avoid.contains(name);
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -82,7 +82,7 @@
             is_urgent: true,
             trial: Trial::No,
         };
-        self.choose_vm(now, &request).is_some()
+        self.choose_vm(now, &request).is_ok()
     }
 
     fn stop_stuck(&mut self, now: Time) {
@@ -200,7 +200,7 @@
             is_urgent: true,
             trial: Trial::No,
         };
-        let Some(vm) = self.choose_vm(now, &request) else {
+        let Ok(vm) = self.choose_vm(now, &request) else {
             return;
         };
         if avoid.contains(&vm) {
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Owner,
-    entry::{JobEntry, StepState, Task, task_key},
+    entry::{HeldBackBy, JobEntry, StepState, Task, task_key},
     place::{FailedPlacements, PlacementRequest, Trial},
     vm::{AssignedRun, Phase, Vm},
     window::StartRoom,
@@ -352,7 +352,10 @@
         let no_tasks = BTreeMap::new();
         let is_urgent = is_idle || has_overdue;
         let any_request = ready.placement_request(&any_task, &no_tasks, None, is_urgent, Trial::No);
-        if !ready.has_suspects && pass.failed.cover(&any_request) {
+        if !ready.has_suspects
+            && let Some(by) = pass.failed.cover(&any_request)
+        {
+            self.hold_back_step(ready, by);
             return;
         }
         let is_held_back = pass.is_recovering_job(entry);
@@ -369,6 +372,7 @@
         for task in tasks {
             if !pass.room.admits(task.is_overdue) {
                 self.window.hold_back();
+                self.hold_back_step(ready, HeldBackBy::Window);
                 return;
             }
             let is_urgent = is_idle || task.is_overdue;
@@ -380,16 +384,23 @@
             if task.is_suspect && self.awaits_crash_record(&ready.task(task.index)) {
                 continue;
             }
-            if !task.is_suspect && pass.failed.cover(&request) {
+            if !task.is_suspect
+                && let Some(by) = pass.failed.cover(&request)
+            {
+                self.hold_back_step(ready, by);
                 return;
             }
-            let Some(vm) = self.choose_vm(now, &request) else {
-                if task.is_suspect {
+            let vm = match self.choose_vm(now, &request) {
+                Ok(vm) => vm,
+                Err(_) if task.is_suspect => {
                     self.hold_for_trial(now, &request, pass.suspect_starts);
                     continue;
                 }
-                pass.failed.record(&request);
-                return;
+                Err(by) => {
+                    pass.failed.record(&request, by);
+                    self.hold_back_step(ready, by);
+                    return;
+                }
             };
             *tasks_per_vm.entry(vm.clone()).or_default() += 1;
             let run = self.next_run();
@@ -404,6 +415,13 @@
         }
         if is_cut_off {
             self.window.hold_back();
+            self.hold_back_step(ready, HeldBackBy::Window);
+        }
+    }
+
+    fn hold_back_step(&mut self, ready: &ReadyStep<'_>, by: HeldBackBy) {
+        if let Some(entry) = self.jobs.get_mut(ready.job) {
+            entry.hold_back(ready.occurrence, ready.number, by);
         }
     }
 
@@ -473,7 +491,7 @@
         let was_due = self.schedule_due;
         for task in tasks {
             let request = ready.placement_request(task, &tasks_per_vm, rack, true, trial);
-            let Some(vm) = self.choose_vm(now, &request) else {
+            let Ok(vm) = self.choose_vm(now, &request) else {
                 for (vm, key) in started {
                     self.remove_run(now, &vm, &key);
                 }
@@ -525,8 +543,10 @@
             task = %key.task,
             run = key.run,
             vm = %name,
+            image = step.image.as_deref(),
             resumes = checkpoint.is_some(),
             is_trial,
+            held_back_by = ?entry.held_back_by(&key.task),
             job_age_ms = now.since(known_since).as_millis() as u64,
             "starting run"
         );
--- a/components/steps/src/pace.rs
+++ b/components/steps/src/pace.rs
@@ -56,6 +56,19 @@
     over_target: BTreeMap<RunKey, u32>,
     /// Paces in force in percent; a run that is not listed works at full speed.
     paces: BTreeMap<RunKey, u32>,
+    /// Progress of the best-effort tasks against full speed.
+    speeds: BTreeMap<RunKey, SpeedRecord>,
+}
+
+/// How much of its time a best-effort task has lost.
+#[derive(Clone, Copy, Debug)]
+struct SpeedRecord {
+    first_seen: Time,
+    last_seen: Time,
+    /// Time lost to paces below full speed.
+    paced: Duration,
+    /// Time lost in all, by the CPU time that the task got.
+    lost: Duration,
 }
 
 impl Pacer {
@@ -69,6 +82,7 @@
         roles: &BTreeMap<RunKey, Role>,
         weights: &Weights,
     ) -> Vec<(RunKey, u32)> {
+        self.record_speeds(now, running, roles);
         let is_serving =
             |row: &&ActiveRun| matches!(roles.get(&row.key), Some(Role::Serving { .. }));
         if !running.iter().any(|row| is_serving(&row)) {
@@ -131,8 +145,40 @@
 
     /// Removes a run that has ended.
     pub fn remove(&mut self, key: &RunKey) {
-        self.paces.remove(key);
+        let pace = self.paces.remove(key);
         self.over_target.remove(key);
+        if let Some(speed) = self.speeds.remove(key) {
+            tracing::info!(
+                task = %key.task,
+                run = key.run,
+                seen_ms = speed.last_seen.since(speed.first_seen).as_millis() as u64,
+                paced_ms = speed.paced.as_millis() as u64,
+                lost_ms = speed.lost.as_millis() as u64,
+                last_pace = pace.unwrap_or(FULL_PACE),
+                "best-effort run ended"
+            );
+        }
+    }
+
+    /// Adds the time since the last measurements to the records of the best-effort tasks.
+    fn record_speeds(&mut self, now: Time, running: &[ActiveRun], roles: &BTreeMap<RunKey, Role>) {
+        for row in running {
+            let Some(Role::BestEffort { cpu_milli, .. }) = roles.get(&row.key) else {
+                continue;
+            };
+            let pace = self.pace(&row.key);
+            let speed = self.speeds.entry(row.key.clone()).or_insert(SpeedRecord {
+                first_seen: now,
+                last_seen: now,
+                paced: Duration::ZERO,
+                lost: Duration::ZERO,
+            });
+            let elapsed = now.since(speed.last_seen);
+            speed.last_seen = now;
+            speed.paced += elapsed * FULL_PACE.saturating_sub(pace) / FULL_PACE;
+            let used = cpu_share(row.measurement, *cpu_milli).min(1.0);
+            speed.lost += elapsed.mul_f64(1.0 - used);
+        }
     }
 
     /// Pace in force in percent.
