--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -11,7 +11,7 @@
 use steps::{
     Event, Owner, Step, Timing,
     interference::{PRIOR_WEIGHT, Weight},
-    message::{ActiveRun, AgentReport, ClockReading, RunKey},
+    message::{ActiveRun, AgentReport, ClockReading, EndedRun, RunEnd, RunKey},
     owner::PollFailure,
 };
 
@@ -84,7 +84,6 @@
 
     /// Reports half a second with the given best-effort runs on a VM.
     fn report(&mut self, number: usize, best_effort_runs: &[RunKey]) {
-        self.version += 1;
         let heavy = best_effort_runs
             .iter()
             .filter(|key| key.task.job.as_ref() == HEAVY);
@@ -96,6 +95,15 @@
                 .iter()
                 .map(|key| row(key.clone(), BEST_EFFORT_MILLI)),
         );
+        self.report_rows(number, running);
+    }
+
+    fn report_rows(&mut self, number: usize, running: Vec<ActiveRun>) {
+        self.report_lists(number, running, Vec::new());
+    }
+
+    fn report_lists(&mut self, number: usize, running: Vec<ActiveRun>, ended: Vec<EndedRun>) {
+        self.version += 1;
         let worker = worker_info(&format!("w-{number}"), 1);
         let report = AgentReport {
             agent_incarnation: 1,
@@ -110,6 +118,7 @@
             worker_responsive: true,
             poll: self.version,
             running,
+            ended,
             ..AgentReport::default()
         };
         self.handle(Event::Report {
@@ -253,6 +262,104 @@
     );
 }
 
+/// Two VMs, the second of which is idle; a best-effort task on the first one gets a tenth of
+/// the CPU time that it needs.
+fn slowed_session(step: Step) -> (Session, RunKey) {
+    let mut owner = Owner::new(entry(1), EPOCH, Timing::default(), START);
+    owner.handle(START, START, Event::Config(config()));
+    let mut session = Session {
+        owner,
+        now: START,
+        version: 0,
+        load: 1.0,
+    };
+    session.handle(Event::Vm(vm(0)));
+    session.handle(Event::Vm(vm(1)));
+    let serving = Step {
+        count: 1,
+        ..serving_step()
+    };
+    for job in [
+        job(SERVING, "quick", vec![serving]),
+        job(HEAVY, "bulk", vec![step]),
+    ] {
+        let progress = None;
+        session.handle(Event::Job { job, progress });
+    }
+    session.handle(Event::JobsLoaded);
+    (session, run(HEAVY, 0, 0, 1))
+}
+
+/// Reports both VMs every 0.5 s; the run on the first one has `measurement` and `progress`.
+fn report_slowed(session: &mut Session, key: &RunKey, measurement: u64, progress: u32) {
+    let mut slowed = row(key.clone(), measurement);
+    slowed.progress_percent = progress;
+    slowed.checkpoint = Some("saved-1".into());
+    let serving = row(run(SERVING, 0, 0, 1), TARGET_MILLIS);
+    session.report_rows(0, vec![serving, slowed]);
+    session.report_rows(1, Vec::new());
+    session.handle(Event::Tick);
+    session.now = session.now + Duration::from_millis(500);
+}
+
+fn stops_of(session: &mut Session, number: usize) -> Vec<RunKey> {
+    let orders = session.owner.take_orders(session.now, &vm(number));
+    orders.map(|orders| orders.stops).unwrap_or_default()
+}
+
+fn saving_step() -> Step {
+    Step {
+        count: 1,
+        checkpoints: true,
+        ..best_effort_step("heavy")
+    }
+}
+
+#[test]
+fn a_paced_down_task_stays_where_it_is_while_another_worker_is_idle() {
+    let (mut session, key) = slowed_session(saving_step());
+    let mut stops = Vec::new();
+    for _ in 0..6 {
+        report_slowed(&mut session, &key, BEST_EFFORT_MILLI / 10, 20);
+        stops.extend(stops_of(&mut session, 0));
+    }
+    assert_eq!(stops, vec![key.clone()]);
+    let end = EndedRun {
+        number: 1,
+        key,
+        how: RunEnd::Stopped,
+        checkpoint: Some("saved-2".into()),
+    };
+    let serving = row(run(SERVING, 0, 0, 1), TARGET_MILLIS);
+    session.report_lists(0, vec![serving], vec![end]);
+    let orders = session.owner.take_orders(session.now, &vm(1)).unwrap();
+    let checkpoints: Vec<_> = orders.starts.iter().map(|s| s.checkpoint.clone()).collect();
+    assert_eq!(checkpoints, vec![Some("saved-2".into())]);
+}
+
+#[test]
+fn a_task_is_not_moved_for_a_short_slowdown_or_without_a_checkpoint() {
+    let without_checkpoints = Step {
+        checkpoints: false,
+        ..saving_step()
+    };
+    let tenth = BEST_EFFORT_MILLI / 10;
+    let cases = [
+        (saving_step(), [tenth, tenth, BEST_EFFORT_MILLI], 20),
+        (saving_step(), [tenth, tenth, tenth], 95),
+        (without_checkpoints, [tenth, tenth, tenth], 20),
+    ];
+    for (step, measurements, progress) in cases {
+        let (mut session, key) = slowed_session(step);
+        for _ in 0..3 {
+            for measurement in measurements {
+                report_slowed(&mut session, &key, measurement, progress);
+                assert!(stops_of(&mut session, 0).is_empty());
+            }
+        }
+    }
+}
+
 fn start_count(session: &mut Session, id: &str) -> usize {
     let orders = session.owner.take_orders(session.now, &vm(0));
     let starts = orders.map(|orders| orders.starts).unwrap_or_default();
