Tasks that hardly interfere are paced before those that do

What callers saw: too little of the worth owed to the class royalty-statement was earned.

Cause: the agent allocated the headroom of the serving tasks strictly in the order of the starts. An early task that interferes used it up, and every later one with a weight above zero was then paused, however small its effect; weights that agents know are off by up to 0.3, so hardly any is zero. Once a serving task was over its target for 1.2 s, all tasks were slowed, also those that do not disturb it. A step ends with its slowest task.

Fix: tasks whose effect at full speed is within the error of the weights get headroom first and are not limited by a lack of it; the limit after 1.2 s holds for the others. After 2.4 s over a target all are paused as before, whatever the weights are.

a_task_that_hardly_interferes_is_not_paused_for_one_that_does fails without the change: pace 0 instead of 100.

--- a/components/steps/src/pace.rs
+++ b/components/steps/src/pace.rs
@@ -3,9 +3,10 @@
 //! The agent gets the tail latency of serving tasks twice a second with its polls, so
 //! it decides without the owner. Each serving task has a headroom: the logarithm of
 //! the factor by which its latency may still rise. The headroom is allocated to
-//! best-effort tasks in the order of their starts: the earliest run at full speed, so
-//! that their jobs end in time, and the latest wait. The owner, which has the reports
-//! of all workers, provides the interference weight of each pair of images.
+//! best-effort tasks: first to those that hardly interfere, then to the others in the
+//! order of their starts: the earliest run at full speed, so that their jobs end in time,
+//! and the latest wait. The owner, which has the reports of all workers, provides the
+//! interference weight of each pair of images.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -31,8 +32,12 @@
 /// worker.
 const MIN_CHANGE: u32 = 6;
 /// After this many decisions in a row with a serving task over its target, the weights
-/// are considered wrong and the limit on all paces is halved with each decision.
-const SLOW_ALL_AFTER: u32 = 2;
+/// are considered too low and the limit on the paces of interfering tasks is halved with
+/// each decision.
+const LIMIT_AFTER: u32 = 2;
+/// Highest logarithm of the factor on a serving task's latency up to which a best-effort task
+/// hardly interferes. Agents know weights with an error of about this effect.
+const MINOR_EFFECT: f64 = 0.05;
 /// Number of decisions in a row with a serving task over its target after which all
 /// best-effort tasks are paused: 2.4 s, while users tolerate 4 s.
 const STOP_ALL_AFTER: u32 = 4;
@@ -100,18 +105,22 @@
         if longest_over >= STOP_ALL_AFTER {
             return self.all_at(running, roles, 0);
         }
-        let max_pace = match longest_over >= SLOW_ALL_AFTER {
-            true => FULL_PACE >> (longest_over - SLOW_ALL_AFTER + 1),
+        let max_pace = match longest_over >= LIMIT_AFTER {
+            true => FULL_PACE >> (longest_over - LIMIT_AFTER + 1),
             false => FULL_PACE,
         };
-        let mut rows: Vec<&ActiveRun> = running.iter().collect();
-        rows.sort_unstable_by_key(|row| row.key.run);
+        let mut rows = Vec::new();
+        for row in running {
+            if let Some(role @ Role::BestEffort { .. }) = roles.get(&row.key) {
+                let is_minor = self.has_minor_effect(role, capacity_milli, weights);
+                rows.push((!is_minor, row.key.run, row, role));
+            }
+        }
+        rows.sort_unstable_by_key(|(interferes, run, ..)| (*interferes, *run));
         let mut changes = Vec::new();
-        for row in rows {
-            let Some(role @ Role::BestEffort { .. }) = roles.get(&row.key) else {
-                continue;
-            };
-            let percent = self.allocate(role, capacity_milli, weights).min(max_pace);
+        for (interferes, _, row, role) in rows {
+            let limit = if interferes { max_pace } else { FULL_PACE };
+            let percent = self.allocate(role, capacity_milli, weights).min(limit);
             let before = self.pace(&row.key);
             let is_limit = percent == FULL_PACE || percent == 0;
             let is_noticeable = percent.abs_diff(before) >= MIN_CHANGE || is_limit;
@@ -203,6 +212,17 @@
         changes
     }
 
+    /// Whether a task hardly interferes with any serving task, even at full speed.
+    fn has_minor_effect(&self, role: &Role, capacity_milli: u64, weights: &Weights) -> bool {
+        let Role::BestEffort { image, cpu_milli } = role else {
+            return true;
+        };
+        let image = image_name(image.as_ref());
+        let share = cpu_share(*cpu_milli, capacity_milli);
+        let mut serving = self.headrooms.iter();
+        serving.all(|serving| weights.get(&serving.image, &image) * share <= MINOR_EFFECT)
+    }
+
     /// Allocates headroom to a task. Returns its pace in percent.
     fn allocate(&mut self, role: &Role, capacity_milli: u64, weights: &Weights) -> u32 {
         let Role::BestEffort { image, cpu_milli } = role else {
@@ -213,7 +233,7 @@
         let mut pace: f64 = 1.0;
         for serving in &self.headrooms {
             let full_effect = weights.get(&serving.image, &image) * share;
-            if full_effect > 0.0 {
+            if full_effect > MINOR_EFFECT {
                 pace = pace.min((serving.headroom / full_effect).max(0.0));
             }
         }
--- a/components/steps/tests/pace.rs
+++ b/components/steps/tests/pace.rs
@@ -51,7 +51,7 @@
             roles.insert(best_effort_run(index), best_effort_role(image));
         }
         let mut weights = Weights::default();
-        for (image, weight) in [("heavy", 5.0), ("light", 0.0)] {
+        for (image, weight) in [("heavy", 5.0), ("light", 0.0), ("mild", 0.1)] {
             weights.set(&Weight {
                 serving_image: "serving".into(),
                 best_effort_image: image.into(),
@@ -141,6 +141,20 @@
     assert_eq!((worker.pace(0), worker.pace(1)), (100, 100));
 }
 
+#[test]
+fn a_task_that_hardly_interferes_is_not_paused_for_one_that_does() {
+    let mut worker = PacedWorker::new(&["heavy", "mild"]);
+    worker.measure(2 * TARGET_MILLIS);
+    assert!(worker.pace(0) < 60, "{}", worker.pace(0));
+    assert_eq!(worker.pace(1), 100);
+    worker.measure(2 * TARGET_MILLIS);
+    assert_eq!(worker.pace(1), 100, "over the target for 1.2 s");
+    for _ in 0..2 {
+        worker.measure(2 * TARGET_MILLIS);
+    }
+    assert_eq!(worker.pace(1), 0, "over the target for 2.4 s");
+}
+
 #[test]
 fn a_new_task_gets_the_remaining_headroom() {
     let mut worker = PacedWorker::new(&["heavy"]);
