Failing test: ends that the agent of a silent worker knows

A worker stops answering after the agent has heard that a task is done and before that is recorded; the owner is replaced meanwhile. The agent names the end in each report to the new owner, which ignores it, as the worker has not answered under its token. Once the leases have expired, the task starts again; if the worker is back before that start arrives, the end is taken note of first.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1139,3 +1139,25 @@
     assert_eq!(listed[0].vm, vm(1));
     assert!(listed[0].left_millis < 4_500);
 }
+
+/// Guards against a second start of a task that is done: its worker did not answer the new
+/// owner's term before its leases expired, but the agent knew the end (explore.rs, late calls,
+/// seed 20077).
+#[test]
+fn ends_that_the_agent_of_a_silent_worker_knows_count() {
+    let mut session = Session::new(2);
+    session.submit(at(0), JOB, 1);
+    let end = ended(1, &run(JOB, 0, 0, 2 << 24), RunEnd::Done);
+    session.report(at(10), 1, |_| ());
+    for (now, is_expired) in [(10, false), (4_400, true)] {
+        session.report(at(now), 0, |report| {
+            report.confirmed_epoch = EPOCH - 1;
+            report.worker_responsive = false;
+            report.leases_expired = is_expired;
+            report.ended = vec![end.clone()];
+        });
+    }
+    assert_eq!(session.take_starts(at(4_410), 1), []);
+    let change = session.owner.take_changes().remove(0);
+    assert_eq!(change.progress.outcome, Some(Outcome::Completed));
+}
