Ends that an agent knows count before its worker has answered the new owner

An owner applied no lists of an agent whose worker had not answered under its token, since the worker may still carry out orders of an earlier owner. That holds for the active runs; a run that has ended stays ended. A worker that stops answering just before a change of owner left the new owner ignorant of the tasks done there: it started them again once the leases had expired, although each report named their ends. If the worker was back before such a start arrived, the end was taken note of first.

The ends are now applied from any report.

--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -113,6 +113,10 @@
         if !vm.attached {
             vm.listing.reset();
             self.schedule_due = true;
+            // Whatever the worker may still run, these runs have ended.
+            for end in &report.ended {
+                self.on_run_ended(now, name, end);
+            }
             return;
         }
         if !vm.listing.apply(report) {
