Failing test: a start that the earlier incarnation had stopped reaches the next one

A start without an answer may be carried out seconds later. A stop keeps the worker from it, but only the incarnation that confirmed the stop: one that restarts under its name takes the start, also if the task has been done elsewhere meanwhile.

--- a/components/steps/tests/restarts.rs
+++ b/components/steps/tests/restarts.rs
@@ -284,3 +284,24 @@
     agent.apply_reply(at(6), &sent_after, reply(1));
     assert_eq!(agent.report(at(7)).unsettled, []);
 }
+
+/// The earlier incarnation had confirmed the stop, but an unanswered start may still arrive.
+#[test]
+fn a_stopped_start_without_an_answer_is_unsettled_again_after_a_restart() {
+    let mut agent = agent();
+    let [stopped, answered] = [1, 2].map(|index| run(JOB, 0, index, 1));
+    agent.admit(at(0), &orders(), &stopped).unwrap();
+    agent.settle_start(&stopped, OrderResult::Unsettled);
+    agent.settle_stop(&stopped, OrderResult::Done);
+    agent.admit(at(0), &orders(), &answered).unwrap();
+    agent.settle_start(&answered, OrderResult::Done);
+    agent.settle_stop(&answered, OrderResult::Done);
+    assert_eq!(agent.report(at(10)).unsettled, []);
+    agent.apply_heartbeat(heartbeat(2, 1));
+    assert_eq!(
+        agent.report(at(20)).unsettled,
+        std::slice::from_ref(&stopped)
+    );
+    agent.settle_stop(&stopped, OrderResult::Done);
+    assert_eq!(agent.report(at(30)).unsettled, []);
+}
