A restarted worker is told again to stop starts without an answer

The agent took a start without an answer for settled once the worker had confirmed its stop. A worker that restarts under its name knows nothing of that stop and takes the start if it arrives then. The agent now remembers such starts for 30 s (orders are known to arrive up to 12 s late) and reports them as unsettled after a restart, so that the owner stops them again. What is left is a start that arrives in the moment before that stop.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -36,6 +36,8 @@
 
 /// The most crashes that are kept until their records are durable.
 const MAX_CRASHES: usize = 32;
+/// Time after which an unanswered start is not carried out any more.
+const UNANSWERED_RETENTION: Duration = Duration::from_secs(30);
 /// Interval between two polls that check whether the worker has survived a run.
 const DOUBTS_POLL_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -124,6 +126,8 @@
 /// A start whose outcome is unknown, or whose run the worker has not listed yet.
 #[derive(Clone, Copy, Debug)]
 struct UnsettledStart {
+    /// When the last attempt was sent; zero if the time is not known.
+    sent_at: Time,
     /// End of the lease that was granted, on the worker's clock.
     until_millis: u64,
     /// Whether an earlier attempt got no answer, so that a refusal of the newest one
@@ -182,6 +186,10 @@
     ended: BTreeMap<u64, EndedRun>,
     /// Starts that were sent to the worker and that its lists do not show yet.
     unsettled: BTreeMap<RunKey, UnsettledStart>,
+    /// Starts without an answer, with the time of the last attempt. A worker that restarts
+    /// under its name may still carry them out, even if the earlier incarnation had stopped
+    /// them.
+    unanswered: BTreeMap<RunKey, Time>,
     /// Runs of the worker, with the time for which it has survived them.
     tracked: TrackedRuns,
     /// Whether the owner asks which runs the worker has not survived for long enough yet.
@@ -232,6 +240,7 @@
             has_more_ends: false,
             ended: BTreeMap::new(),
             unsettled: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
             tracked: TrackedRuns::default(),
             wants_doubts: false,
             doubts_polled_at: Time::ZERO,
@@ -421,6 +430,16 @@
     fn reset_worker(&mut self, is_restart: bool) {
         if !is_restart {
             self.unsettled.clear();
+            self.unanswered.clear();
+        }
+        for key in self.unanswered.keys() {
+            let start = UnsettledStart {
+                sent_at: Time::ZERO,
+                until_millis: u64::MAX,
+                has_lost_attempt: true,
+                confirmed_after: None,
+            };
+            self.unsettled.insert(key.clone(), start);
         }
         self.tracked = TrackedRuns::default();
         self.clock = None;
@@ -813,7 +832,10 @@
         }
         let until_millis = self.lease_until(now).ok_or(Refusal::Late)?;
         self.granted_until = self.granted_until.max(until_millis);
+        self.unanswered
+            .retain(|_, at| !(*at + UNANSWERED_RETENTION).passed(now));
         let start = UnsettledStart {
+            sent_at: now,
             until_millis,
             has_lost_attempt: self.unsettled.contains_key(key),
             confirmed_after: None,
@@ -834,10 +856,14 @@
             OrderResult::Refused(_) => !self.unsettled.get(key).is_some_and(has_lost_attempt),
             OrderResult::Done | OrderResult::Unsettled => false,
         };
-        if result == OrderResult::Done
-            && let Some(start) = self.unsettled.get_mut(key)
-        {
-            start.confirmed_after = Some(self.last_poll);
+        if let Some(start) = self.unsettled.get_mut(key) {
+            match result {
+                OrderResult::Done => start.confirmed_after = Some(self.last_poll),
+                OrderResult::Unsettled => {
+                    self.unanswered.insert(key.clone(), start.sent_at);
+                }
+                OrderResult::Refused(_) => {}
+            }
         }
         if is_settled {
             self.unsettled.remove(key);
