Failing tests: a claim that is older than the term counts as a proof at its start

A process that is suspended between its claim and the start of its term lets agents renew leases and gives orders as if it had proved its ownership just now, although a later owner may have been elected meanwhile.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1199,3 +1199,36 @@
     session.handle(at(6_020), Event::OwnershipProved(at(6_015)));
     assert_eq!(session.take_starts(at(6_030), 0).len(), 1);
 }
+
+/// A process may be suspended between the claim and the start of its term.
+#[test]
+fn agents_renew_no_leases_by_a_claim_that_is_older_than_the_term() {
+    let mut session = Session::new(1);
+    session.handle(
+        START,
+        Event::OwnershipProved(START - Duration::from_secs(4)),
+    );
+    session.handle(START, Event::JobsLoaded);
+    session.report(at(10), 0, |_| ());
+    let poll = session.owner.next_report_poll(at(20), &vm(0)).unwrap();
+    assert_eq!(poll.header.echo, None);
+    session.handle(at(30), Event::OwnershipProved(at(25)));
+    let poll = session.owner.next_report_poll(at(40), &vm(0)).unwrap();
+    assert!(poll.header.echo.is_some());
+}
+
+/// A process may be suspended between the claim and the start of its term.
+#[test]
+fn an_owner_gives_no_orders_by_a_claim_that_is_older_than_the_term() {
+    let mut session = Session::new(1);
+    session.handle(
+        START,
+        Event::OwnershipProved(START - Duration::from_secs(7)),
+    );
+    session.handle(START, Event::JobsLoaded);
+    session.report(at(10), 0, |_| ());
+    session.submit(at(20), JOB, 1);
+    assert_eq!(session.take_starts(at(20), 0), []);
+    session.handle(at(30), Event::OwnershipProved(at(25)));
+    assert_eq!(session.take_starts(at(40), 0).len(), 1);
+}
