A term begins with the proof of its claim, not with one at its start

Cause: the owner took the start of its term for the time of the last proof; the claim is proved for the time at which the call was sent that asked for the lease. A process that is suspended between the two for longer than the key lasts starts beside a later owner. Until its first renewal is refused, it lets agents renew leases and gives orders by a proof that there never was: the later owner, whose waits count from its own start, may take the VMs that it doesn't reach for empty meanwhile.

Change: the claim is passed on as the first proof.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -132,6 +132,7 @@
         lease: Mutex::new(claim.lease),
         claim,
     });
+    term.record_proof(term.claim.proved_at);
     term.apply_event(Event::LoadingJobs);
     shared.set_term(Some(Arc::clone(&term)));
     shared.candidacy().start_term(shared.clock.now());
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -66,7 +66,8 @@
     Cancelled(JobName),
     /// The store holds neither this job nor its end.
     NotStored(JobName),
-    /// The store confirmed that this process was the only owner at this time.
+    /// The store confirmed that this process was the only owner at this time. The first proof is
+    /// the claim of the ownership, which may be older than the term.
     OwnershipProved(Time),
     /// Handover note of the previous owner, which stopped in an orderly way.
     HandedOver(Handover),
@@ -144,8 +145,9 @@
     run_count: u64,
     /// Start of the term.
     term_start: Time,
-    /// Time of the last proof that there is no other owner.
-    proved_at: Time,
+    /// Time of the last proof that there is no other owner; `None` before the first one, when
+    /// the start of the term counts.
+    last_proof: Option<Time>,
     /// Since when agents may not renew leases for want of a recent proof; `None` while
     /// they may.
     renewal_withheld_since: Option<Time>,
@@ -212,7 +214,7 @@
             vms: BTreeMap::new(),
             run_count: 0,
             term_start: now,
-            proved_at: now,
+            last_proof: None,
             renewal_withheld_since: None,
             handover: None,
             last_change: 0,
@@ -250,6 +252,11 @@
         self.deposed_by
     }
 
+    /// Time of the last proof that there is no other owner.
+    fn proved_at(&self) -> Time {
+        self.last_proof.unwrap_or(self.term_start)
+    }
+
     /// Handles one event. `wall` is the time of day, which decides when scheduled jobs
     /// are due.
     pub fn handle(&mut self, now: Time, wall: Time, event: Event) {
@@ -265,7 +272,7 @@
             Event::Cancelled(name) => self.on_cancelled(now, &name),
             Event::NotStored(name) => self.on_not_stored(now, &name),
             Event::OwnershipProved(at) => {
-                self.proved_at = self.proved_at.max(at);
+                self.last_proof = self.last_proof.max(Some(at));
                 self.track_renewal(now);
             }
             Event::HandedOver(handover) => self.on_handover(handover),
--- a/components/steps/src/owner/handover.rs
+++ b/components/steps/src/owner/handover.rs
@@ -209,7 +209,7 @@
 
     /// Whether this process was certainly the only owner until some time after `at`.
     pub(super) fn is_proved_after(&self, at: Time) -> bool {
-        at.passed(self.proved_at)
+        at.passed(self.proved_at())
     }
 
     /// Time after which nothing can run on a VM whose agent does not answer, unless a later
--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -22,18 +22,18 @@
     /// Whether agents may renew leases. Without a recent proof of ownership they may
     /// not, so that the next owner can tell when the leases have expired.
     fn may_renew(&self, now: Time) -> bool {
-        !(self.proved_at + self.timing.renewal).passed(now)
+        !(self.proved_at() + self.timing.renewal).passed(now)
     }
 
     /// Whether this process may still give orders. Its term ends without a proof, and a call
     /// to the store that is under way must not delay that.
     fn may_order(&self, now: Time) -> bool {
-        !(self.proved_at + self.timing.ownership).passed(now)
+        !(self.proved_at() + self.timing.ownership).passed(now)
     }
 
     /// Logs when agents may no longer renew leases and when they may again.
     pub(super) fn track_renewal(&mut self, now: Time) {
-        let proof_age_ms = now.since(self.proved_at).as_millis() as u64;
+        let proof_age_ms = now.since(self.proved_at()).as_millis() as u64;
         match (self.renewal_withheld_since, self.may_renew(now)) {
             (None, false) => {
                 tracing::warn!(
