An owner deletes keys only while no later term has started

Cause: the deletions of the key of an agent that is gone and of the end of a job after the retention did not require that there is no later owner, as all other writes of an owner do. An owner that was suspended after it had concluded, or whose call was delayed, deletes - the key of an agent on whose VM the later owner has started tasks: until the agent writes it again (up to 5 s), the owner after that one does not wait for the VM and starts the tasks again; - the recorded end of a job whose name was used again meanwhile: a repeated submit is accepted, and the job runs again.

Change: both require that the epoch is that of the owner, by a condition that all its writes share now.

--- a/components/stepd/src/entry/journal.rs
+++ b/components/stepd/src/entry/journal.rs
@@ -171,9 +171,8 @@
 }
 
 fn transaction(term: &Term, changes: &[RecordWrite], rows: &[Row]) -> Txn {
-    let epoch = keys::EPOCH.to_owned();
     let mut txn = Txn {
-        compares: vec![Compare::ModifiedAt(epoch, term.claim.epoch_revision)],
+        compares: vec![term.is_latest_term()],
         ops: Vec::new(),
         otherwise: vec![KeyRange::one(keys::EPOCH)],
     };
@@ -242,14 +241,26 @@
 
 /// Deletes the remaining keys of jobs whose retention time after their end is over.
 pub(super) async fn remove_ended(term: &Term, jobs: &[JobName]) {
-    for group in jobs.chunks(MAX_TXN_ROWS / 2) {
-        let mut txn = Txn::default();
+    for group in jobs.chunks((MAX_TXN_ROWS - 1) / 2) {
+        let mut txn = Txn {
+            compares: vec![term.is_latest_term()],
+            ..Txn::default()
+        };
         for job in group {
             txn.ops.push(delete_op(keys::ended(job)));
             txn.ops.push(delete_op(keys::cancelled(job)));
         }
         match term.store.txn(txn).await {
-            Ok(_) => tracing::info!(jobs = group.len(), "keys of ended jobs deleted"),
+            Ok(reply) if reply.succeeded => {
+                tracing::info!(jobs = group.len(), "keys of ended jobs deleted");
+            }
+            Ok(_) => {
+                tracing::info!(
+                    jobs = group.len(),
+                    "keys of ended jobs stay; a later owner has taken over"
+                );
+                return;
+            }
             Err(error) => tracing::info!(%error, jobs = group.len(), "keys of ended jobs may stay"),
         }
     }
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -262,9 +262,8 @@
             serde_json::to_vec(&note).map_err(|error| StoreError::not_run(error.to_string()))?;
         ops.push(Op::put(keys::HANDOVER, value));
     }
-    let epoch = keys::EPOCH.to_owned();
     let txn = Txn {
-        compares: vec![Compare::ModifiedAt(epoch, term.claim.epoch_revision)],
+        compares: vec![term.is_latest_term()],
         ops,
         otherwise: Vec::new(),
     };
@@ -520,7 +519,7 @@
     let claim = &term.claim;
     let txn = Txn {
         compares: vec![
-            Compare::ModifiedAt(keys::EPOCH.to_owned(), claim.epoch_revision),
+            term.is_latest_term(),
             Compare::Absent(keys::OWNER.to_owned()),
         ],
         ops: vec![campaign::put_owner(&claim.record, lease)?],
@@ -580,6 +579,11 @@
         self.apply_event(Event::OwnershipProved(sent_at));
     }
 
+    /// Returns the condition that no later term has started.
+    pub(super) fn is_latest_term(&self) -> Compare {
+        Compare::ModifiedAt(keys::EPOCH.to_owned(), self.claim.epoch_revision)
+    }
+
     pub(super) fn now(&self) -> Time {
         self.clock.now()
     }
@@ -698,14 +702,18 @@
     }
 
     /// Deletes the key of an agent that is gone, so that a later owner does not wait for
-    /// it. An agent that is still running writes its key again.
+    /// it. An agent that is still running writes its key again, but until then nobody would
+    /// wait for what a later owner has started there.
     fn remove_agent(self: &Arc<Self>, vm: &VmName) {
         let Some(agent) = self.agents().remove(vm) else {
             return;
         };
         let key = keys::agent(vm);
         let txn = Txn {
-            compares: vec![Compare::ModifiedAt(key.clone(), agent.revision)],
+            compares: vec![
+                self.is_latest_term(),
+                Compare::ModifiedAt(key.clone(), agent.revision),
+            ],
             ops: vec![Op::Delete(KeyRange::one(key))],
             otherwise: Vec::new(),
         };
