The sessions of silent VMs fail again without the rule that they guard

Since an owner without a recent proof gives no orders, both sessions passed with taken out: the starts that they look for were withheld for the other reason. They are stricter now: a proof from before the expiry allows orders, and no run may be ordered.

--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1162,10 +1162,14 @@
     session.handle(at(10), Event::OwnershipProved(at(10)));
     let failure = PollFailure::default();
     session.handle(at(2_000), Event::Unreachable(vm(silent), failure));
-    for millis in [2_000, 5_000, 9_000] {
+    // Orders are allowed by the last of these proofs, from before the leases have expired.
+    for (millis, proved) in [(2_000, 10), (5_000, 4_900), (7_450, 7_400), (9_000, 7_400)] {
+        session.handle(at(millis), Event::OwnershipProved(at(proved)));
         session.report(at(millis), other, |_| ());
         session.owner.handle(at(millis), at(millis), Event::Tick);
         assert_eq!(session.take_starts(at(millis), other), [], "at {millis} ms");
+        let runs = session.owner.runs_of(&job_name(JOB));
+        assert!(runs.iter().map(|(vm, _)| vm).eq([&vm(silent)]));
     }
     session.handle(at(9_010), Event::OwnershipProved(at(9_005)));
     session.handle(at(9_020), Event::Tick);
@@ -1177,10 +1181,13 @@
     let mut session = Session::new(2);
     session.submit(at(0), JOB, 1);
     session.handle(START, Event::JobsLoaded);
-    for millis in [10, 5_000, 9_500] {
+    // Orders are allowed by the last of these proofs, from before the leases have expired.
+    for (millis, proved) in [(10, 5), (5_000, 4_900), (9_500, 8_900)] {
+        session.handle(at(millis), Event::OwnershipProved(at(proved)));
         session.report(at(millis), 0, |_| ());
         session.owner.handle(at(millis), at(millis), Event::Tick);
         assert_eq!(session.take_starts(at(millis), 0), [], "at {millis} ms");
+        assert_eq!(session.owner.runs_of(&job_name(JOB)), []);
     }
     session.handle(at(9_510), Event::OwnershipProved(at(9_505)));
     session.handle(at(9_520), Event::Tick);
