--- a/components/steps/tests/late_jobs.rs
+++ b/components/steps/tests/late_jobs.rs
@@ -346,3 +346,68 @@
     let orders = session.owner.take_orders(at(100), &vm(0)).unwrap();
     assert_eq!((orders.starts, orders.stops), (Vec::new(), vec![key]));
 }
+
+#[test]
+fn an_end_is_released_once_the_store_holds_neither_its_job_nor_the_end_of_the_job() {
+    let mut session = Session::loaded();
+    let end = ended(1, &earlier_run(1), RunEnd::Done);
+    session.report(at(10), 0, |report| report.ended = vec![end]);
+    assert_eq!(session.recorded_end(at(20)), 0);
+    session.handle(at(30), Event::NotStored(job_name(JOB)));
+    assert_eq!(session.recorded_end(at(40)), 1);
+}
+
+#[test]
+fn a_run_is_stopped_once_the_store_holds_neither_its_job_nor_the_end_of_the_job() {
+    let mut session = Session::loaded();
+    let key = earlier_run(1);
+    session.report(at(10), 0, |report| report.running = vec![active(&key)]);
+    session.handle(at(30), Event::NotStored(job_name(JOB)));
+    let orders = session.owner.take_orders(at(40), &vm(0)).unwrap();
+    assert_eq!(orders.stops, [key]);
+}
+
+#[test]
+fn an_unknown_job_is_read_once() {
+    let mut session = Session::loaded();
+    let read = |session: &mut Session, now| {
+        for number in 0..2 {
+            let key = earlier_run(number as u64);
+            session.report(now, number, |report| report.running = vec![active(&key)]);
+        }
+        session.owner.take_unknown_jobs()
+    };
+    assert_eq!(read(&mut session, at(10)), [job_name(JOB)]);
+    assert_eq!(read(&mut session, at(20)), []);
+    session.handle(at(30), Event::NotStored(job_name(JOB)));
+    assert_eq!(read(&mut session, at(40)), []);
+}
+
+#[test]
+fn a_crash_is_not_forgotten_while_one_of_its_jobs_is_unknown() {
+    const OTHER: &str = "00000000000000bb";
+    let mut session = Session::loaded();
+    let mut crashed = crash(1, 0, &earlier_run(1));
+    crashed.suspects.push(SuspectRun {
+        key: run(OTHER, 0, 0, 2 << 24),
+        is_confirmed: true,
+    });
+    session.report(at(10), 0, |report| report.crashes = vec![crashed]);
+    session.handle(at(20), Event::NotStored(job_name(OTHER)));
+    assert_eq!(session.recorded_crash(at(30)), None);
+    session.handle(at(40), Event::NotStored(job_name(JOB)));
+    assert_eq!(session.recorded_crash(at(50)), Some(1));
+}
+
+/// A job that arrives so late would otherwise be taken for one that no earlier owner knew.
+#[test]
+fn a_task_of_a_reported_job_waits_for_the_vms_that_have_not_answered() {
+    let mut session = Session::loaded();
+    session.handle(at(6_500), Event::OwnershipProved(at(6_490)));
+    let end = ended(1, &earlier_run(1), RunEnd::Stopped);
+    session.report(at(6_500), 0, |report| report.ended = vec![end]);
+    session.job_arrives(at(6_600));
+    assert_eq!(session.take_starts(at(6_610)), []);
+    session.report(at(6_700), 1, |_| ());
+    assert_eq!(session.take_starts(at(7_000)).len(), 1);
+}
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1239,3 +1239,19 @@
     session.handle(at(30), Event::OwnershipProved(at(25)));
     assert_eq!(session.take_starts(at(40), 0).len(), 1);
 }
+
+#[test]
+fn an_owner_asks_for_a_proof_when_the_leases_on_a_silent_vm_have_expired() {
+    let mut session = Session::new(2);
+    session.handle(START, Event::JobsLoaded);
+    session.report(at(0), 0, |_| ());
+    let failure = PollFailure::default();
+    session.handle(at(2_000), Event::Unreachable(vm(0), failure));
+    session.report(at(7_000), 1, |_| ());
+    assert!(!session.owner.needs_proof(at(7_400)));
+    assert!(session.owner.needs_proof(at(7_500)));
+    session.handle(at(7_510), Event::OwnershipProved(at(7_400)));
+    assert!(session.owner.needs_proof(at(7_510)));
+    session.handle(at(7_520), Event::OwnershipProved(at(7_505)));
+    assert!(!session.owner.needs_proof(at(7_520)));
+}
