--- a/components/steps/tests/late_jobs.rs
+++ b/components/steps/tests/late_jobs.rs
@@ -411,3 +411,13 @@
     session.report(at(6_700), 1, |_| ());
     assert_eq!(session.take_starts(at(7_000)).len(), 1);
 }
+
+#[test]
+fn a_job_whose_end_arrives_right_after_it_starts_nothing() {
+    let mut session = Session::loaded();
+    session.report(at(10), 0, |_| ());
+    session.report(at(10), 1, |_| ());
+    session.job_arrives(at(20));
+    session.handle(at(20), Event::Ended(job_name(JOB), Outcome::Completed));
+    assert_eq!(session.take_starts(at(20)), []);
+}
