--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1162,10 +1162,14 @@
     session.handle(at(10), Event::OwnershipProved(at(10)));
     let failure = PollFailure::default();
     session.handle(at(2_000), Event::Unreachable(vm(silent), failure));
-    for millis in [2_000, 5_000, 9_000] {
+    // Orders are allowed by the last of these proofs, from before the leases have expired.
+    for (millis, proved) in [(2_000, 10), (5_000, 4_900), (7_450, 7_400), (9_000, 7_400)] {
+        session.handle(at(millis), Event::OwnershipProved(at(proved)));
         session.report(at(millis), other, |_| ());
         session.owner.handle(at(millis), at(millis), Event::Tick);
         assert_eq!(session.take_starts(at(millis), other), [], "at {millis} ms");
+        let runs = session.owner.runs_of(&job_name(JOB));
+        assert!(runs.iter().map(|(vm, _)| vm).eq([&vm(silent)]));
     }
     session.handle(at(9_010), Event::OwnershipProved(at(9_005)));
     session.handle(at(9_020), Event::Tick);
@@ -1177,10 +1181,13 @@
     let mut session = Session::new(2);
     session.submit(at(0), JOB, 1);
     session.handle(START, Event::JobsLoaded);
-    for millis in [10, 5_000, 9_500] {
+    // Orders are allowed by the last of these proofs, from before the leases have expired.
+    for (millis, proved) in [(10, 5), (5_000, 4_900), (9_500, 8_900)] {
+        session.handle(at(millis), Event::OwnershipProved(at(proved)));
         session.report(at(millis), 0, |_| ());
         session.owner.handle(at(millis), at(millis), Event::Tick);
         assert_eq!(session.take_starts(at(millis), 0), [], "at {millis} ms");
+        assert_eq!(session.owner.runs_of(&job_name(JOB)), []);
     }
     session.handle(at(9_510), Event::OwnershipProved(at(9_505)));
     session.handle(at(9_520), Event::Tick);
@@ -1273,3 +1280,52 @@
     let change = session.owner.take_changes().remove(0);
     assert_eq!(change.progress.outcome, Some(Outcome::Completed));
 }
+
+/// A process may be suspended between the claim and the start of its term.
+#[test]
+fn agents_renew_no_leases_by_a_claim_that_is_older_than_the_term() {
+    let mut session = Session::new(1);
+    session.handle(
+        START,
+        Event::OwnershipProved(START - Duration::from_secs(4)),
+    );
+    session.handle(START, Event::JobsLoaded);
+    session.report(at(10), 0, |_| ());
+    let poll = session.owner.next_report_poll(at(20), &vm(0)).unwrap();
+    assert_eq!(poll.header.echo, None);
+    session.handle(at(30), Event::OwnershipProved(at(25)));
+    let poll = session.owner.next_report_poll(at(40), &vm(0)).unwrap();
+    assert!(poll.header.echo.is_some());
+}
+
+/// A process may be suspended between the claim and the start of its term.
+#[test]
+fn an_owner_gives_no_orders_by_a_claim_that_is_older_than_the_term() {
+    let mut session = Session::new(1);
+    session.handle(
+        START,
+        Event::OwnershipProved(START - Duration::from_secs(7)),
+    );
+    session.handle(START, Event::JobsLoaded);
+    session.report(at(10), 0, |_| ());
+    session.submit(at(20), JOB, 1);
+    assert_eq!(session.take_starts(at(20), 0), []);
+    session.handle(at(30), Event::OwnershipProved(at(25)));
+    assert_eq!(session.take_starts(at(40), 0).len(), 1);
+}
+
+#[test]
+fn an_owner_asks_for_a_proof_when_the_leases_on_a_silent_vm_have_expired() {
+    let mut session = Session::new(2);
+    session.handle(START, Event::JobsLoaded);
+    session.report(at(0), 0, |_| ());
+    let failure = PollFailure::default();
+    session.handle(at(2_000), Event::Unreachable(vm(0), failure));
+    session.report(at(7_000), 1, |_| ());
+    assert!(!session.owner.needs_proof(at(7_400)));
+    assert!(session.owner.needs_proof(at(7_500)));
+    session.handle(at(7_510), Event::OwnershipProved(at(7_400)));
+    assert!(session.owner.needs_proof(at(7_510)));
+    session.handle(at(7_520), Event::OwnershipProved(at(7_505)));
+    assert!(!session.owner.needs_proof(at(7_520)));
+}
