A durable end takes back the starts of its job that are queued

Found in the review of the reading of unknown jobs: the job and its end are read by separate calls, so an owner finds both if a later owner ends the job in between.

Cause: the job starts a pass, and its end, applied next, left the queued starts and known runs as they were. The starts were sent, and since the owner knew these runs, it never stopped them.

Change: a durable end stops the runs of its job as an end by this owner does.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -331,13 +331,16 @@
         self.schedule_due = true;
     }
 
-    /// Records an end that an earlier owner made durable. Remaining runs of the job
-    /// are stopped when workers report them.
+    /// Records an end that is durable. Runs that the owner does not know are stopped when
+    /// workers report them.
     fn on_ended(&mut self, now: Time, name: &JobName, outcome: Outcome) {
         if let Some(entry) = self.jobs.get_mut(name) {
             entry.outcome = Some(outcome);
             entry.ended_at = entry.ended_at.or(Some(now));
             self.waiting_jobs.remove(name);
+            for (vm, key) in entry.runs() {
+                self.stop_run(now, &vm, &key, "job ended");
+            }
             return;
         }
         self.ended_jobs.insert(name.clone(), now);
