Failing tests: a late heartbeat to a restarted agent lets runs of the later incarnation count as gone

The agent reports the earlier incarnation, and the owner takes it for a new one. The worker answers the agent's poll as another incarnation, and the agent reports that all leases have expired.

--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -359,3 +359,15 @@
     agent.apply_heartbeat(heartbeat(2, 1));
     assert_eq!(agent.report(at(100)).crashes, []);
 }
+
+/// It may have heard of its worker first by a late heartbeat of an earlier incarnation.
+#[test]
+fn a_restarted_agent_waits_for_earlier_leases_when_another_incarnation_answers() {
+    let mut agent = AgentState::new(Timing::default(), at(0));
+    agent.accept_header(at(0), &header(1, None));
+    agent.apply_heartbeat(heartbeat(1, 9));
+    let poll = next_poll(&mut agent, at(100));
+    agent.apply_error(at(110), &poll, PollError::OtherIncarnation);
+    assert!(!agent.report(at(4_300)).leases_expired);
+    assert!(agent.report(at(4_500)).leases_expired);
+}
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1255,3 +1255,26 @@
     session.handle(at(7_520), Event::OwnershipProved(at(7_505)));
     assert!(!session.owner.needs_proof(at(7_520)));
 }
+
+/// A restarted agent may hear of its worker first by a late heartbeat.
+#[test]
+fn an_earlier_incarnation_of_a_worker_does_not_show_that_later_runs_are_gone() {
+    let mut session = Session::new(1);
+    session.handle(START, Event::JobsLoaded);
+    let later = |report: &mut AgentReport| report.worker = Some(worker_info("w-0", 2));
+    session.report(at(0), 0, later);
+    session.submit(at(10), JOB, 1);
+    let orders = session.owner.take_orders(at(10), &vm(0)).unwrap();
+    assert_eq!(orders.starts.len(), 1);
+    session.answer(at(20), 0, orders, true);
+    let runs = session.owner.runs_of(&job_name(JOB));
+    session.handle(at(20), Event::Vm(vm(1)));
+    session.report(at(30), 1, |_| ());
+    session.report(at(400), 0, |report| {
+        report.agent_incarnation = 2;
+        report.confirmed_epoch = 0;
+        report.worker = Some(worker_info("w-0", 1));
+    });
+    assert_eq!(session.owner.runs_of(&job_name(JOB)), runs);
+    assert_eq!(session.take_starts(at(800), 1), []);
+}
