A late heartbeat of an earlier worker incarnation does not show that later runs are gone

Order of events: a worker restarts under the same name, and the later incarnation runs a task; its agent restarts, and hears of the worker first by a heartbeat of the earlier incarnation that was under way for long. The owner took the earlier incarnation for a new one, which has none of the runs. Even without that, the worker answers the agent's poll as another incarnation, and the agent reported that all leases have expired. The task is started again while it runs.

Change: an owner ignores an incarnation that started before the known one and has not answered under its epoch. An agent that another incarnation answers waits for the leases of earlier agent processes.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -699,6 +699,8 @@
                 tracing::info!(worker = %poll.incarnation.worker, "poll answered by another incarnation of the worker");
                 self.note_crash();
                 self.worker_left(&poll.incarnation.worker.clone());
+                // The other incarnation may have runs of an earlier agent process.
+                self.leases_expired = self.earlier_leases_end.passed(now);
             }
             PollError::Fenced => {
                 tracing::warn!(
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -5,7 +5,7 @@
 use super::{
     Owner, PollFailure,
     health::Health,
-    vm::{AssignedRun, Phase},
+    vm::{AssignedRun, Phase, Vm},
 };
 use crate::message::{ActiveRun, AgentReport, Role, RunKey};
 
@@ -37,6 +37,15 @@
     }
 }
 
+/// Whether a report may result from a late heartbeat of a worker that has restarted since. A
+/// restarted agent does not know the later incarnation.
+fn is_late_incarnation(vm: &Vm, report: &AgentReport, epoch: u64) -> bool {
+    let (Some(known), Some(info)) = (vm.incarnation(), &report.worker) else {
+        return false;
+    };
+    info.incarnation.started_at < known.started_at && report.confirmed_epoch != epoch
+}
+
 impl Owner {
     pub(super) fn on_report(&mut self, now: Time, name: &VmName, mut report: AgentReport) {
         if report.epoch > self.epoch {
@@ -50,6 +59,11 @@
             tracing::info!(vm = %name, agent = report.agent_incarnation, "late report of an earlier agent process ignored");
             return;
         }
+        if is_late_incarnation(vm, &report, self.epoch) {
+            tracing::info!(vm = %name, agent = report.agent_incarnation, "earlier incarnation of the worker ignored, since it has not answered");
+            report.worker = None;
+            report.clock_reading = None;
+        }
         let had_answered = vm.has_answered();
         self.touch_vm(name);
         self.track_agent(name, report.agent_incarnation);
