A worker is kept for a long-running task that fits nowhere

A long-running task that has been down for 1.5 s and that no worker has room for now keeps one worker free of other new tasks: one that would have room once the runs that end by themselves have ended, the most free one first, and the same one until the task fits or 1 s after the last pass in which it did not. Suspect workers, and those held for trials, are not kept. A failed placement of another task no longer covers that of an overdue one, which may use the kept worker.

owner.rs, smaller_tasks_do_not_keep_a_long_running_task_down: fails before (down for 5 s), passes now.

--- a/components/steps/src/owner/health.rs
+++ b/components/steps/src/owner/health.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Whether the worker is suspect, and gets no tasks or a single one.
+    pub(super) const fn is_suspect(&self) -> bool {
+        self.suspect_until.is_some()
+    }
+
     /// Records that the worker gets a task, which is its trial if it is suspect.
     pub(super) fn record_start(&mut self, now: Time) {
         if self.suspect_until.is_some() {
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use kernel::{Resources, ServiceName, Time, VmName};
@@ -26,6 +27,8 @@
 /// Cost of a worker on which tasks take twice as long as elsewhere.
 const SLOW_WORKER_COST: f64 = 1.5;
 
+/// Time for which a worker is kept after the last pass in which the task did not fit.
+const KEPT_FOR: Duration = Duration::from_secs(1);
 /// The most workers that are scored for one task. The index names the most promising first;
 /// `docs/PLACEMENT.md` weighs the number.
 const MAX_SCORED_WORKERS: usize = 16;
@@ -42,6 +45,8 @@
     pub(super) required_rack: Option<&'a str>,
     /// Whether a slow worker is better than none.
     pub(super) is_urgent: bool,
+    /// Whether the task is long-running and has been down for too long.
+    pub(super) is_overdue: bool,
     /// Whether and how the task starts on trial.
     pub(super) trial: Trial<'a>,
 }
@@ -57,6 +62,14 @@
     WithGang(&'a RunKey),
 }
 
+impl PlacementRequest<'_> {
+    /// Whether the VM has as many tasks of the step as it may have.
+    fn is_at_limit(&self, name: &VmName) -> bool {
+        let count = self.tasks_per_vm.get(name).copied().unwrap_or_default();
+        self.step.per_worker.is_some_and(|limit| count >= limit)
+    }
+}
+
 /// Requests that no worker could take in this scheduling pass. Capacity only shrinks
 /// during a pass, so the workers need not be examined again for a request that needs at
 /// least as much.
@@ -68,6 +81,7 @@
     service: ServiceName,
     label: Option<Arc<str>>,
     reserved: Resources,
+    is_overdue: bool,
     best_effort: Option<BestEffortNeed>,
 }
 
@@ -90,6 +104,7 @@
             service: request.service.clone(),
             label: step.label.clone(),
             reserved: step.reserved(),
+            is_overdue: request.is_overdue,
             best_effort: step.best_effort.then(|| BestEffortNeed {
                 image: step.image.clone(),
                 cpu_milli: step.need.cpu_milli,
@@ -113,6 +128,10 @@
         if self.label.is_some() && self.label != step.label {
             return false;
         }
+        // A worker may be kept for overdue tasks.
+        if request.is_overdue && !self.is_overdue {
+            return false;
+        }
         let Some(failed) = &self.best_effort else {
             return true;
         };
@@ -242,9 +261,7 @@
             if !is_eligible(vm, now, request, &self.zones_out) {
                 continue;
             }
-            if request.step.per_worker.is_some_and(|limit| {
-                request.tasks_per_vm.get(name).copied().unwrap_or_default() >= limit
-            }) {
+            if request.is_at_limit(name) {
                 continue;
             }
             let Some(cost) = cost(vm, now, request, self.interference.weights()) else {
@@ -262,6 +279,50 @@
         }
     }
 
+    /// Keeps one worker for the overdue long-running task, for which no worker has room, so that
+    /// smaller tasks do not take what becomes free there.
+    pub(super) fn keep_for_overdue(&mut self, now: Time, request: &PlacementRequest<'_>) {
+        let mut best = None;
+        for (name, vm) in &self.vms {
+            let is_avoided = request.avoid.contains(name) || request.is_at_limit(name);
+            if is_avoided || !suits(vm, request, &self.zones_out) {
+                continue;
+            }
+            if vm.is_held(now) || vm.has_open_trial() || vm.health.is_suspect() {
+                continue;
+            }
+            let room = vm.available().plus(self.passing_reservations(vm));
+            if !request.step.reserved().fits(room) {
+                continue;
+            }
+            let is_kept = !vm.kept_until.passed(now);
+            let rank = (is_kept, vm.available().cpu_milli);
+            if best.as_ref().is_none_or(|(most, _)| rank > *most) {
+                best = Some((rank, name.clone()));
+            }
+        }
+        let Some(((was_kept, _), name)) = best else {
+            return;
+        };
+        if let Some(vm) = self.vms.get_mut(&name) {
+            vm.kept_until = now + KEPT_FOR;
+        }
+        if !was_kept {
+            tracing::info!(vm = %name, "worker gets no smaller tasks until a long-running one that is down fits");
+        }
+    }
+
+    /// What the runs on a VM reserve that end by themselves.
+    fn passing_reservations(&self, vm: &Vm) -> Resources {
+        let mut reserved = Resources::NONE;
+        for (key, run) in &vm.runs {
+            if !self.is_long_running(key) {
+                reserved = reserved.plus(run.reserved);
+            }
+        }
+        reserved
+    }
+
     /// Racks of all known workers of a service.
     pub(super) fn racks(&self, service: &ServiceName) -> BTreeSet<String> {
         let mut racks = BTreeSet::new();
@@ -322,7 +383,10 @@
         return false;
     }
     let allows_trial = match request.trial {
-        Trial::No => !vm.is_held(now) && !vm.has_open_trial(),
+        Trial::No => {
+            let is_kept = !request.is_overdue && !vm.kept_until.passed(now);
+            !is_kept && !vm.is_held(now) && !vm.has_open_trial()
+        }
         Trial::Alone => vm.may_take_trial(None),
         Trial::WithGang(run) => vm.may_take_trial(Some(run)),
     };
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -80,6 +80,7 @@
             tasks_per_vm: &tasks_per_vm,
             required_rack: None,
             is_urgent: true,
+            is_overdue: false,
             trial: Trial::No,
         };
         self.choose_vm(now, &request).is_some()
@@ -108,7 +109,7 @@
         }
     }
 
-    fn is_long_running(&self, key: &RunKey) -> bool {
+    pub(super) fn is_long_running(&self, key: &RunKey) -> bool {
         let entry = self.jobs.get(&key.task.job);
         let step = entry.and_then(|entry| entry.job.steps.get(usize::from(key.task.step)));
         step.is_some_and(|step| step.long_running)
@@ -198,6 +199,7 @@
             tasks_per_vm: &tasks_per_vm,
             required_rack: None,
             is_urgent: true,
+            is_overdue: false,
             trial: Trial::No,
         };
         let Some(vm) = self.choose_vm(now, &request) else {
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -116,6 +116,7 @@
             tasks_per_vm,
             required_rack,
             is_urgent,
+            is_overdue: task.is_overdue,
             trial,
         }
     }
@@ -348,7 +349,10 @@
         let mut waiting = state.tasks().iter().filter(|task| task.is_waiting());
         let has_overdue =
             ready.step.long_running && waiting.any(|task| is_overdue(now, entry, ready.step, task));
-        let any_task = ReadyTask::default();
+        let any_task = ReadyTask {
+            is_overdue: has_overdue,
+            ..ReadyTask::default()
+        };
         let no_tasks = BTreeMap::new();
         let is_urgent = is_idle || has_overdue;
         let any_request = ready.placement_request(&any_task, &no_tasks, None, is_urgent, Trial::No);
@@ -388,6 +392,9 @@
                     self.hold_for_trial(now, &request, pass.suspect_starts);
                     continue;
                 }
+                if task.is_overdue {
+                    self.keep_for_overdue(now, &request);
+                }
                 pass.failed.record(&request);
                 return;
             };
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -225,6 +225,8 @@
     pub(super) full_until: Time,
     /// Time until which the worker gets no new tasks but those on trial.
     pub(super) held_until: Time,
+    /// Time until which the worker gets no new tasks but overdue long-running ones.
+    pub(super) kept_until: Time,
     /// Number of the last crash that the owner has handled, within the agent process.
     pub(super) processed_crash: u64,
     /// Handled crashes that the agent must still report: number of the crash and number of
@@ -275,6 +277,7 @@
             has_unaccounted_runs: false,
             full_until: Time::ZERO,
             held_until: Time::ZERO,
+            kept_until: Time::ZERO,
             processed_crash: 0,
             unrecorded_crashes: VecDeque::new(),
             recorded_crash: 0,
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::{config, entry, job, job_name, run, step, vm, worker_info};
-use kernel::Time;
+use kernel::{Resources, Time};
 use steps::{
     Event, Outcome, Owner, Timing,
     message::{
@@ -1191,3 +1191,43 @@
     session.handle(expired_at, Event::Tick);
     assert_eq!(session.take_starts(expired_at, 0).len(), 1);
 }
+
+/// Guards against a long-running task that waits while smaller tasks take each core that
+/// becomes free.
+#[test]
+fn smaller_tasks_do_not_keep_a_long_running_task_down() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    session.submit(at(0), "00000000000000b1", 60);
+    let watch = steps::Step {
+        need: Resources::new(3_000, 1_000, 0),
+        ..long_running_step(1)
+    };
+    let (job, progress) = (job(JOB, "quick", vec![watch]), None);
+    session.handle(at(100), Event::Job { job, progress });
+    let mut running: Vec<RunKey> = Vec::new();
+    for (number, millis) in (1..).zip((200..5_000).step_by(100)) {
+        let now = at(millis);
+        session.handle(now, Event::Tick);
+        if let Some(orders) = session.owner.take_orders(now, &vm(0)) {
+            let started = orders.starts.iter().map(|start| start.key.clone());
+            running.extend(started);
+            session.answer(now, 0, orders, true);
+        }
+        if running.iter().any(|key| key.task.job == job_name(JOB)) {
+            return;
+        }
+        let end = ended(number, &running.remove(0), RunEnd::Done);
+        let row = |key: &RunKey| ActiveRun {
+            key: key.clone(),
+            checkpoint: None,
+            progress_percent: 10,
+            measurement: 1_000,
+        };
+        session.report(now + Duration::from_millis(50), 0, |report| {
+            report.running = running.iter().map(row).collect();
+            report.ended = vec![end];
+        });
+    }
+    panic!("the task is down for 5 s");
+}
