Exploration: late and overtaking calls, and owners that hear of jobs late

The random draws of the existing cases stay as they are: the new faults come from a second generator and only with with_late_calls. They are: each owner hears of a job with a delay of its own, also an owner that is cut off and goes on; orders that the worker carries out, and the agent hears of, a little later; polls that are carried out late without an answer, and answers to polls that overtake each other; writes of records that take effect before their answer; late departures of workers; and, as an option, workers that restart under their names.

The stricter check of the recorded ends stays. A worker counts only ends that exist as forgotten.

--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -15,7 +15,8 @@
 use rand_chacha::ChaCha8Rng;
 use steps::{
     AgentState, Event, Job, Outcome, Owner, Progress, TaskKey, Timing,
-    message::{AgentReport, OrderResult, Orders, OrdersReply, Refusal, ReportPoll, RunKey},
+    agent::{PollError, PollReply, StartGrant, WorkerPoll},
+    message::{AgentReport, OrderResult, Orders, OrdersReply, Refusal, ReportPoll, RunEnd, RunKey},
     owner::{Handover, PollFailure, RecordWrite},
 };
 
@@ -38,15 +39,86 @@
     ReportTimeout(u64, VmName),
     Orders(u64, VmName, Box<Orders>),
     OrdersAnswered(u64, VmName, Box<Orders>, Option<OrdersReply>),
-    /// A start order that reaches the worker late: VM, start of the worker's
-    /// incarnation, run, epoch of the owner, end of the lease by the worker's clock.
-    DelayedStart(VmName, u64, RunKey, u64, u64),
+    /// A start order that reaches the worker late: VM, name of the worker, run, epoch of
+    /// the owner, end of the lease by the worker's clock.
+    DelayedStart(VmName, Arc<str>, RunKey, u64, u64),
     RecordsWritten(u64, u64, Vec<RecordWrite>),
+    /// The answer to a write of records, with their revisions.
+    WriteAnswered(u64, u64, Vec<(JobName, i64)>),
+    /// An owner hears of an accepted job.
+    News(u64, JobName),
+    /// Admitted orders reach the worker.
+    Execute(u64, VmName, Box<Orders>, Admission),
+    /// The agent hears of the outcome of orders.
+    Settle(u64, VmName, Box<Orders>, Settlement),
+    /// A poll reaches the worker late, and its reply is lost.
+    LatePoll(VmName, WorkerPoll),
+    /// The reply to a poll reaches the agent late. The number is the agent's incarnation.
+    LateReply(VmName, u64, WorkerPoll, PollReply),
+    /// A worker's departure: its name, and the start of its incarnation if the call names it.
+    Departure(VmName, Arc<str>, Option<u64>),
     /// The worker crashes, unless its incarnation has ended before.
     Crash(VmName, u64),
     Elect,
 }
 
+/// The agent's answer to each start of an order, and the agent's incarnation.
+struct Admission {
+    agent_incarnation: u64,
+    is_accepted: bool,
+    grants: Vec<Result<StartGrant, Refusal>>,
+}
+
+/// Outcome of orders, and the incarnation of the agent that sent them to the worker.
+struct Settlement {
+    agent_incarnation: u64,
+    is_admitted: Vec<bool>,
+    starts: Vec<OrderResult>,
+    stops: Vec<OrderResult>,
+}
+
+/// A successful end: VM, start of the worker's incarnation, number of the end.
+type DoneEnd = (VmName, u64, u64);
+
+/// A task that started again after it was done.
+struct Restart {
+    task: TaskKey,
+    at: Time,
+    end: DoneEnd,
+}
+
+/// What late calls and news may reach.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Reach {
+    /// Whether an owner that is cut off from the store hears of jobs all the same.
+    pub(crate) isolated_owner: bool,
+    /// Whether a worker may restart under its name, so that calls for the earlier incarnation
+    /// reach the next one.
+    pub(crate) next_incarnation: bool,
+}
+
+/// Calls that arrive late or overtake each other, and jobs of which owners hear late.
+struct LateCalls {
+    rng: ChaCha8Rng,
+    /// Times of the successful ends.
+    done_at: BTreeMap<DoneEnd, Time>,
+    /// Starts that break a rule if the end is taken note of.
+    restarts: Vec<Restart>,
+    /// Ends that are taken note of.
+    noted: BTreeSet<DoneEnd>,
+    reach: Reach,
+}
+
+impl LateCalls {
+    fn chance(&mut self, probability: f64) -> bool {
+        self.rng.random_bool(probability)
+    }
+
+    fn millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.random_range(range))
+    }
+}
+
 /// Process that is lost with each worker that a task crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LostProcess {
@@ -119,9 +191,8 @@
     store: BTreeMap<JobName, Stored>,
     store_down_until: Time,
     machines: BTreeMap<VmName, Machine>,
-    /// Successful ends by task: VM, start of the worker's incarnation, number of the
-    /// end.
-    done: BTreeMap<TaskKey, Vec<(VmName, u64, u64)>>,
+    /// Successful ends by task.
+    done: BTreeMap<TaskKey, Vec<DoneEnd>>,
     recorded_done: BTreeSet<TaskKey>,
     /// Jobs whose tasks always fail.
     poison: BTreeSet<JobName>,
@@ -133,6 +204,8 @@
     /// How long a crashed worker is down.
     pub(crate) crash_span: Duration,
     pub(crate) lost_with_worker: LostProcess,
+    /// Further faults, drawn from a generator of their own; `None` if there are none.
+    late: Option<LateCalls>,
     pub(crate) violations: Vec<String>,
     pub(crate) starts: usize,
 }
@@ -182,11 +255,24 @@
             faulty_vm: None,
             crash_span: Duration::from_secs(3),
             lost_with_worker: LostProcess::Nothing,
+            late: None,
             violations: Vec::new(),
             starts: 0,
         }
     }
 
+    /// Adds late and overtaking calls, and late news of jobs.
+    pub(crate) fn with_late_calls(mut self, seed: u64, reach: Reach) -> Self {
+        self.late = Some(LateCalls {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            done_at: BTreeMap::new(),
+            restarts: Vec::new(),
+            noted: BTreeSet::new(),
+            reach,
+        });
+        self
+    }
+
     pub(crate) fn submit(&mut self, job: Arc<Job>, is_poison: bool) {
         if is_poison {
             self.poison.insert(job.name.clone());
@@ -198,10 +284,52 @@
             cancelled: false,
         };
         self.store.insert(job.name.clone(), stored);
+        if self.late.is_some() {
+            return self.spread_news(&job.name);
+        }
         let progress = None;
         self.handle_event(Event::Job { job, progress });
     }
 
+    /// Tells each owner of an accepted job after a delay of its own.
+    fn spread_news(&mut self, name: &JobName) {
+        let late = self.late.as_ref();
+        let reaches_isolated = late.is_some_and(|late| late.reach.isolated_owner);
+        let isolated = self.isolated_owner.as_ref().filter(|_| reaches_isolated);
+        let isolated = isolated.map(|isolated| &isolated.owner);
+        let owners = self.owner.iter().chain(isolated);
+        let epochs: Vec<u64> = owners.map(Owner::epoch).collect();
+        for epoch in epochs {
+            self.send_news(epoch, name);
+        }
+    }
+
+    fn send_news(&mut self, epoch: u64, name: &JobName) {
+        let Some(late) = &mut self.late else {
+            return;
+        };
+        let delay = match late.chance(0.7) {
+            true => late.millis(1..60),
+            false => late.millis(60..3_000),
+        };
+        self.send(delay, Message::News(epoch, name.clone()));
+    }
+
+    /// Tells an owner of a job as it is in the store now; a cancellation follows.
+    fn on_news(&mut self, epoch: u64, name: &JobName) {
+        let Some(stored) = self.store.get(name).cloned() else {
+            return;
+        };
+        if let Some(outcome) = stored.outcome {
+            return self.handle_event_of(epoch, Event::Ended(name.clone(), outcome));
+        }
+        let (job, progress) = (stored.job, None);
+        self.handle_event_of(epoch, Event::Job { job, progress });
+        if stored.cancelled {
+            self.handle_event_of(epoch, Event::Cancelled(name.clone()));
+        }
+    }
+
     /// Makes a task crash each worker that starts it.
     pub(crate) fn make_deadly(&mut self, task: TaskKey) {
         self.deadly.insert(task, (0, 0));
@@ -306,10 +434,25 @@
         let machine = self.machines.get_mut(name).unwrap();
         machine.incarnations += 1;
         let incarnation = machine.incarnations;
-        let fresh = worker_info(&format!("w-{name}-{incarnation}"), incarnation);
+        let mut fresh = worker_info(&format!("w-{name}-{incarnation}"), incarnation);
+        let earlier = machine.worker.info.incarnation.clone();
+        if let Some(late) = &mut self.late
+            && late.reach.next_incarnation
+            && late.chance(0.5)
+        {
+            fresh.incarnation.worker = Arc::clone(&earlier.worker);
+        }
         let worker = SimulatedWorker::new(fresh, now, rate);
         machine.worker = self.faults.worker(worker);
         machine.worker.unresponsive_until = now + down;
+        if let Some(late) = &mut self.late
+            && late.chance(0.1)
+        {
+            let delay = late.millis(1..2_000);
+            let started_at = late.chance(0.5).then_some(earlier.started_at);
+            let departure = Message::Departure(name.clone(), earlier.worker, started_at);
+            self.send(delay, departure);
+        }
     }
 
     /// Plans the crash of a worker that has just started this run.
@@ -476,13 +619,39 @@
             Message::OrdersAnswered(epoch, vm, orders, reply) => {
                 self.handle_event_of(epoch, Event::OrdersAnswered { vm, orders, reply });
             }
-            Message::DelayedStart(name, started_at, key, epoch, until) => {
-                // A worker refuses orders that are meant for another incarnation.
-                if self.machines[&name].worker.info.incarnation.started_at == started_at {
+            Message::DelayedStart(name, worker, key, epoch, until) => {
+                // A worker refuses orders that are meant for another one.
+                if self.machines[&name].worker.info.incarnation.worker == worker {
                     self.start_run(&name, &key, epoch, until);
                 }
             }
             Message::RecordsWritten(epoch, last, changes) => self.on_written(epoch, last, changes),
+            Message::WriteAnswered(epoch, last, written) => {
+                self.on_write_answered(epoch, last, &written);
+            }
+            Message::News(epoch, name) => self.on_news(epoch, &name),
+            Message::Execute(epoch, name, orders, admission) => {
+                self.execute(epoch, name, orders, &admission);
+            }
+            Message::Settle(epoch, name, orders, settlement) => {
+                self.settle(epoch, name, orders, settlement, is_lost);
+            }
+            Message::LatePoll(name, poll) => {
+                let now = self.now;
+                let machine = self.machines.get_mut(&name).unwrap();
+                let _lost = machine.worker.poll(now, &poll);
+            }
+            Message::LateReply(name, agent_incarnation, poll, reply) => {
+                let now = self.now;
+                let machine = self.machines.get_mut(&name).unwrap();
+                if machine.agent.incarnation() == agent_incarnation {
+                    drop(machine.agent.apply_reply(now, &poll, reply));
+                }
+            }
+            Message::Departure(name, worker, started_at) => {
+                let machine = self.machines.get_mut(&name).unwrap();
+                machine.agent.worker_left(&worker, started_at);
+            }
         }
     }
 
@@ -501,6 +670,9 @@
             .unwrap()
             .agent
             .accept_header(now, &orders.header);
+        if self.late.as_mut().is_some_and(|late| late.chance(0.4)) {
+            return self.admit(epoch, name, orders, is_accepted);
+        }
         let fenced = OrderResult::Refused(Refusal::Fenced);
         let mut starts = Vec::new();
         for start in &orders.starts {
@@ -516,7 +688,7 @@
                     continue;
                 }
             };
-            if machine.worker.info.incarnation != orders.incarnation {
+            if machine.worker.info.incarnation.worker != orders.incarnation.worker {
                 let result = OrderResult::Refused(Refusal::Worker);
                 machine.agent.settle_start(&start.key, result);
                 starts.push(result);
@@ -527,9 +699,9 @@
             if is_unresponsive || is_delayed {
                 let after = Duration::from_millis(self.rng.random_range(500..6_000));
                 let key = start.key.clone();
-                let started_at = orders.incarnation.started_at;
+                let worker = Arc::clone(&orders.incarnation.worker);
                 let (epoch, until) = (grant.epoch, grant.until_millis);
-                let delayed = Message::DelayedStart(name.clone(), started_at, key, epoch, until);
+                let delayed = Message::DelayedStart(name.clone(), worker, key, epoch, until);
                 self.send(after, delayed);
                 starts.push(OrderResult::Unsettled);
                 continue;
@@ -542,7 +714,7 @@
         let machine = self.machines.get_mut(&name).unwrap();
         let mut stops = Vec::new();
         for key in &orders.stops {
-            let is_same = machine.worker.info.incarnation == orders.incarnation;
+            let is_same = machine.worker.info.incarnation.worker == orders.incarnation.worker;
             let result = match () {
                 () if !is_accepted => fenced,
                 () if !machine.worker.unresponsive_until.passed(now) => OrderResult::Unsettled,
@@ -563,6 +735,101 @@
         self.send(delay, Message::OrdersAnswered(epoch, name, orders, reply));
     }
 
+    /// Lets the agent admit orders that reach the worker a little later.
+    fn admit(&mut self, epoch: u64, name: VmName, orders: Box<Orders>, is_accepted: bool) {
+        let now = self.now;
+        let agent = &mut self.machines.get_mut(&name).unwrap().agent;
+        let mut grants = Vec::new();
+        for start in &orders.starts {
+            grants.push(match is_accepted {
+                true => agent.admit(now, &orders, &start.key),
+                false => Err(Refusal::Fenced),
+            });
+        }
+        let admission = Admission {
+            agent_incarnation: agent.incarnation(),
+            is_accepted,
+            grants,
+        };
+        let delay = self.slow_delay();
+        self.send(delay, Message::Execute(epoch, name, orders, admission));
+    }
+
+    fn slow_delay(&mut self) -> Duration {
+        let late = self.late.as_mut();
+        late.map_or(Duration::ZERO, |late| late.millis(1..150))
+    }
+
+    /// Carries out admitted orders.
+    fn execute(&mut self, epoch: u64, name: VmName, orders: Box<Orders>, admission: &Admission) {
+        let now = self.now;
+        let worker = &self.machines[&name].worker;
+        let is_same = worker.info.incarnation.worker == orders.incarnation.worker;
+        let is_responsive = worker.unresponsive_until.passed(now);
+        let mut starts = Vec::new();
+        for (start, grant) in orders.starts.iter().zip(&admission.grants) {
+            starts.push(match grant {
+                Err(refusal) => OrderResult::Refused(*refusal),
+                Ok(_) if !is_same => OrderResult::Refused(Refusal::Worker),
+                Ok(_) if !is_responsive => OrderResult::Unsettled,
+                Ok(grant) => self.start_run(&name, &start.key, grant.epoch, grant.until_millis),
+            });
+        }
+        let worker = &mut self.machines.get_mut(&name).unwrap().worker;
+        let mut stops = Vec::new();
+        for key in &orders.stops {
+            stops.push(match () {
+                () if !admission.is_accepted => OrderResult::Refused(Refusal::Fenced),
+                () if !is_responsive => OrderResult::Unsettled,
+                () if !is_same => OrderResult::Refused(Refusal::Worker),
+                () => worker.stop(now, key, orders.header.epoch),
+            });
+        }
+        let settlement = Settlement {
+            agent_incarnation: admission.agent_incarnation,
+            is_admitted: admission.grants.iter().map(Result::is_ok).collect(),
+            starts,
+            stops,
+        };
+        let delay = self.slow_delay();
+        self.send(delay, Message::Settle(epoch, name, orders, settlement));
+    }
+
+    /// Lets the agent that sent orders to the worker answer the owner.
+    fn settle(
+        &mut self,
+        epoch: u64,
+        name: VmName,
+        orders: Box<Orders>,
+        settlement: Settlement,
+        is_lost: bool,
+    ) {
+        let agent = &mut self.machines.get_mut(&name).unwrap().agent;
+        let delay = Duration::from_millis(5);
+        if agent.incarnation() != settlement.agent_incarnation {
+            let answer = Message::OrdersAnswered(epoch, name, orders, None);
+            return self.send(REPORT_POLL_TIMEOUT, answer);
+        }
+        let results = settlement.starts.iter().zip(&settlement.is_admitted);
+        for (start, (result, is_admitted)) in orders.starts.iter().zip(results) {
+            if *is_admitted {
+                agent.settle_start(&start.key, *result);
+            }
+        }
+        for (key, result) in orders.stops.iter().zip(&settlement.stops) {
+            agent.settle_stop(key, *result);
+        }
+        let reply = OrdersReply {
+            agent_incarnation: agent.incarnation(),
+            epoch: agent.epoch(),
+            poll: agent.last_poll_number(),
+            starts: settlement.starts,
+            stops: settlement.stops,
+        };
+        let reply = (!is_lost).then_some(reply);
+        self.send(delay, Message::OrdersAnswered(epoch, name, orders, reply));
+    }
+
     fn start_run(&mut self, name: &VmName, key: &RunKey, epoch: u64, until: u64) -> OrderResult {
         let now = self.now;
         let is_poison = self.poison.contains(&key.task.job);
@@ -609,6 +876,17 @@
         if step.copies {
             return;
         }
+        if let Some(late) = &mut self.late
+            && !step.long_running
+        {
+            for end in self.done.get(task).into_iter().flatten() {
+                late.restarts.push(Restart {
+                    task: task.clone(),
+                    at,
+                    end: end.clone(),
+                });
+            }
+        }
         // A long-running task starts again however it ends.
         if self.recorded_done.contains(task) && !step.long_running {
             self.violations
@@ -626,15 +904,17 @@
     /// Lets workers make progress, send heartbeats and answer polls of their agents.
     fn advance_workers(&mut self) {
         let now = self.now;
+        let mut calls = Vec::new();
         for (name, machine) in &mut self.machines {
             for end in machine.worker.advance(now) {
-                if end.how == steps::message::RunEnd::Done {
+                if end.how == RunEnd::Done {
+                    let started_at = machine.worker.info.incarnation.started_at;
+                    let done = (name.clone(), started_at, end.number);
+                    if let Some(late) = &mut self.late {
+                        late.done_at.insert(done.clone(), now);
+                    }
                     let ends = self.done.entry(end.key.task.clone()).or_default();
-                    ends.push((
-                        name.clone(),
-                        machine.worker.info.incarnation.started_at,
-                        end.number,
-                    ));
+                    ends.push(done);
                 }
             }
             if machine.next_heartbeat.passed(now) && machine.worker.unresponsive_until.passed(now) {
@@ -649,11 +929,34 @@
             let Some(poll) = machine.agent.next_poll(now, false) else {
                 continue;
             };
+            if let Some(late) = &mut self.late
+                && late.chance(0.01)
+            {
+                machine
+                    .agent
+                    .apply_error(now, &poll, PollError::Unresponsive);
+                let delay = late.millis(200..6_000);
+                calls.push((delay, Message::LatePoll(name.clone(), poll)));
+                continue;
+            }
             match machine.worker.poll(now, &poll) {
-                Ok(reply) => drop(machine.agent.apply_reply(now, &poll, reply)),
+                Ok(reply) => {
+                    if let Some(late) = &mut self.late
+                        && late.chance(0.1)
+                    {
+                        let delay = late.millis(1..300);
+                        let agent = machine.agent.incarnation();
+                        calls.push((delay, Message::LateReply(name.clone(), agent, poll, reply)));
+                        continue;
+                    }
+                    drop(machine.agent.apply_reply(now, &poll, reply));
+                }
                 Err(error) => machine.agent.apply_error(now, &poll, error),
             }
         }
+        for (delay, call) in calls {
+            self.send(delay, call);
+        }
         for (task, ends) in &self.done {
             let is_recorded = ends.iter().any(|(name, started_at, number)| {
                 let worker = &self.machines[name].worker;
@@ -663,6 +966,43 @@
                 self.recorded_done.insert(task.clone());
             }
         }
+        self.note_ends();
+    }
+
+    /// Notes the successful ends that workers may forget. An end counts as taken note of then,
+    /// unless its worker's lease has lapsed since.
+    fn note_ends(&mut self) {
+        let Some(late) = &mut self.late else {
+            return;
+        };
+        let machines = &self.machines;
+        let mut settled = Vec::new();
+        for (end, at) in &late.done_at {
+            let (name, started_at, number) = end;
+            let worker = &machines[name].worker;
+            let is_gone = worker.info.incarnation.started_at != *started_at;
+            let has_lapsed = worker.lapsed_at.is_some_and(|lapsed| lapsed > *at);
+            if !is_gone && !has_lapsed && !worker.is_recorded(*number) {
+                continue;
+            }
+            if !is_gone && !has_lapsed {
+                late.noted.insert(end.clone());
+            }
+            settled.push(end.clone());
+        }
+        for end in settled {
+            late.done_at.remove(&end);
+        }
+        for restart in std::mem::take(&mut late.restarts) {
+            if late.noted.contains(&restart.end) {
+                let (task, at, end) = (restart.task, restart.at, restart.end);
+                self.violations.push(format!(
+                    "{at}: {task} started after it was done as {end:?}, which was taken note of"
+                ));
+            } else if late.done_at.contains_key(&restart.end) {
+                late.restarts.push(restart);
+            }
+        }
     }
 
     /// Lets owners send calls and write records.
@@ -741,6 +1081,7 @@
         if epoch != self.epoch {
             return;
         }
+        let mut written = Vec::new();
         for change in &changes {
             self.revision += 1;
             let stored = self.store.get_mut(&change.job).unwrap();
@@ -752,14 +1093,26 @@
                 let job = Arc::clone(&stored.job);
                 self.check_complete(&job);
             }
-            if let Some(owner) = &mut self.owner {
-                owner.record_written(&change.job, self.revision);
-            }
+            written.push((change.job.clone(), self.revision));
         }
-        self.writing = false;
-        if let Some(owner) = &mut self.owner {
-            owner.confirm_durable(last);
+        if let Some(late) = &mut self.late
+            && late.chance(0.2)
+        {
+            let delay = late.millis(100..2_000);
+            return self.send(delay, Message::WriteAnswered(epoch, last, written));
         }
+        self.on_write_answered(epoch, last, &written);
+    }
+
+    fn on_write_answered(&mut self, epoch: u64, last: u64, written: &[(JobName, i64)]) {
+        let Some(owner) = self.owner.as_mut().filter(|owner| owner.epoch() == epoch) else {
+            return;
+        };
+        for (job, revision) in written {
+            owner.record_written(job, *revision);
+        }
+        self.writing = false;
+        owner.confirm_durable(last);
     }
 
     fn check_complete(&mut self, job: &Job) {
--- a/components/steps/tests/common/worker.rs
+++ b/components/steps/tests/common/worker.rs
@@ -38,6 +38,8 @@
     /// Number of the last end that the worker may forget.
     recorded: u64,
     sequence: u64,
+    /// When the lease was last found expired.
+    pub(crate) lapsed_at: Option<Time>,
     pub(crate) expired_runs: BTreeSet<RunKey>,
 }
 
@@ -57,6 +59,7 @@
             end_count: 0,
             recorded: 0,
             sequence: 0,
+            lapsed_at: None,
             expired_runs: BTreeSet::new(),
         }
     }
@@ -100,6 +103,9 @@
     /// is done. Returns these ends.
     pub(crate) fn advance(&mut self, now: Time) -> Vec<EndedRun> {
         let is_expired = self.clock(now) > self.lease_until;
+        if is_expired {
+            self.lapsed_at = Some(now);
+        }
         let mut ended_now = Vec::new();
         for (key, run) in &self.runs {
             let worked = now.since(run.started_at).as_millis() as u64 >= run.work_millis;
@@ -149,7 +155,7 @@
             return Err(PollError::Fenced);
         }
         self.lease_until = self.lease_until.max(poll.until_millis.unwrap_or_default());
-        self.recorded = self.recorded.max(poll.recorded);
+        self.recorded = self.recorded.max(poll.recorded.min(self.end_count));
         self.ended.retain(|end| end.number > poll.recorded);
         let row = |key: &RunKey| ActiveRun {
             key: key.clone(),
--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -9,7 +9,7 @@
 
 use common::{
     job, job_name,
-    simulation::{Faults, Simulation},
+    simulation::{Faults, Reach, Simulation},
     step,
 };
 use kernel::Time;
@@ -93,6 +93,70 @@
     assert!(simulation.starts > starts + 100, "seed {seed}");
 }
 
+/// Jobs of which owners hear late, and calls that arrive late or overtake each other.
+fn explore_late(seed: u64, per_second: f64, fencing: bool, reach: Reach) {
+    let start = Time::from_secs(1_000);
+    let faults = Faults {
+        fencing,
+        per_second,
+        until: start + FAULT_TIME,
+    };
+    let simulation = Simulation::new(seed, MACHINE_COUNT, faults);
+    let mut simulation = simulation.with_late_calls(seed, reach);
+    for number in 0u64..72 {
+        simulation.run_until(start + Duration::from_millis(333 * number));
+        let id = format!("{number:016x}");
+        let steps = match number % 3 {
+            0 => vec![step(3, &[]), step(2, &[0])],
+            1 => vec![step(5, &[])],
+            _ => vec![step(1, &[])],
+        };
+        let queue = if number % 2 == 0 { "quick" } else { "bulk" };
+        simulation.submit(job(&id, queue, steps), number == 7);
+    }
+    simulation.run_until(start + FAULT_TIME + RECOVERY_TIME);
+    assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+    for number in 0u64..72 {
+        let id = job_name(&format!("{number:016x}"));
+        let expected = match number {
+            7 => Outcome::Failed,
+            _ => Outcome::Completed,
+        };
+        assert_eq!(simulation.outcome(&id), Some(expected), "seed {seed}: {id}");
+    }
+}
+
+#[rstest]
+fn late_calls_and_late_news_violate_no_invariant(
+    #[values(51, 52, 53, 54)] seed: u64,
+    #[values(true, false)] fencing: bool,
+    #[values(true, false)] isolated_owner: bool,
+) {
+    let reach = Reach {
+        isolated_owner,
+        next_incarnation: false,
+    };
+    explore_late(seed, 0.08, fencing, reach);
+}
+
+/// Seed 20077: the agent of a silent worker knew the end of a task, which started again.
+#[rstest]
+fn previously_failing_seed_of_late_calls(#[values(true, false)] fencing: bool) {
+    explore_late(20_077, 0.15, fencing, Reach::default());
+}
+
+#[rstest]
+fn calls_that_reach_the_next_incarnation_violate_no_invariant(
+    #[values(61, 62, 63, 64)] seed: u64,
+    #[values(true, false)] fencing: bool,
+) {
+    let reach = Reach {
+        isolated_owner: false,
+        next_incarnation: true,
+    };
+    explore_late(seed, 0.05, fencing, reach);
+}
+
 #[rstest]
 fn long_running_tasks_run_once_at_a_time(
     #[values(41, 42, 43, 44, 45, 46, 47, 48)] seed: u64,
@@ -154,6 +218,26 @@
     explore_long_running(10_399, 0.15, false);
 }
 
+/// Runs more seeds with late calls on demand: `STEPS_LATE_SEEDS=1000 cargo test -p steps --test
+/// explore`.
+#[test]
+fn additional_seeds_of_late_calls() {
+    let count = std::env::var("STEPS_LATE_SEEDS").ok();
+    let count: u64 = count.and_then(|text| text.parse().ok()).unwrap_or(0);
+    for seed in 20_000..20_000 + count {
+        for fencing in [true, false] {
+            for isolated_owner in [true, false] {
+                let reach = Reach {
+                    isolated_owner,
+                    next_incarnation: false,
+                };
+                explore_late(seed, 0.05, fencing, reach);
+                explore_late(seed, 0.15, fencing, reach);
+            }
+        }
+    }
+}
+
 /// Runs more seeds on demand: `STEPS_SEEDS=1000 cargo test -p steps --test explore`.
 #[test]
 fn additional_seeds() {
