Test: names of jobs that have digits only

The users' report masks digits, so it does not exclude such names. Keys, their texts, JSON and JSON map keys keep them as they are; passes on as well, so the name rules nothing in.

--- a/components/steps/tests/jobs.rs
+++ b/components/steps/tests/jobs.rs
@@ -51,3 +51,21 @@
         }
     }
 }
+
+/// The name of a job may look like a number; it must stay a text in each encoding.
+#[test]
+fn a_task_of_a_job_whose_name_has_digits_only_keeps_its_key() {
+    for name in ["0000000000000000", "5017321094733016", "9999999999999999"] {
+        let key = common::run(name, 1, 17, 5).task;
+        assert_eq!(key.to_string(), format!("{name}.0.1.17"));
+        assert_eq!(key.to_string().parse::<steps::TaskKey>().unwrap(), key);
+        let json = serde_json::to_string(&key).unwrap();
+        assert_eq!(json, format!("\"{name}.0.1.17\""));
+        assert_eq!(serde_json::from_str::<steps::TaskKey>(&json).unwrap(), key);
+        let by_task = std::collections::BTreeMap::from([(key.clone(), 1u64)]);
+        let json = serde_json::to_string(&by_task).unwrap();
+        let decoded: std::collections::BTreeMap<steps::TaskKey, u64> =
+            serde_json::from_str(&json).unwrap();
+        assert_eq!(decoded, by_task);
+    }
+}
