--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -157,6 +157,17 @@
     explore_late(seed, 0.05, fencing, reach);
 }
 
+/// Calls for the earlier incarnation that the next one carries out before anyone can stop
+/// it. 30008: a late poll extends its lease. 30010: a late start.
+#[rstest]
+fn late_calls_act_on_the_next_incarnation(#[values(30_008, 30_010)] seed: u64) {
+    let reach = Reach {
+        isolated_owner: false,
+        next_incarnation: true,
+    };
+    explore_late(seed, 0.05, true, reach);
+}
+
 #[rstest]
 fn long_running_tasks_run_once_at_a_time(
     #[values(41, 42, 43, 44, 45, 46, 47, 48)] seed: u64,
