A reported job counts as absent only if the store holds none of its keys

Found in the review: a job that can't be decoded, as after a newer version wrote it, was taken for absent, so its ends were released; and the progress was read after the end, so a job that ends in between looked like one that has not begun.

Change: the keys are read in one order, job, progress, end, cancellation, and only no key at all means that the job is absent.

--- a/components/stepd/src/entry/submit.rs
+++ b/components/stepd/src/entry/submit.rs
@@ -4,7 +4,7 @@
 
 use kernel::{JobName, Verdict};
 use steps::{Job, JobState};
-use store::{Compare, KeyRange, Op, Store, StoreError, Txn, backoff::Backoff};
+use store::{Compare, KeyRange, KeyValue, Op, Store, StoreError, Txn, backoff::Backoff};
 
 use super::{
     Shared,
@@ -127,7 +127,8 @@
 ) -> Result<Option<JobState>, StoreError> {
     check_contact(shared)?;
     let mut index = Index::default();
-    for update in read_job_keys(&*shared.store, name).await? {
+    let kvs = read_job_keys(&*shared.store, name).await?;
+    for update in jobs_first(&kvs) {
         index.apply(&update);
         if matches!(update, KeyUpdate::Job(_) | KeyUpdate::Ended(..)) {
             shared.index().apply(&update);
@@ -137,19 +138,24 @@
     Ok(job.map(super::index::IndexedJob::state))
 }
 
-/// Reads a job, its end and whether it is cancelled from the store.
+/// Reads a job, its progress, its end and whether it is cancelled from the store.
 pub(super) async fn read_job_keys(
     store: &dyn Store,
     name: &JobName,
-) -> Result<Vec<KeyUpdate>, StoreError> {
-    // One transaction deletes the key of a job and creates the record of its end, so
-    // reading in this order finds at least one of them.
-    let keys = [keys::job(name), keys::ended(name), keys::cancelled(name)];
+) -> Result<Vec<KeyValue>, StoreError> {
+    // One transaction deletes the keys of a job and its progress and creates the record of its
+    // end, so reading in this order finds a job with its progress, or its end.
+    let keys = [
+        keys::job(name),
+        keys::progress(name),
+        keys::ended(name),
+        keys::cancelled(name),
+    ];
     let mut kvs = Vec::new();
     for key in keys {
         kvs.extend(store.range(KeyRange::one(key), 1).await?.kvs);
     }
-    Ok(jobs_first(&kvs))
+    Ok(kvs)
 }
 
 /// Refuses a call at once if the store has been silent for too long to be tried.
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -390,13 +390,15 @@
             if term.is_over() {
                 return;
             }
-            match read_job(&*term.store, &job).await {
-                Ok(updates) => {
-                    term.apply(&updates);
-                    // Does nothing if the store holds the job or its end.
+            match submit::read_job_keys(&*term.store, &job).await {
+                Ok(kvs) if kvs.is_empty() => {
                     term.handle(Event::NotStored(job));
                     break;
                 }
+                Ok(kvs) => {
+                    term.apply(&jobs_first(&kvs));
+                    break;
+                }
                 Err(error) => {
                     if backoff.failures() == 0 {
                         tracing::warn!(%job, %error, "can't read a job that an agent has reported; trying again");
@@ -408,13 +410,6 @@
     }
 }
 
-async fn read_job(store: &dyn Store, job: &JobName) -> Result<Vec<KeyUpdate>, StoreError> {
-    let mut updates = submit::read_job_keys(store, job).await?;
-    let progress = store.range(KeyRange::one(keys::progress(job)), 1).await?;
-    updates.extend(progress.kvs.iter().filter_map(parse_item));
-    Ok(updates)
-}
-
 async fn read_all(shared: &Shared) -> Result<Vec<KeyValue>, StoreError> {
     let mut kvs = shared.store.range(keys::followed(), 0).await?.kvs;
     // The progress records are read after the jobs, so that none is missed. A record of
