--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -135,6 +135,7 @@
     let reach = Reach {
         isolated_owner,
         next_incarnation: false,
+        zone_of_owner: false,
     };
     explore_late(seed, 0.08, fencing, reach);
 }
@@ -153,6 +154,7 @@
     let reach = Reach {
         isolated_owner: false,
         next_incarnation: true,
+        zone_of_owner: false,
     };
     explore_late(seed, 0.05, fencing, reach);
 }
@@ -164,10 +166,36 @@
     let reach = Reach {
         isolated_owner: false,
         next_incarnation: true,
+        zone_of_owner: false,
     };
     explore_late(seed, 0.05, true, reach);
 }
 
+/// An owner that is cut off with its zone starts nothing there that a later owner keeps running.
+#[rstest]
+fn an_owner_cut_off_with_its_zone_violates_no_invariant(
+    #[values(61, 62, 63, 64)] seed: u64,
+    #[values(true, false)] fencing: bool,
+) {
+    let reach = Reach {
+        isolated_owner: false,
+        next_incarnation: false,
+        zone_of_owner: true,
+    };
+    explore_late(seed, 0.15, fencing, reach);
+}
+
+/// Workers crash by themselves; no task may be given up for that.
+#[rstest]
+fn no_job_fails_among_crashes_and_late_calls(#[values(134, 268)] seed: u64) {
+    let reach = Reach {
+        isolated_owner: false,
+        next_incarnation: false,
+        zone_of_owner: false,
+    };
+    explore_late(seed, 0.15, true, reach);
+}
+
 #[rstest]
 fn long_running_tasks_run_once_at_a_time(
     #[values(41, 42, 43, 44, 45, 46, 47, 48)] seed: u64,
@@ -241,6 +269,7 @@
                 let reach = Reach {
                     isolated_owner,
                     next_incarnation: false,
+                    zone_of_owner: false,
                 };
                 explore_late(seed, 0.05, fencing, reach);
                 explore_late(seed, 0.15, fencing, reach);
