Jobs that a new owner loads are not logged one by one

The line 'job known' is for jobs that arrive. A takeover wrote one for each loaded job, which a small owner pays for while leases wait. Found by reading the change; its cost is not measured.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -321,7 +321,9 @@
         let was_reported = self.unknown_jobs.contains_key(&entry.job.name);
         entry.may_have_earlier_runs =
             !self.are_jobs_loaded || !is_earlier_owner_over || was_reported;
-        entry.log_known();
+        if self.are_jobs_loaded {
+            entry.log_known();
+        }
         if entry.outcome.is_none() {
             self.waiting_jobs.insert(entry.job.name.clone());
             self.suspects.extend(entry.suspects());
