Load line tells why workers are refused and what learning costs; ends are logged when durable

The owner of the large site spends all of its time, and no line told whether workers are examined in vain for room or for speed, how many comparisons the interference model makes, or when an end became durable. No logic is changed.

--- a/components/stepd/src/entry/journal.rs
+++ b/components/stepd/src/entry/journal.rs
@@ -148,6 +148,14 @@
                 let mut owner = term.owner();
                 for change in changes {
                     owner.record_written(&change.job, reply.revision);
+                    if change.is_end {
+                        tracing::info!(
+                            job = %change.job,
+                            revision = reply.revision,
+                            write_ms = term.now().since(sent_at).as_millis() as u64,
+                            "end of the job recorded"
+                        );
+                    }
                 }
                 return true;
             }
--- a/components/steps/src/owner/interference.rs
+++ b/components/steps/src/owner/interference.rs
@@ -130,16 +130,26 @@
         self.published_at.insert(version, pair);
     }
 
-    fn add_sample(&mut self, now: Time, key: &RunKey, serves: &Arc<str>, sample: LatencySample) {
+    /// Adds a sample to the fit; returns the number of comparisons with other samples.
+    fn add_sample(
+        &mut self,
+        now: Time,
+        key: &RunKey,
+        serves: &Arc<str>,
+        sample: LatencySample,
+    ) -> usize {
+        let mut compared = 0;
         let siblings: Vec<LatencySample> = self.siblings(&key.task.job, &sample).cloned().collect();
         let before = self.samples.insert(key.clone(), sample.clone());
         let regression = self.regressions.entry(Arc::clone(serves)).or_default();
         regression.decay(now);
         for sibling in &siblings {
             regression.add_difference(&sample, sibling, 1.0 / siblings.len() as f64);
+            compared += 1;
         }
         if let Some(before) = before.filter(|before| before.is_comparable(&sample)) {
             regression.add_difference(&sample, &before, SAME_TASK_FACTOR);
+            compared += 1;
         }
         regression.solve();
         let mut notable = Vec::new();
@@ -159,6 +169,7 @@
             tracing::info!(serves = %pair.0, fills = %pair.1, weight, "interference weight of an image pair changed");
             self.publish(pair, weight);
         }
+        compared
     }
 
     /// Samples of other tasks of the job on other VMs at about the same time.
@@ -346,7 +357,11 @@
                 log_latency,
                 usage: usage.clone(),
             };
-            self.interference.add_sample(now, &row.key, &serves, sample);
+            let compared = self
+                .interference
+                .add_sample(now, &row.key, &serves, sample);
+            self.work.samples_compared += compared as u64;
+            self.work.weights_solved += 1;
             let mut baseline = log_latency - ((*target_millis).max(1) as f64).ln();
             for entry in &usage {
                 baseline -= self.interference.weights.get(&serves, &entry.image) * entry.share;
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -270,6 +270,7 @@
                 continue;
             };
             if !is_eligible(vm, now, request, &self.zones_out) {
+                self.work.workers_without_room += 1;
                 continue;
             }
             if request.is_at_limit(name) {
@@ -277,6 +278,7 @@
             }
             let Some(cost) = cost(vm, now, request, self.interference.weights()) else {
                 choice.is_too_slow = true;
+                self.work.workers_too_slow += 1;
                 continue;
             };
             let is_avoided = request.avoid.contains(name);
--- a/components/steps/src/owner/work.rs
+++ b/components/steps/src/owner/work.rs
@@ -27,6 +27,14 @@
     pub jobs_visited: u64,
     /// Workers examined to place tasks.
     pub workers_examined: u64,
+    /// Examined workers that had no room for the task or may not run it.
+    pub workers_without_room: u64,
+    /// Examined workers on which the best-effort task would have been too slow.
+    pub workers_too_slow: u64,
+    /// Differences between latency samples that were added to the interference model.
+    pub samples_compared: u64,
+    /// Updates of the weights of the interference model.
+    pub weights_solved: u64,
     /// Start orders given.
     pub starts_ordered: u64,
     /// Start orders that reached an agent after their deadline.
