--- a/components/steps/src/owner/interference.rs
+++ b/components/steps/src/owner/interference.rs
@@ -357,9 +357,7 @@
                 log_latency,
                 usage: usage.clone(),
             };
-            let compared = self
-                .interference
-                .add_sample(now, &row.key, &serves, sample);
+            let compared = self.interference.add_sample(now, &row.key, &serves, sample);
             self.work.samples_compared += compared as u64;
             self.work.weights_solved += 1;
             let mut baseline = log_latency - ((*target_millis).max(1) as f64).ln();
--- a/components/steps/tests/backlog.rs
+++ b/components/steps/tests/backlog.rs
@@ -336,3 +336,111 @@
     answer(&mut owner, at(1_500), sent, late);
     assert_eq!(owner.work().starts_late, 1);
 }
+
+/// Returns an owner whose workers each run a serving and a best-effort task, and `waiting`
+/// best-effort jobs that would be too slow on any of them.
+fn owner_with_too_slow_workers(vms: usize, waiting: usize) -> Owner {
+    let mut owner = owner_with(vms);
+    let serving = Step {
+        long_running: true,
+        target_millis: Some(50),
+        per_worker: Some(1),
+        ..step(vms as u32, &[])
+    };
+    let best_effort = |image: usize, count: usize| Step {
+        best_effort: true,
+        image: Some(format!("image-{image}").into()),
+        need: Resources::new(1_000, 100, 0),
+        ..step(count as u32, &[])
+    };
+    submit(&mut owner, at(10), 1, serving);
+    submit(&mut owner, at(10), 2, best_effort(0, vms));
+    assert_eq!(owner.work().starts_ordered, 2 * vms as u64);
+    for number in 0..waiting {
+        submit(
+            &mut owner,
+            at(20),
+            100 + number,
+            best_effort(1 + number, 40),
+        );
+    }
+    owner
+}
+
+/// Returns how many workers the pass examines in which a quick job of 13 tasks starts.
+fn workers_examined_for_a_quick_job(waiting: usize) -> u64 {
+    let mut owner = owner_with_too_slow_workers(100, waiting);
+    owner.record_elapsed(at(20), Duration::ZERO);
+    let before = owner.work();
+    let quick = Step {
+        need: Resources::new(100, 100, 0),
+        ..step(13, &[])
+    };
+    submit(&mut owner, at(30), 1_000, quick);
+    let after = owner.work();
+    assert_eq!(after.passes, before.passes + 1);
+    assert!(
+        after.starts_ordered >= before.starts_ordered + 13,
+        "{after:?}"
+    );
+    after.workers_examined - before.workers_examined
+}
+
+#[test]
+fn a_quick_job_waits_until_a_pass_has_examined_all_workers_for_each_waiting_job() {
+    let (few, many) = (
+        workers_examined_for_a_quick_job(40),
+        workers_examined_for_a_quick_job(160),
+    );
+    assert!(many <= few, "{few} workers for 40 jobs, {many} for 160");
+}
+
+#[test]
+fn each_task_of_a_step_examines_the_same_workers_again() {
+    let mut owner = owner_with_too_slow_workers(100, 0);
+    let before = owner.work();
+    let step = Step {
+        best_effort: true,
+        image: Some("image-1".into()),
+        need: Resources::new(300, 100, 0),
+        ..step(40, &[])
+    };
+    submit(&mut owner, at(30), 1_000, step);
+    let after = owner.work();
+    assert_eq!(after.starts_ordered, before.starts_ordered + 40);
+    let examined = after.workers_examined - before.workers_examined;
+    assert!(examined <= 40 + 100, "{examined} workers for 40 tasks");
+}
+
+#[test]
+fn ends_of_jobs_are_recorded_behind_the_progress_of_others() {
+    let mut owner = owner_with_workers();
+    for number in 0..VMS {
+        let count = if number == VMS - 1 { 1 } else { 2 };
+        submit(&mut owner, at(10), number, step(count, &[]));
+    }
+    let sent = take_all_orders(&mut owner, at(10));
+    let mut first_tasks = Vec::new();
+    for (number, orders) in &sent {
+        for start in &orders.starts {
+            if start.key.task.index == 0 {
+                first_tasks.push((*number, start.key.clone()));
+            }
+        }
+    }
+    answer(&mut owner, at(20), sent, OrderResult::Done);
+    let mut numbers = [0; VMS];
+    for (vm, key) in first_tasks {
+        numbers[vm] += 1;
+        let ended = EndedRun {
+            number: numbers[vm],
+            key,
+            how: RunEnd::Done,
+            checkpoint: None,
+        };
+        report_with(&mut owner, at(800), vm, 1 + numbers[vm], vec![ended]);
+    }
+    let changes = owner.take_changes();
+    assert_eq!(changes.len(), VMS);
+    assert!(changes[0].is_end, "{changes:?}");
+}
--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -369,3 +369,39 @@
         .filter(|start| start.key.task.job.as_ref() == id.as_ref());
     of_job.count()
 }
+
+/// Returns the comparisons for one report of a serving job with a task on each of the VMs.
+fn comparisons_for_a_report(vms: usize) -> u64 {
+    let mut owner = Owner::new(entry(1), EPOCH, Timing::default(), START);
+    owner.handle(START, START, Event::Config(config()));
+    let mut session = Session {
+        owner,
+        now: START,
+        version: 0,
+        load: 1.0,
+    };
+    for number in 0..vms {
+        session.handle(Event::Vm(vm(number)));
+    }
+    let step = Step {
+        count: vms as u32,
+        ..serving_step()
+    };
+    let job = job(SERVING, "quick", vec![step]);
+    let progress = None;
+    session.handle(Event::Job { job, progress });
+    for number in 0..vms {
+        session.report(number, &[]);
+    }
+    let before = session.owner.work().samples_compared;
+    session.now = session.now + Duration::from_millis(600);
+    session.report(0, &[]);
+    session.owner.work().samples_compared - before
+}
+
+#[test]
+fn each_report_is_compared_with_each_task_of_the_job() {
+    let (few, many) = (comparisons_for_a_report(3), comparisons_for_a_report(48));
+    assert!(few > 0);
+    assert_eq!(many, few, "with 48 and with 3 tasks");
+}
