The tasks of a step search the workers once

Callers saw quick jobs late on the large site. Each task of a step searched the index of workers anew: 16 that can take it, and before them all on which it would be too slow.

The tasks of a step that start in one pass choose from one list now, and only the worker of the last start is scored again. As many more workers are scored as tasks wait, so a task sees no fewer than before.

--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -202,16 +202,37 @@
     }
 }
 
-/// The best workers that a choice has found so far.
+/// The workers that a search has found so far.
 #[derive(Default)]
-struct Choice {
-    best: Option<(f64, VmName)>,
+struct Found {
+    /// Workers that can take the task and are not to be avoided, with their costs.
+    scored: Vec<(f64, VmName)>,
     /// Best of the workers that are to be avoided.
     fallback: Option<(f64, VmName)>,
-    /// Number of workers that can take the task and are not to be avoided.
-    scored: usize,
     /// Whether a worker was left out only because the task would be too slow there.
     is_too_slow: bool,
+    /// Whether the search has stopped before the last worker.
+    is_cut_off: bool,
+}
+
+impl Found {
+    const fn held_back_by(&self) -> HeldBackBy {
+        match self.is_too_slow {
+            true => HeldBackBy::Speed,
+            false => HeldBackBy::Capacity,
+        }
+    }
+}
+
+/// The workers found for one task of a step, from which the next ones choose as well. Only
+/// the worker of the last start has changed since.
+#[derive(Default)]
+pub(super) struct Shortlist {
+    found: Found,
+    /// Whether the task was urgent and whether it was overdue, on which the costs depend.
+    made_for: Option<(bool, bool)>,
+    /// Place of the worker that was chosen last.
+    last: Option<usize>,
 }
 
 impl Owner {
@@ -222,28 +243,80 @@
         now: Time,
         request: &PlacementRequest<'_>,
     ) -> Result<VmName, HeldBackBy> {
+        let found = self.find_workers(now, request, 1);
+        let is_trial = !matches!(request.trial, Trial::No);
+        if found.scored.is_empty() && is_trial && self.has_other_worker(request) {
+            return Err(HeldBackBy::Capacity);
+        }
+        let held_back_by = found.held_back_by();
+        let best = cheapest(&found.scored).map(|index| found.scored[index].1.clone());
+        best.or(found.fallback.map(|(_, name)| name))
+            .ok_or(held_back_by)
+    }
+
+    /// Chooses a VM as [`Owner::choose_vm`] does for one of `wanted` tasks of a step, which
+    /// start one after the other. Together they search the workers once.
+    pub(super) fn choose_next_vm(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest<'_>,
+        shortlist: &mut Shortlist,
+        wanted: usize,
+    ) -> Result<VmName, HeldBackBy> {
+        if !matches!(request.trial, Trial::No) || !request.avoid.is_empty() {
+            *shortlist = Shortlist::default();
+            return self.choose_vm(now, request);
+        }
+        let kind = Some((request.is_urgent, request.is_overdue));
+        if shortlist.made_for == kind {
+            self.score_again(now, request, shortlist);
+        }
+        let is_used_up = shortlist.found.scored.is_empty() && shortlist.found.is_cut_off;
+        if shortlist.made_for != kind || is_used_up {
+            *shortlist = Shortlist {
+                found: self.find_workers(now, request, wanted),
+                made_for: kind,
+                last: None,
+            };
+        }
+        let found = &shortlist.found;
+        shortlist.last = cheapest(&found.scored);
+        let name = shortlist.last.map(|index| found.scored[index].1.clone());
+        name.ok_or_else(|| found.held_back_by())
+    }
+
+    /// Scores the worker of the last start again.
+    fn score_again(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest<'_>,
+        shortlist: &mut Shortlist,
+    ) {
+        let Some(index) = shortlist.last.take() else {
+            return;
+        };
+        let (_, name) = shortlist.found.scored.swap_remove(index);
+        self.score(now, request, &name, &mut shortlist.found);
+    }
+
+    /// Returns the most promising workers that can take at least one of `wanted` tasks.
+    fn find_workers(&mut self, now: Time, request: &PlacementRequest<'_>, wanted: usize) -> Found {
         for name in std::mem::take(&mut self.index_vms) {
             self.index.update(&name, self.vms.get(&name));
         }
-        let mut choice = Choice::default();
+        let mut found = Found::default();
+        let most = MAX_SCORED_WORKERS + wanted - 1;
         let required_rack = request.required_rack.map(Arc::from);
         if required_rack.is_none()
             && let Some(rack) = &request.step.data_rack
         {
             let group = (request.service.clone(), Some(Arc::clone(rack)));
-            self.examine(now, request, &group, &mut choice);
+            self.examine(now, request, &group, most, &mut found);
         }
         let group = (request.service.clone(), required_rack);
-        self.examine(now, request, &group, &mut choice);
-        let is_trial = !matches!(request.trial, Trial::No);
-        if choice.best.is_none() && is_trial && self.has_other_worker(request) {
-            return Err(HeldBackBy::Capacity);
-        }
-        let found = choice.best.or(choice.fallback);
-        found.map(|(_, name)| name).ok_or(match choice.is_too_slow {
-            true => HeldBackBy::Speed,
-            false => HeldBackBy::Capacity,
-        })
+        let most = found.scored.len() + most;
+        self.examine(now, request, &group, most, &mut found);
+        found
     }
 
     /// Whether a worker that is not to be avoided could take the task later.
@@ -252,44 +325,62 @@
         vms.any(|(name, vm)| !request.avoid.contains(name) && suits(vm, request, &self.zones_out))
     }
 
-    /// Examines the workers of a group until enough of them can take the task.
+    /// Examines the workers of a group until `most` have been found.
     fn examine(
         &mut self,
         now: Time,
         request: &PlacementRequest<'_>,
         group: &Group,
-        choice: &mut Choice,
+        most: usize,
+        found: &mut Found,
     ) {
-        let until = choice.scored + MAX_SCORED_WORKERS;
-        for name in self.index.candidates(request, group) {
-            if choice.scored == until {
-                return;
-            }
-            self.work.workers_examined += 1;
-            let Some(vm) = self.vms.get_mut(name) else {
-                continue;
-            };
-            if !is_eligible(vm, now, request, &self.zones_out) {
-                self.work.workers_without_room += 1;
-                continue;
-            }
-            if request.is_at_limit(name) {
-                continue;
+        let index = std::mem::take(&mut self.index);
+        // Those in the rack of the data have been examined first.
+        let first = found.scored.len();
+        for name in index.candidates(request, group) {
+            if found.scored.len() >= most {
+                found.is_cut_off = true;
+                break;
             }
-            let Some(cost) = cost(vm, now, request, self.interference.weights()) else {
-                choice.is_too_slow = true;
-                self.work.workers_too_slow += 1;
+            if found.scored[..first].iter().any(|(_, known)| known == name) {
                 continue;
-            };
-            let is_avoided = request.avoid.contains(name);
-            choice.scored += usize::from(!is_avoided);
-            let candidate = match is_avoided {
-                true => &mut choice.fallback,
-                false => &mut choice.best,
-            };
-            if candidate.as_ref().is_none_or(|(least, _)| cost < *least) {
-                *candidate = Some((cost, name.clone()));
             }
+            self.score(now, request, name, found);
+        }
+        self.index = index;
+    }
+
+    /// Examines a worker, and adds it to those found if it can take the task.
+    fn score(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest<'_>,
+        name: &VmName,
+        found: &mut Found,
+    ) {
+        self.work.workers_examined += 1;
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        if !is_eligible(vm, now, request, &self.zones_out) || request.is_at_limit(name) {
+            self.work.workers_without_room += 1;
+            return;
+        }
+        let Some(cost) = cost(vm, now, request, self.interference.weights()) else {
+            self.work.workers_too_slow += 1;
+            found.is_too_slow = true;
+            return;
+        };
+        if !request.avoid.contains(name) {
+            found.scored.push((cost, name.clone()));
+            return;
+        }
+        if found
+            .fallback
+            .as_ref()
+            .is_none_or(|(least, _)| cost < *least)
+        {
+            found.fallback = Some((cost, name.clone()));
         }
     }
 
@@ -357,6 +448,13 @@
 /// Index of the rack in a worker's labels; its kind comes first.
 pub(super) const RACK_LABEL_INDEX: usize = 1;
 
+/// Place of the cheapest of the scored workers, the first of equal ones.
+fn cheapest(scored: &[(f64, VmName)]) -> Option<usize> {
+    let scored = scored.iter().enumerate();
+    let least = scored.min_by(|(_, (one, _)), (_, (other, _))| one.total_cmp(other));
+    least.map(|(index, _)| index)
+}
+
 /// Whether the worker is one that the task may use once there is room.
 pub(super) fn suits(
     vm: &Vm,
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -11,7 +11,7 @@
 use super::{
     Owner,
     entry::{HeldBackBy, JobEntry, StepState, Task, task_key},
-    place::{FailedPlacements, PlacementRequest, Trial},
+    place::{FailedPlacements, PlacementRequest, Shortlist, Trial},
     vm::{AssignedRun, Phase, Vm},
     window::StartRoom,
 };
@@ -373,7 +373,9 @@
         }
         let is_cut_off = !is_held_back && tasks.len() < state.waiting();
         let mut tasks_per_vm = count_tasks_per_vm(ready.step, state);
-        for task in tasks {
+        let mut shortlist = Shortlist::default();
+        let count = tasks.len();
+        for (started, task) in tasks.into_iter().enumerate() {
             if !pass.room.admits(task.is_overdue) {
                 self.window.hold_back();
                 self.hold_back_step(ready, HeldBackBy::Window);
@@ -394,7 +396,8 @@
                 self.hold_back_step(ready, by);
                 return;
             }
-            let vm = match self.choose_vm(now, &request) {
+            let wanted = count - started;
+            let vm = match self.choose_next_vm(now, &request, &mut shortlist, wanted) {
                 Ok(vm) => vm,
                 Err(_) if task.is_suspect => {
                     self.hold_for_trial(now, &request, pass.suspect_starts);
