Ends of jobs are recorded before the progress of others

Callers saw quick jobs as running after their last task was done.

The ends come first now, and those that become due meanwhile come with the next transaction. A job that ended is not written as progress any more.

ends_of_jobs_are_recorded_behind_the_progress_of_others failed before and passes.

--- a/components/stepd/src/entry/journal.rs
+++ b/components/stepd/src/entry/journal.rs
@@ -1,6 +1,7 @@
 //! Writes the records of jobs to the store.
 
 use std::{
+    collections::BTreeSet,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -64,21 +65,32 @@
     }
 }
 
-/// Writes all records that are due.
+/// Writes all records that are due. The ends of jobs come first, also those that become due
+/// meanwhile, since clients wait for them.
 async fn flush(term: &Term) {
-    let (last_change, changes) = {
+    let (last_change, mut rest) = {
         let mut owner = term.owner();
         (owner.last_change(), owner.take_changes())
     };
     let mut all_durable = true;
-    let mut rest = changes.as_slice();
     while !rest.is_empty() {
-        let (group, others) = rest.split_at(count_that_fits(rest));
-        all_durable &= write(term, group).await;
-        rest = others;
+        let others = rest.split_off(count_that_fits(&rest));
+        all_durable &= write(term, &rest).await;
+        rest = term.owner().take_ends();
+        let ended: BTreeSet<JobName> = rest.iter().map(|end| end.job.clone()).collect();
+        // The end of a job replaces its progress.
+        let others = others.into_iter();
+        rest.extend(others.filter(|change| !ended.contains(&change.job)));
     }
+    let mut owner = term.owner();
     if all_durable {
-        term.owner().confirm_durable(last_change);
+        let is_all_written = !owner.has_changes();
+        let durable = if is_all_written {
+            owner.last_change()
+        } else {
+            last_change
+        };
+        owner.confirm_durable(durable);
     }
 }
 
--- a/components/steps/src/owner/journal.rs
+++ b/components/steps/src/owner/journal.rs
@@ -49,24 +49,39 @@
         self.has_urgent_changes
     }
 
-    /// Returns and clears the records that must be written now.
+    /// Returns and clears the records that must be written now, those that end a job first.
     pub fn take_changes(&mut self) -> Vec<RecordWrite> {
-        self.has_urgent_changes = false;
-        let mut changes = Vec::new();
+        let mut changes = self.take_ends();
         for job in std::mem::take(&mut self.dirty) {
-            let Some(entry) = self.jobs.get(&job) else {
-                continue;
-            };
-            changes.push(RecordWrite {
-                is_end: entry.outcome.is_some(),
-                progress: entry.progress(),
-                replaces: entry.record_revision,
-                job,
-            });
+            changes.extend(self.record(job));
         }
         changes
     }
 
+    /// Returns and clears those of the records to be written that end a job.
+    pub fn take_ends(&mut self) -> Vec<RecordWrite> {
+        if !std::mem::take(&mut self.has_urgent_changes) {
+            return Vec::new();
+        }
+        let jobs = &self.jobs;
+        let has_ended = |job: &JobName| jobs.get(job).is_some_and(|entry| entry.outcome.is_some());
+        let ended: Vec<JobName> = self.dirty.extract_if(.., has_ended).collect();
+        ended
+            .into_iter()
+            .filter_map(|job| self.record(job))
+            .collect()
+    }
+
+    fn record(&self, job: JobName) -> Option<RecordWrite> {
+        let entry = self.jobs.get(&job)?;
+        Some(RecordWrite {
+            is_end: entry.outcome.is_some(),
+            progress: entry.progress(),
+            replaces: entry.record_revision,
+            job,
+        })
+    }
+
     /// Notes the revision at which a job's record was written.
     pub fn record_written(&mut self, job: &JobName, revision: i64) {
         if let Some(entry) = self.jobs.get_mut(job) {
--- a/components/steps/tests/backlog.rs
+++ b/components/steps/tests/backlog.rs
@@ -417,8 +417,9 @@
     assert!(examined <= 40 + 100, "{examined} workers for 40 tasks");
 }
 
-#[test]
-fn ends_of_jobs_are_recorded_behind_the_progress_of_others() {
+/// Returns an owner with a record to write for each of its workers, one of them the end of a
+/// job.
+fn owner_with_records() -> Owner {
     let mut owner = owner_with_workers();
     for number in 0..VMS {
         let count = if number == VMS - 1 { 1 } else { 2 };
@@ -445,7 +446,25 @@
         };
         report_with(&mut owner, at(800), vm, 1 + numbers[vm], vec![ended]);
     }
+    owner
+}
+
+#[test]
+fn ends_of_jobs_are_recorded_behind_the_progress_of_others() {
+    let mut owner = owner_with_records();
     let changes = owner.take_changes();
     assert_eq!(changes.len(), VMS);
     assert!(changes[0].is_end, "{changes:?}");
 }
+
+#[test]
+fn an_end_waits_until_all_progress_before_it_is_recorded() {
+    let mut owner = owner_with_records();
+    let ends = owner.take_ends();
+    assert_eq!(ends.len(), 1);
+    assert!(ends[0].is_end, "{ends:?}");
+    assert!(!owner.has_urgent_changes());
+    let others = owner.take_changes();
+    assert_eq!(others.len(), VMS - 1);
+    assert!(others.iter().all(|change| change.job != ends[0].job));
+}
