An unanswered start is not repeated on a worker whose capacity fell meanwhile

The starts that wait are taken back at that report, but this one is with its call, and joins the queue again as the call fails. It was sent with the new capacity, so the agent admitted it: 2 cores of 1.949, on a worker that may not check.

Starts are taken back after a failed call as well. an_unanswered_start_is_repeated_though_the_capacity_fell_meanwhile failed before.

--- a/components/steps/src/owner/orders.rs
+++ b/components/steps/src/owner/orders.rs
@@ -285,6 +285,7 @@
         for key in stale {
             self.stop_run(now, name, &key, "start order not answered");
         }
+        self.take_back_starts(now, name);
     }
 
     fn on_start_result(
--- a/components/steps/tests/capacity.rs
+++ b/components/steps/tests/capacity.rs
@@ -226,6 +226,18 @@
     assert_eq!(session.owner.runs_of(&job_name(JOB)).len(), 4);
 }
 
+#[test]
+fn an_unanswered_start_is_repeated_though_the_capacity_fell_meanwhile() {
+    let mut session = Session::new(&[FULL]);
+    session.submit(at(10), JOB, step(4, &[]));
+    let orders = session.take_orders(at(20), 0).unwrap();
+    session.resize(at(200), 0, SHRUNK);
+    session.answer(at(300), 0, orders, None);
+    let orders = session.take_orders(at(320), 0).unwrap();
+    assert_eq!((orders.starts.len(), orders.stops.len()), (0, 4));
+    assert_eq!(session.owner.runs_of(&job_name(JOB)).len(), 4);
+}
+
 #[test]
 fn a_start_refused_for_lack_of_capacity_goes_to_another_worker() {
     let mut session = Session::new(&[FULL, SHRUNK]);
