Heartbeats with odd fields are refused

An agent refuses a new incarnation that starts over a minute in the future, and a sequence a million above the last one. The answer is 400 and the line names the worker and the reason.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -30,7 +30,7 @@
     http1::{self, DEFAULT_LIMITS, ReceivedRequest, ServerSetup},
     keys,
     metrics::{self, AgentMetrics},
-    secret,
+    secret, time,
 };
 
 mod polls;
@@ -261,6 +261,20 @@
     };
     match shared.codec.decode_worker_call(&head, &body) {
         Ok(WorkerCall::Heartbeat(heartbeat)) => {
+            let odd = shared
+                .agent_state()
+                .odd_heartbeat(time::wall_time(), &heartbeat);
+            if let Some(why) = odd {
+                let incarnation = &heartbeat.info.incarnation;
+                tracing::warn!(
+                    worker = %incarnation.worker,
+                    born = incarnation.started_at,
+                    sequence = heartbeat.sequence,
+                    why,
+                    "heartbeat refused, since no worker can have sent it"
+                );
+                return status(StatusCode::BAD_REQUEST);
+            }
             let heartbeat = shared.registration().admit_heartbeat(heartbeat);
             if let Some(heartbeat) = heartbeat {
                 shared.apply_heartbeat(heartbeat);
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -41,6 +41,11 @@
 /// Interval between two polls that check whether the worker has survived a run.
 const DOUBTS_POLL_INTERVAL: Duration = Duration::from_millis(150);
 
+/// By how much the clock of a worker may be ahead of that of its agent.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
+/// The most heartbeats of a worker that its agent may miss.
+const MAX_MISSED_HEARTBEATS: u64 = 1_000_000;
+
 /// Periodic message from a worker about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -313,6 +318,22 @@
         self.worker.is_some() && self.confirmed_epoch < self.epoch
     }
 
+    /// Why no worker can have sent the heartbeat by this time of day; `None` if one can. One
+    /// that is applied is taken for the newest, so that those of the worker would be ignored.
+    #[must_use]
+    pub fn odd_heartbeat(&self, wall: Time, beat: &Heartbeat) -> Option<&'static str> {
+        let known = self.worker.as_ref();
+        let incarnation = &beat.info.incarnation;
+        if known.is_some_and(|known| known.incarnation == *incarnation) {
+            let most = self
+                .heartbeat_sequence
+                .saturating_add(MAX_MISSED_HEARTBEATS);
+            return (beat.sequence > most).then_some("sequence is far above the last one");
+        }
+        let latest_start = (wall + MAX_CLOCK_LEAD).as_millis();
+        (incarnation.started_at > latest_start).then_some("start is in the future")
+    }
+
     /// Applies a heartbeat. A late heartbeat of an earlier incarnation is ignored.
     pub fn apply_heartbeat(&mut self, beat: Heartbeat) {
         let is_same_incarnation = match &self.worker {
