Jobs, records and the epoch of another writer do not stop the owner

Operators of other systems saw the machines that read one odd entry end again and again, or stop following. Here a job in the store with 4,294,967,295 tasks made each owner allocate 618 GB and abort, one whose step waits for a step that it does not have ended the owner's tasks with a panic, a record of progress with a range up to 4,294,967,295 kept the owner busy for over half a minute, and an epoch of the largest number let no entry become the owner.

--- a/components/stepd/src/entry/index.rs
+++ b/components/stepd/src/entry/index.rs
@@ -77,6 +77,10 @@
     match Key::parse(&kv.key) {
         Key::Job(name) => {
             let accepted: Job = parse_value(kv)?;
+            if let Err(error) = accepted.validate() {
+                tracing::error!(key = kv.key, %error, "a job in the store is none that an entry accepts; ignored");
+                return None;
+            }
             (accepted.name == name).then(|| KeyUpdate::Job(Arc::new(accepted)))
         }
         Key::Progress(name) => Some(KeyUpdate::Progress(name, parse_value(kv)?, kv.modified)),
--- a/components/stepd/src/keys.rs
+++ b/components/stepd/src/keys.rs
@@ -160,14 +160,18 @@
     KeyRange::prefix(PROGRESS)
 }
 
+/// An epoch that no series of terms reaches, so another writer has written it. The numbers of
+/// runs, which start with the epoch, stay below 2^53, which JSON carries without loss.
+const EPOCH_LIMIT: u64 = 1 << 29;
+
 /// Returns the epoch of the newest owner from the value of its key.
 pub(crate) fn parse_epoch(kv: &KeyValue) -> u64 {
     let text = String::from_utf8_lossy(&kv.value);
     match text.parse() {
-        Ok(epoch) => epoch,
-        Err(error) => {
+        Ok(epoch) if epoch < EPOCH_LIMIT => epoch,
+        parsed => {
             tracing::error!(
-                %error,
+                ?parsed,
                 revision = kv.modified,
                 "can't parse the epoch; using the revision of its key"
             );
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -221,8 +221,9 @@
                 continue;
             };
             for &(from, until) in &saved.done {
-                for index in from..until {
-                    step.complete(index as usize);
+                let until = step.tasks.len().min(until as usize);
+                for index in from as usize..until {
+                    step.complete(index);
                 }
             }
             for (index, failures) in &saved.failed {
