A silent worker that answers again has not crashed

Trace: two workers crash by themselves under one task. A third is silent until its leases have expired, so its agent, cut off from the owner meanwhile, notes a crash with that task in doubt. The worker answers again, with the end of the task as done; the report brings both, the crash is applied first, and the third one gives the task up.

An agent forgets the crash of a worker that answers again in the same life.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -717,8 +717,21 @@
             self.version += 1;
             return Vec::new();
         }
+        let incarnation = &worker.incarnation;
+        let is_known_alive = reply.started_at == Some(incarnation.started_at);
+        if is_known_alive
+            && self
+                .crashes
+                .iter()
+                .any(|crash| crash.incarnation == *incarnation)
+        {
+            tracing::info!(worker = %incarnation.worker, "worker has not crashed, since it answers again");
+            self.crashes
+                .retain(|crash| crash.incarnation != *incarnation);
+            self.version += 1;
+        }
         if self.unanswered_polls >= UNRESPONSIVE_AFTER_POLLS {
-            tracing::info!(worker = %worker.incarnation.worker, "worker answers again");
+            tracing::info!(worker = %incarnation.worker, "worker answers again");
             self.version += 1;
         }
         self.unanswered_polls = 0;
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -400,6 +400,26 @@
     assert_eq!(agent.report(at(4_100)).crashes, []);
 }
 
+#[test]
+fn a_silent_worker_that_answers_again_is_taken_for_crashed() {
+    let mut agent = agent();
+    let key = key();
+    start(&mut agent, at(0), &key);
+    let mut now = at(0);
+    while agent.report(now).crashes.is_empty() {
+        now = now + Duration::from_millis(200);
+        assert!(at(20_000) > now, "the leases never expire");
+        let poll = next_poll(&mut agent, now);
+        agent.apply_error(now, &poll, PollError::Unresponsive);
+    }
+    answer_poll(
+        &mut agent,
+        now,
+        10_000 + now.since(START).as_millis() as u64,
+    );
+    assert_eq!(agent.report(now).crashes, []);
+}
+
 #[test]
 fn the_replacement_of_a_draining_worker_is_no_crash() {
     let mut agent = agent();
--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -187,7 +187,7 @@
 
 /// Workers crash by themselves; no task may be given up for that.
 #[rstest]
-fn no_job_fails_among_crashes_and_late_calls(#[values(134, 268)] seed: u64) {
+fn no_job_fails_among_crashes_and_late_calls(#[values(134, 268, 718)] seed: u64) {
     let reach = Reach {
         isolated_owner: false,
         next_incarnation: false,
