--- a/components/steps/tests/backlog.rs
+++ b/components/steps/tests/backlog.rs
@@ -468,3 +468,20 @@
     assert_eq!(others.len(), VMS - 1);
     assert!(others.iter().all(|change| change.job != ends[0].job));
 }
+
+/// With 160 jobs ahead of it that each examine 100 workers, the job is due in the 16th pass.
+#[test]
+fn a_job_starves_behind_jobs_that_rank_higher_and_never_start() {
+    let mut owner = owner_with_too_slow_workers(100, 160);
+    let mut now = at(30);
+    submit_to("bulk", &mut owner, now, 1_000, step(1, &[]));
+    let starts = owner.work().starts_ordered;
+    let mut passes = 0;
+    while owner.work().starts_ordered == starts {
+        passes += 1;
+        assert!(passes <= 2 * 16, "no start after {passes} passes");
+        now = now + Duration::from_millis(1);
+        owner.handle(now, now, Event::PassDue);
+        owner.record_elapsed(now, Duration::ZERO);
+    }
+}
--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -55,15 +55,20 @@
 }
 
 impl Session {
-    fn new() -> Self {
+    /// An owner without VMs and jobs.
+    fn empty() -> Self {
         let mut owner = Owner::new(entry(1), EPOCH, Timing::default(), START);
         owner.handle(START, START, Event::Config(config()));
-        let mut session = Self {
+        Self {
             owner,
             now: START,
             version: 0,
             load: 1.0,
-        };
+        }
+    }
+
+    fn new() -> Self {
+        let mut session = Self::empty();
         session.handle(Event::Vm(vm(0)));
         session.handle(Event::Vm(vm(1)));
         let jobs = [
@@ -227,14 +232,8 @@
 /// but not so long that its job makes no progress.
 #[test]
 fn a_best_effort_task_waits_for_a_faster_worker() {
-    let mut owner = Owner::new(entry(1), EPOCH, Timing::default(), START);
-    owner.handle(START, START, Event::Config(config()));
-    let mut session = Session {
-        owner,
-        now: START,
-        version: 0,
-        load: 4.0,
-    };
+    let mut session = Session::empty();
+    session.load = 4.0;
     session.handle(Event::Vm(vm(0)));
     let serving = job(SERVING, "quick", vec![serving_step()]);
     session.handle(Event::Job {
@@ -265,14 +264,7 @@
 /// Two VMs, the second of which is idle; a best-effort task on the first one gets a tenth of
 /// the CPU time that it needs.
 fn slowed_session(step: Step) -> (Session, RunKey) {
-    let mut owner = Owner::new(entry(1), EPOCH, Timing::default(), START);
-    owner.handle(START, START, Event::Config(config()));
-    let mut session = Session {
-        owner,
-        now: START,
-        version: 0,
-        load: 1.0,
-    };
+    let mut session = Session::empty();
     session.handle(Event::Vm(vm(0)));
     session.handle(Event::Vm(vm(1)));
     let serving = Step {
@@ -372,14 +364,7 @@
 
 /// Returns the comparisons for one report of a serving job with a task on each of the VMs.
 fn comparisons_for_a_report(vms: usize) -> u64 {
-    let mut owner = Owner::new(entry(1), EPOCH, Timing::default(), START);
-    owner.handle(START, START, Event::Config(config()));
-    let mut session = Session {
-        owner,
-        now: START,
-        version: 0,
-        load: 1.0,
-    };
+    let mut session = Session::empty();
     for number in 0..vms {
         session.handle(Event::Vm(vm(number)));
     }
