--- /dev/null
+++ b/review/standin/cases/mod.rs
@@ -0,0 +1,3 @@
+//! A module for each case.
+
+pub mod long_record;
