--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,3 +1,4 @@
 //! A module for each case.
 
+pub mod late_start;
 pub mod long_record;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -33,6 +33,7 @@
     let record = Path::new(record);
     let play = match case.as_str() {
         "long-record" => cases::long_record::play,
+        "late-start" => cases::late_start::play,
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
