--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod late_start;
 pub mod long_record;
+pub mod removed_route;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -32,6 +32,7 @@
     };
     let record = Path::new(record);
     let play = match case.as_str() {
+        "removed-route" => cases::removed_route::play,
         "long-record" => cases::long_record::play,
         "late-start" => cases::late_start::play,
         _ => {
