--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -3,3 +3,4 @@
 pub mod late_start;
 pub mod long_record;
 pub mod removed_route;
+pub mod same_rack;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -33,6 +33,7 @@
     let record = Path::new(record);
     let play = match case.as_str() {
         "removed-route" => cases::removed_route::play,
+        "same-rack" => cases::same_rack::play,
         "long-record" => cases::long_record::play,
         "late-start" => cases::late_start::play,
         _ => {
