--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/standin ] && [ -x target/release/hemlockmoor ] || exit 2
+exec target/review/standin late-write review/5/record.txt
--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,6 +1,7 @@
 //! A module for each case.
 
 pub mod late_start;
+pub mod late_write;
 pub mod long_record;
 pub mod removed_route;
 pub mod same_rack;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -36,6 +36,7 @@
         "same-rack" => cases::same_rack::play,
         "long-record" => cases::long_record::play,
         "late-start" => cases::late_start::play,
+        "late-write" => cases::late_write::play,
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
