--- a/review/standin/cases/late_start.rs
+++ b/review/standin/cases/late_start.rs
@@ -16,9 +16,9 @@
 
 const QUEUE: Route = ("r-3hwrr6x", "/lohu930/", 0, 2);
 /// Jobs of six tasks.
-const JOBS: usize = 240;
+const JOBS: usize = 480;
 /// Between two jobs.
-const PAUSE: Duration = Duration::from_millis(50);
+const PAUSE: Duration = Duration::from_millis(25);
 
 pub fn play(record: &Path) -> Verdict {
     let plan = Plan {
@@ -58,8 +58,8 @@
         }
         let name = format!("5c0e7a21d94b{index:04x}");
         let body = job(
-            "ms=3000 cpu=500 mem=256",
-            vec![step(6, 500, 256, 3_000, &[])],
+            "ms=3000 cpu=200 mem=128",
+            vec![step(6, 200, 128, 3_000, &[])],
             &[],
         );
         let entry = if index % 2 == 0 { clients.0 } else { clients.1 };
