--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/hemlockmoor ] || exit 2
-exec target/review/standin late-write review/5/record.txt
+exec target/review/standin frozen-owner review/5/record.txt
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -35,6 +35,7 @@
         "removed-route" => cases::removed_route::play,
         "same-rack" => cases::same_rack::play,
         "long-record" => cases::long_record::play,
+        "frozen-owner" => cases::frozen_owner::play,
         "late-start" => cases::late_start::play,
         "late-write" => cases::late_write::play,
         _ => {
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -7,7 +7,10 @@
     os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -26,6 +29,8 @@
 
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 /// Option of `prctl` that names the signal with which a process ends with its parent.
 const END_WITH_PARENT: i32 = 1;
@@ -85,6 +90,21 @@
         }
     }
 
+    /// Processor time that the process has used, in hundredths of a second; 0 once it has ended.
+    pub fn processor_ticks(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        let (_, rest) = stat.rsplit_once(')').unwrap_or_default();
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        match fields.first() {
+            None | Some(&"Z") => 0,
+            Some(_) => fields[11..13]
+                .iter()
+                .filter_map(|ticks| ticks.parse::<u64>().ok())
+                .sum(),
+        }
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         self.signal(SIGKILL);
@@ -193,7 +213,10 @@
     /// Starts the store, the workers and all programs, and waits until jobs are taken.
     pub fn start(plan: &Plan, routes: &[Route], record_path: &Path) -> Self {
         let record = Arc::new(Record::create(record_path));
-        let directory = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        let count = COUNT.fetch_add(1, Ordering::SeqCst);
+        let name = format!("review-{}-{count}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
         fs::create_dir_all(&directory).expect("temporary folder");
         let history = Arc::new(History::default());
         let store = Store::start("127.80.0.1", Arc::clone(&record));
