--- a/components/fakes/src/store/mod.rs
+++ b/components/fakes/src/store/mod.rs
@@ -15,7 +15,7 @@
 };
 
 use async_trait::async_trait;
-use kernel::{Clock, Time};
+use kernel::{BootInstant, Clock, Time};
 use store::{
     KeyRange, KeyValue, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply, Watch,
 };
@@ -29,6 +29,9 @@
 /// Interval at which expired leases are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which open watches are told that there are no further changes.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Limit of the size of a value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
@@ -52,6 +55,7 @@
     pub fn new() -> Self {
         let store = Self::with_clock(Some(Clock::start()));
         smol::spawn(expire_leases(Arc::downgrade(&store.inner))).detach();
+        smol::spawn(report_progress(Arc::downgrade(&store.inner))).detach();
         store
     }
 
@@ -177,6 +181,17 @@
     }
 }
 
+async fn report_progress(inner: Weak<Inner>) {
+    loop {
+        smol::Timer::after(PROGRESS_INTERVAL).await;
+        let Some(inner) = inner.upgrade() else {
+            return;
+        };
+        let store = MemStore { inner };
+        store.state().report_progress(BootInstant::now());
+    }
+}
+
 #[async_trait]
 impl Store for MemStore {
     async fn range(&self, range: KeyRange, limit: i64) -> Result<RangeReply, StoreError> {
--- a/components/fakes/src/store/serve.rs
+++ b/components/fakes/src/store/serve.rs
@@ -183,6 +183,10 @@
             events: changes.into_iter().map(wire::event).collect(),
             ..etcd::WatchResponse::default()
         },
+        WatchItem::Progress(revision, _) => etcd::WatchResponse {
+            header: wire::header(revision),
+            ..etcd::WatchResponse::default()
+        },
         WatchItem::Compacted => etcd::WatchResponse {
             canceled: true,
             compact_revision: 1,
--- a/components/fakes/src/store/state.rs
+++ b/components/fakes/src/store/state.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use kernel::Time;
+use kernel::{BootInstant, Time};
 use store::{
     Change, Compare, KeyRange, KeyValue, LeaseId, Op, RangeReply, StoreError, StoreRevision, Txn,
     TxnReply, Watch, WatchItem,
@@ -270,6 +270,13 @@
         }
     }
 
+    /// Tells the open watches that there are no further changes at `now`.
+    pub fn report_progress(&mut self, now: BootInstant) {
+        let item = WatchItem::Progress(self.revision, now);
+        self.watches
+            .retain(|watch| watch.tx.try_send(Ok(item.clone())).is_ok());
+    }
+
     /// Removes the history of changes up to now.
     pub fn compact(&mut self) {
         self.compacted_until = self.revision;
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -30,5 +30,5 @@
 pub use task::{
     Attempt, Checkpoint, Epoch, JobSpec, TaskClass, TaskId, TaskRun, TaskState, Urgency,
 };
-pub use time::{Clock, Time};
+pub use time::{BootInstant, Clock, Time};
 pub use verdict::Verdict;
--- a/components/kernel/src/time.rs
+++ b/components/kernel/src/time.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time, in microseconds since the Unix epoch.
@@ -136,3 +137,37 @@
         Self::start()
     }
 }
+
+/// An instant on the clock of this machine that also advances while the machine is
+/// suspended, unlike [`Instant`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BootInstant {
+    micros: u64,
+}
+
+impl BootInstant {
+    /// Returns the current instant.
+    #[must_use]
+    pub fn now() -> Self {
+        let now = clock_gettime(ClockId::Boottime);
+        let micros = now.tv_sec.unsigned_abs() * 1_000_000 + now.tv_nsec.unsigned_abs() / 1_000;
+        Self { micros }
+    }
+
+    /// Returns the time from `earlier` to `self`, or zero if `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.micros.saturating_sub(earlier.micros))
+    }
+}
+
+impl Add<Duration> for BootInstant {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            micros: self.micros.saturating_add(micros),
+        }
+    }
+}
--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwapOption;
 use event_listener::Event;
 use futures_lite::{FutureExt, future::zip};
-use kernel::{EntryName, Time, secret::Secrets};
+use kernel::{BootInstant, EntryName, Time, secret::Secrets};
 use observe::{ListenError, listen};
 use smol::Task;
 use steps::{Candidacy, Config, Timing, contact::StoreContact};
@@ -53,6 +53,9 @@
     pub stop_timeout: Duration,
     /// The processor capacity in thousandths of a core; `None` if it is unknown.
     pub cpu_milli: Option<u64>,
+    /// How old a configuration may be to answer calls by it: how long ago it was last known
+    /// to be the newest one.
+    pub max_config_age: Duration,
     /// The durations on which owners and agents must agree.
     pub timing: Timing,
     /// The address of the metrics; `None` if none are served.
@@ -91,6 +94,8 @@
     store: Arc<dyn Store>,
     codec: Arc<dyn Codec>,
     config: ArcSwapOption<Config>,
+    /// When the items of operators known here were last known to be the newest ones.
+    operator_items_at: Mutex<Option<Time>>,
     index: Mutex<Index>,
     /// What this entry knows of the capacities of the others.
     candidacy: Mutex<Candidacy>,
@@ -152,6 +157,25 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn record_operator_items(&self, complete_at: Option<BootInstant>) {
+        let at = complete_at.map(|at| self.clock.time_of(at));
+        let mut operator_items_at = self
+            .operator_items_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *operator_items_at = at.max(*operator_items_at);
+    }
+
+    /// Returns how long ago the configuration was last known to be the newest one; `None` if
+    /// there is none.
+    fn config_age(&self) -> Option<Duration> {
+        let operator_items_at = self
+            .operator_items_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        operator_items_at.map(|at| self.clock.now().since(at))
+    }
+
     fn is_stopping(&self) -> bool {
         self.stopping_since.get().is_some()
     }
@@ -196,6 +220,7 @@
         store,
         codec,
         config: ArcSwapOption::empty(),
+        operator_items_at: Mutex::default(),
         index: Mutex::default(),
         candidacy: Mutex::new(candidacy),
         term: Mutex::new(None),
--- a/components/stepd/src/entry/calls.rs
+++ b/components/stepd/src/entry/calls.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode, header};
 use kernel::JobName;
 use steps::JobState;
 
@@ -24,16 +24,7 @@
         ReceivedRequest::Complete(head, body) => {
             method = head.method.clone();
             let reply = handle_call(&shared, &head, &body).await;
-            if let ClientReply::Unavailable { reason, .. } | ClientReply::OutcomeUnknown(reason) =
-                &reply
-            {
-                tracing::info!(
-                    path = head.uri.path(),
-                    method = %head.method,
-                    reason,
-                    "call refused"
-                );
-            }
+            log_reply(&shared, &head, &reply);
             reply
         }
         ReceivedRequest::TooLarge => ClientReply::TooLarge,
@@ -45,6 +36,34 @@
     resp
 }
 
+/// Logs a reply that refuses a call or follows from the configuration alone.
+fn log_reply(shared: &Shared, head: &http::request::Parts, reply: &ClientReply) {
+    let config = shared.config.load();
+    let version = config.as_ref().map(|config| config.version);
+    let config_age_ms = shared.config_age().map(|age| age.as_millis() as u64);
+    let (path, method) = (head.uri.path(), &head.method);
+    match reply {
+        ClientReply::Unavailable { reason, .. } | ClientReply::OutcomeUnknown(reason) => {
+            tracing::info!(path, %method, reason, version, config_age_ms, "call refused");
+        }
+        ClientReply::NoSuchQueue => {
+            let host = head.headers.get(header::HOST);
+            let host = host.map(HeaderValue::as_bytes).map(String::from_utf8_lossy);
+            tracing::info!(path, %method, host = host.as_deref(), version, config_age_ms, "no queue for the call");
+        }
+        ClientReply::Pending(pending) => {
+            tracing::info!(
+                path,
+                pending,
+                version,
+                config_age_ms,
+                "pending jobs counted"
+            );
+        }
+        _ => {}
+    }
+}
+
 /// Answers the readiness check of the load balancer.
 pub(super) fn readiness(shared: &Shared, arrived: &ReceivedRequest) -> HttpResponse {
     let mut resp = HttpResponse::default();
--- a/components/stepd/src/entry/follow.rs
+++ b/components/stepd/src/entry/follow.rs
@@ -22,6 +22,10 @@
     loop {
         let update = follower.next().await;
         shared.record_store_reply();
+        let has_changes = match &update {
+            RangeUpdate::Snapshot(..) => true,
+            RangeUpdate::Changes(_, changes) => !changes.is_empty(),
+        };
         match update {
             RangeUpdate::Snapshot(revision, kvs) => {
                 tracing::info!(revision, items = kvs.len(), "items of operators loaded");
@@ -31,10 +35,8 @@
                 }
                 publish_zones(&shared, &zones);
             }
+            RangeUpdate::Changes(..) if !has_changes => {}
             RangeUpdate::Changes(_, changes) => {
-                if changes.is_empty() {
-                    continue;
-                }
                 for change in &changes {
                     match change {
                         Change::Put(kv) => apply_operator_item(&shared, kv, &mut zones),
@@ -48,6 +50,7 @@
                 publish_zones(&shared, &zones);
             }
         }
+        shared.record_operator_items(follower.complete_at());
     }
 }
 
@@ -69,7 +72,9 @@
             tracing::info!(
                 version = config.version,
                 queues = config.queues.len(),
+                bytes = kv.value.len(),
                 revision = kv.modified,
+                last_current_ms = shared.config_age().map(|age| age.as_millis() as u64),
                 "configuration in force"
             );
             shared.config.store(Some(Arc::clone(&config)));
--- a/components/stepd/src/time.rs
+++ b/components/stepd/src/time.rs
@@ -1,13 +1,13 @@
 //! A monotonic clock that includes the time while the machine is suspended.
 
-use kernel::Time;
+use kernel::{BootInstant, Time};
 use rustix::time::{ClockId, clock_gettime};
 
 /// Starts at the wall-clock time and never jumps. Unlike [`kernel::Clock`] it advances while
 /// the machine is suspended, so that a proof of ownership also expires during a suspension.
 #[derive(Clone, Copy, Debug)]
 pub struct SteadyClock {
-    boot_micros_at_start: u64,
+    anchor: BootInstant,
     started_at: Time,
 }
 
@@ -16,7 +16,7 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            boot_micros_at_start: boot_micros(),
+            anchor: BootInstant::now(),
             started_at: wall_time(),
         }
     }
@@ -24,7 +24,13 @@
     /// Returns the current time.
     #[must_use]
     pub fn now(&self) -> Time {
-        Time(self.started_at.0 + boot_micros().saturating_sub(self.boot_micros_at_start))
+        self.time_of(BootInstant::now())
+    }
+
+    /// Returns the time of an instant that is not before the start of the clock.
+    #[must_use]
+    pub(crate) fn time_of(&self, instant: BootInstant) -> Time {
+        self.started_at + instant.since(self.anchor)
     }
 }
 
@@ -32,16 +38,10 @@
 #[must_use]
 pub(crate) fn wall_time() -> Time {
     let now = clock_gettime(ClockId::Realtime);
-    micros(now.tv_sec, now.tv_nsec).map_or(Time::ZERO, Time)
-}
-
-fn boot_micros() -> u64 {
-    let now = clock_gettime(ClockId::Boottime);
-    micros(now.tv_sec, now.tv_nsec).unwrap_or_default()
-}
-
-fn micros(secs: i64, nanos: i64) -> Option<u64> {
-    let secs = u64::try_from(secs).ok()?;
-    let nanos = u64::try_from(nanos).ok()?;
-    Some(secs * 1_000_000 + nanos / 1_000)
+    let secs = u64::try_from(now.tv_sec);
+    let nanos = u64::try_from(now.tv_nsec);
+    match (secs, nanos) {
+        (Ok(secs), Ok(nanos)) => Time(secs * 1_000_000 + nanos / 1_000),
+        _ => Time::ZERO,
+    }
 }
--- a/components/store/src/follow.rs
+++ b/components/store/src/follow.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use kernel::BootInstant;
+
 use crate::{
     Change, KeyRange, KeyValue, Store, StoreError, StoreRevision, Watch, WatchItem,
     backoff::Backoff,
@@ -25,6 +27,8 @@
     /// The last delivered revision; `None` until the range is read and after a compaction.
     last_revision: Option<StoreRevision>,
     watch: Option<Watch>,
+    /// See [`Self::complete_at`].
+    complete_at: Option<BootInstant>,
 }
 
 impl RangeFollower {
@@ -37,9 +41,17 @@
             backoff: Backoff::with_random_seed(),
             last_revision: None,
             watch: None,
+            complete_at: None,
         }
     }
 
+    /// Returns the newest instant known at which the delivered updates were the whole
+    /// content of the range; `None` before the first update.
+    #[must_use]
+    pub const fn complete_at(&self) -> Option<BootInstant> {
+        self.complete_at
+    }
+
     /// Waits for the next update; logs errors and retries with backoff.
     ///
     /// The future can be dropped at any point without losing updates.
@@ -54,7 +66,13 @@
                 Err(error) => {
                     self.watch = None;
                     let delay = self.backoff.next_delay();
-                    tracing::warn!(%error, from = self.range.from, "following the store failed");
+                    tracing::warn!(
+                        %error,
+                        from = self.range.from,
+                        revision = self.last_revision,
+                        retry_in_ms = delay.as_millis() as u64,
+                        "following the store failed"
+                    );
                     smol::Timer::after(delay).await;
                 }
             }
@@ -63,8 +81,10 @@
 
     async fn poll_once(&mut self) -> Result<Option<RangeUpdate>, StoreError> {
         let Some(last_revision) = self.last_revision else {
+            let read_at = BootInstant::now();
             let reply = self.store.range(self.range.clone(), 0).await?;
             self.last_revision = Some(reply.revision);
+            self.complete_at = Some(read_at);
             return Ok(Some(RangeUpdate::Snapshot(reply.revision, reply.kvs)));
         };
         let Some(watch) = &self.watch else {
@@ -84,6 +104,11 @@
                 self.last_revision = Some(revision);
                 Ok(Some(RangeUpdate::Changes(revision, changes)))
             }
+            WatchItem::Progress(revision, at) => {
+                self.last_revision = Some(revision);
+                self.complete_at = self.complete_at.max(Some(at));
+                Ok(Some(RangeUpdate::Changes(revision, Vec::new())))
+            }
             WatchItem::Compacted => {
                 self.last_revision = None;
                 self.watch = None;
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use kernel::Verdict;
+use kernel::{BootInstant, Verdict};
 
 pub mod backoff;
 pub mod budget;
@@ -166,6 +166,9 @@
 pub enum WatchItem {
     /// The changes up to and including the given revision.
     Changes(StoreRevision, Vec<Change>),
+    /// There are no further changes up to the given revision, which was the newest one at
+    /// some time after the given instant. Only some services report this.
+    Progress(StoreRevision, BootInstant),
     /// The requested start revision was compacted; the watcher must read the
     /// range again and watch from the revision of that read.
     Compacted,
