--- a/components/fakes/src/store/faults.rs
+++ b/components/fakes/src/store/faults.rs
@@ -73,6 +73,8 @@
     losses: Vec<Loss>,
     /// Prefix of the keys that can't be read.
     unreadable: Option<String>,
+    /// Whether they can't be watched either.
+    fails_watches: bool,
     counts: CallCounts,
 }
 
@@ -124,6 +126,15 @@
         self.with(|plan| plan.unreadable = Some(prefix.into()));
     }
 
+    /// Lets watches of ranges that start with `prefix` fail, as well as their reads. Open
+    /// watches go on; see `MemStore::disconnect_watches`.
+    pub fn fail_reads_and_watches_under(&self, prefix: impl Into<String>) {
+        self.with(|plan| {
+            plan.unreadable = Some(prefix.into());
+            plan.fails_watches = true;
+        });
+    }
+
     /// Removes all planned losses, the delay, the outage and the failing reads.
     pub fn clear(&self) {
         self.with(|plan| {
@@ -131,6 +142,7 @@
             plan.delay = Duration::ZERO;
             plan.losses.clear();
             plan.unreadable = None;
+            plan.fails_watches = false;
         });
     }
 
@@ -160,7 +172,12 @@
             if plan.outage {
                 return Err(StoreError::not_run("the store is down"));
             }
-            if call == CallKind::Range && plan.is_unreadable(keys) {
+            let is_read = match call {
+                CallKind::Range => true,
+                CallKind::Watch => plan.fails_watches,
+                _ => false,
+            };
+            if is_read && plan.is_unreadable(keys) {
                 return Err(StoreError::not_run("the read fails"));
             }
             Ok(plan.outcome(call, keys))
--- a/components/fakes/src/store/mod.rs
+++ b/components/fakes/src/store/mod.rs
@@ -233,7 +233,7 @@
     async fn watch(&self, range: KeyRange, from: StoreRevision) -> Result<Watch, StoreError> {
         self.inner
             .faults
-            .on_call(faults::CallKind::Watch, &[])
+            .on_call(faults::CallKind::Watch, &[&range.from])
             .await?;
         Ok(self.state().watch(range, from))
     }
