An entry that missed versions reads the newest configuration instead of all of them

After a cut an entry behind a 10 Mbit/s link fetched every version it had missed, oldest first, two to a response of 1.66 MB and 1.4 s; each was of no use once the next had come, and calls were refused by the oldest of them for 5 s after the cut had healed.

A watch now says whether its reader needs every change or the newest content. Operators' items are followed so, the keys of entries and jobs as before.

--- a/components/conf/tests/interrupted/mod.rs
+++ b/components/conf/tests/interrupted/mod.rs
@@ -7,7 +7,8 @@
 use fakes::store::MemStore;
 use kernel::ObjectSet;
 use store::{
-    KeyRange, LeaseId, Op, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply, Watch, keys,
+    Delivery, KeyRange, LeaseId, Op, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply,
+    Watch, keys,
 };
 
 /// Concurrent operation and the transaction that it precedes.
@@ -86,7 +87,12 @@
         self.store.revoke(lease).await
     }
 
-    async fn watch(&self, range: KeyRange, from: StoreRevision) -> Result<Watch, StoreError> {
-        self.store.watch(range, from).await
+    async fn watch(
+        &self,
+        range: KeyRange,
+        from: StoreRevision,
+        delivery: Delivery,
+    ) -> Result<Watch, StoreError> {
+        self.store.watch(range, from, delivery).await
     }
 }
--- a/components/fakes/src/store/mod.rs
+++ b/components/fakes/src/store/mod.rs
@@ -17,7 +17,8 @@
 use async_trait::async_trait;
 use kernel::{BootInstant, Clock, Time};
 use store::{
-    KeyRange, KeyValue, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply, Watch,
+    Delivery, KeyRange, KeyValue, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn,
+    TxnReply, Watch,
 };
 
 pub use faults::{CallCounts, Faults};
@@ -230,7 +231,12 @@
         .await
     }
 
-    async fn watch(&self, range: KeyRange, from: StoreRevision) -> Result<Watch, StoreError> {
+    async fn watch(
+        &self,
+        range: KeyRange,
+        from: StoreRevision,
+        _: Delivery,
+    ) -> Result<Watch, StoreError> {
         self.inner
             .faults
             .on_call(faults::CallKind::Watch, &[&range.from])
--- a/components/fakes/src/store/serve.rs
+++ b/components/fakes/src/store/serve.rs
@@ -14,7 +14,7 @@
     watch_server::WatchServer,
 };
 use smol::net::TcpListener;
-use store::{LeaseId, Store, StoreError, WatchItem};
+use store::{Delivery, LeaseId, Store, StoreError, WatchItem};
 use tonic::{Request, Response, Status, Streaming, body::Body};
 
 use super::{MemStore, wire};
@@ -165,7 +165,9 @@
         };
         let range = wire::range(create.key, create.range_end)?;
         let from = create.start_revision;
-        let watch = Store::watch(self, range, from).await.map_err(to_status)?;
+        let watch = Store::watch(self, range, from, Delivery::EveryChange)
+            .await
+            .map_err(to_status)?;
         let created = etcd::WatchResponse {
             created: true,
             ..etcd::WatchResponse::default()
--- a/components/stepd/src/entry/follow.rs
+++ b/components/stepd/src/entry/follow.rs
@@ -17,7 +17,7 @@
 /// Follows the items that operators write: the configuration and evacuated zones.
 pub(super) async fn operator_items(shared: Arc<Shared>) {
     let prefix = shared.codec.operator_key_prefix();
-    let mut follower = RangeFollower::new(Arc::clone(&shared.store), KeyRange::prefix(prefix));
+    let mut follower = RangeFollower::newest(Arc::clone(&shared.store), KeyRange::prefix(prefix));
     let mut zones: BTreeMap<String, AvailabilityZoneName> = BTreeMap::new();
     loop {
         let update = follower.next().await;
--- a/components/store/src/budget.rs
+++ b/components/store/src/budget.rs
@@ -17,8 +17,8 @@
 use kernel::{Clock, Time};
 
 use crate::{
-    KeyRange, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply, Watch,
-    WatchItem,
+    Delivery, KeyRange, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply,
+    Watch, WatchItem,
 };
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
@@ -205,9 +205,14 @@
         self.store.revoke(lease).await
     }
 
-    async fn watch(&self, range: KeyRange, from: StoreRevision) -> Result<Watch, StoreError> {
+    async fn watch(
+        &self,
+        range: KeyRange,
+        from: StoreRevision,
+        delivery: Delivery,
+    ) -> Result<Watch, StoreError> {
         self.wait_for_token(CallKind::Watch).await;
-        let watch = self.store.watch(range, from).await?;
+        let watch = self.store.watch(range, from, delivery).await?;
         let mut watches = lock(&self.watches);
         watches.retain(is_open);
         watches.push(watch.downgrade());
--- a/components/store/src/etcd/mod.rs
+++ b/components/store/src/etcd/mod.rs
@@ -24,8 +24,8 @@
 use tonic::{Code, Status};
 
 use crate::{
-    KeyRange, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply, Watch,
-    backoff::Backoff,
+    Delivery, KeyRange, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply,
+    Watch, backoff::Backoff,
 };
 
 /// The default time limit of one call at one address.
@@ -284,7 +284,12 @@
         Ok(())
     }
 
-    async fn watch(&self, range: KeyRange, from: StoreRevision) -> Result<Watch, StoreError> {
+    async fn watch(
+        &self,
+        range: KeyRange,
+        from: StoreRevision,
+        _: Delivery,
+    ) -> Result<Watch, StoreError> {
         let req = wire::watch_request(&range, from);
         let responses = self
             .call(|channel| watch::open(channel, req.clone()))
--- a/components/store/src/follow.rs
+++ b/components/store/src/follow.rs
@@ -1,11 +1,11 @@
 //! Follows a range of keys across lost connections and compaction.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use kernel::BootInstant;
 
 use crate::{
-    Change, KeyRange, KeyValue, Store, StoreError, StoreRevision, Watch, WatchItem,
+    Change, Delivery, KeyRange, KeyValue, Store, StoreError, StoreRevision, Watch, WatchItem,
     backoff::Backoff,
 };
 
@@ -27,12 +27,15 @@
     /// The last delivered revision; `None` until the range is read and after a compaction.
     last_revision: Option<StoreRevision>,
     watch: Option<Watch>,
+    /// The lengths of the values, if only the newest content is needed.
+    value_lens: Option<BTreeMap<String, usize>>,
     /// See [`Self::complete_at`].
     complete_at: Option<BootInstant>,
 }
 
 impl RangeFollower {
-    /// Returns a follower whose first update is the current content of `range`.
+    /// Returns a follower whose first update is the current content of `range`, and which
+    /// delivers every change, in order, unless the service has forgotten some.
     #[must_use]
     pub fn new(store: Arc<dyn Store>, range: KeyRange) -> Self {
         Self {
@@ -41,10 +44,21 @@
             backoff: Backoff::with_random_seed(),
             last_revision: None,
             watch: None,
+            value_lens: None,
             complete_at: None,
         }
     }
 
+    /// Returns a follower that need not deliver changes that others have replaced. It reads
+    /// the content again where that is shorter.
+    #[must_use]
+    pub fn newest(store: Arc<dyn Store>, range: KeyRange) -> Self {
+        Self {
+            value_lens: Some(BTreeMap::new()),
+            ..Self::new(store, range)
+        }
+    }
+
     /// Returns the newest instant known at which the delivered updates were the whole
     /// content of the range; `None` before the first update.
     #[must_use]
@@ -60,6 +74,7 @@
             match self.poll_once().await {
                 Ok(Some(update)) => {
                     self.backoff.reset();
+                    self.record_value_lens(&update);
                     return update;
                 }
                 Ok(None) => {}
@@ -79,6 +94,35 @@
         }
     }
 
+    fn record_value_lens(&mut self, update: &RangeUpdate) {
+        let Some(value_lens) = &mut self.value_lens else {
+            return;
+        };
+        let len_of = |kv: &KeyValue| (kv.key.clone(), kv.value.len());
+        match update {
+            RangeUpdate::Snapshot(_, kvs) => *value_lens = kvs.iter().map(len_of).collect(),
+            RangeUpdate::Changes(_, changes) => {
+                for change in changes {
+                    match change {
+                        Change::Put(kv) => value_lens.extend([len_of(kv)]),
+                        Change::Deleted(key, _) => {
+                            value_lens.remove(key);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn delivery(&self) -> Delivery {
+        match &self.value_lens {
+            None => Delivery::EveryChange,
+            Some(value_lens) => Delivery::Newest {
+                content_bytes: value_lens.values().sum(),
+            },
+        }
+    }
+
     async fn poll_once(&mut self) -> Result<Option<RangeUpdate>, StoreError> {
         let Some(last_revision) = self.last_revision else {
             let read_at = BootInstant::now();
@@ -90,7 +134,7 @@
         let Some(watch) = &self.watch else {
             let watch = self
                 .store
-                .watch(self.range.clone(), last_revision + 1)
+                .watch(self.range.clone(), last_revision + 1, self.delivery())
                 .await?;
             self.watch = Some(watch);
             return Ok(None);
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -161,6 +161,19 @@
     Deleted(String, StoreRevision),
 }
 
+/// What the watcher of a range needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// Every change, in order.
+    EveryChange,
+    /// The newest content, and soon the report that there are no further changes. Changes
+    /// that take more bytes than the content may be reported as [`WatchItem::Compacted`].
+    Newest {
+        /// The length of the values that the watcher knows.
+        content_bytes: usize,
+    },
+}
+
 /// An item delivered by a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchItem {
@@ -230,5 +243,10 @@
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError>;
 
     /// Watches a range for changes, starting with the revision `from`.
-    async fn watch(&self, range: KeyRange, from: StoreRevision) -> Result<Watch, StoreError>;
+    async fn watch(
+        &self,
+        range: KeyRange,
+        from: StoreRevision,
+        delivery: Delivery,
+    ) -> Result<Watch, StoreError>;
 }
--- a/components/store/tests/store.rs
+++ b/components/store/tests/store.rs
@@ -9,8 +9,8 @@
 use rstest::rstest;
 use smol::net::TcpListener;
 use store::{
-    BudgetedStore, Change, Compare, EtcdStore, KeyRange, LeaseId, Op, RangeFollower, RangeUpdate,
-    Store, Txn, WatchItem,
+    BudgetedStore, Change, Compare, Delivery, EtcdStore, KeyRange, LeaseId, Op, RangeFollower,
+    RangeUpdate, Store, Txn, WatchItem,
     budget::{CallKind, TokenBucket},
 };
 
@@ -144,7 +144,7 @@
         let store = open_store(access, &mem).await;
         let start = store.txn(put("a/1", "one")).await.unwrap().revision;
         let watch = store
-            .watch(KeyRange::prefix("a/"), start + 1)
+            .watch(KeyRange::prefix("a/"), start + 1, Delivery::EveryChange)
             .await
             .unwrap();
         store.txn(put("b/1", "other")).await.unwrap();
@@ -161,12 +161,18 @@
             ..Txn::default()
         };
         let third = store.txn(gone).await.unwrap().revision;
-        let watch = store.watch(KeyRange::prefix("a/"), seen + 1).await.unwrap();
+        let watch = store
+            .watch(KeyRange::prefix("a/"), seen + 1, Delivery::EveryChange)
+            .await
+            .unwrap();
         let missed = watch.recv().await.unwrap().unwrap();
         let deleted = Change::Deleted("a/1".to_owned(), third);
         assert_eq!(missed, WatchItem::Changes(third, vec![deleted]));
         mem.compact();
-        let late = store.watch(KeyRange::prefix("a/"), seen + 1).await.unwrap();
+        let late = store
+            .watch(KeyRange::prefix("a/"), seen + 1, Delivery::EveryChange)
+            .await
+            .unwrap();
         assert_eq!(late.recv().await.unwrap(), Ok(WatchItem::Compacted));
     }));
 }
@@ -200,7 +206,10 @@
     smol::block_on(with_test_timeout(async {
         let mem = MemStore::with_manual_time();
         let store = open_store(Access::OverLoopback, &mem).await;
-        let watch = store.watch(KeyRange::prefix("a/"), 1).await.unwrap();
+        let watch = store
+            .watch(KeyRange::prefix("a/"), 1, Delivery::EveryChange)
+            .await
+            .unwrap();
         assert_eq!(mem.counts().open_watches, 1);
         drop(watch);
         while mem.counts().open_watches > 0 {
@@ -317,8 +326,14 @@
         for _ in 0..55 {
             store.range(KeyRange::prefix("a/"), 0).await.unwrap();
         }
-        let first = store.watch(KeyRange::prefix("a/"), 1).await.unwrap();
-        let second = store.watch(KeyRange::prefix("a/"), 1).await.unwrap();
+        let first = store
+            .watch(KeyRange::prefix("a/"), 1, Delivery::EveryChange)
+            .await
+            .unwrap();
+        let second = store
+            .watch(KeyRange::prefix("a/"), 1, Delivery::EveryChange)
+            .await
+            .unwrap();
         assert_eq!(
             (
                 store.call_count(CallKind::Range),
--- a/tests/scheduled/mod.rs
+++ b/tests/scheduled/mod.rs
@@ -15,7 +15,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use store::{
-    KeyRange, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply, Watch, keys,
+    Delivery, KeyRange, LeaseId, RangeReply, Store, StoreError, StoreRevision, Txn, TxnReply,
+    Watch, keys,
 };
 use todc_utils::linearizability::history::Action;
 
@@ -73,8 +74,13 @@
         self.store.revoke(lease).await
     }
 
-    async fn watch(&self, range: KeyRange, from: StoreRevision) -> Result<Watch, StoreError> {
-        self.store.watch(range, from).await
+    async fn watch(
+        &self,
+        range: KeyRange,
+        from: StoreRevision,
+        delivery: Delivery,
+    ) -> Result<Watch, StoreError> {
+        self.store.watch(range, from, delivery).await
     }
 }
 
