An entry refuses what depends on a configuration that may have been replaced

Clients were answered 404 for queues added long ago, and counts of queues that were gone, by entries that had been cut off: a call was answered by the configuration at hand, however old. Nothing compared its age with the bound of the deployment.

A submit of a new job, a count and a queue that isn't known are refused (503, come back after 1 s) once the configuration was last known to be the newest longer ago than config_apply_ms, and the entry is not ready then. A call arrives after it is sent, so what is answered within that age can't be against a version acknowledged earlier. State and cancelling of accepted jobs do not depend on it and go on.

--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -176,6 +176,11 @@
         operator_items_at.map(|at| self.clock.now().since(at))
     }
 
+    fn has_current_config(&self) -> bool {
+        let age = self.config_age();
+        self.config.load().is_some() && age.is_some_and(|age| age <= self.settings.max_config_age)
+    }
+
     fn is_stopping(&self) -> bool {
         self.stopping_since.get().is_some()
     }
@@ -195,7 +200,7 @@
     /// Returns whether the load balancer should send clients to this entry.
     fn is_ready(&self) -> bool {
         !self.is_stopping()
-            && self.config.load().is_some()
+            && self.has_current_config()
             && self.store_contact().is_reachable(self.clock.now())
     }
 }
--- a/components/stepd/src/entry/calls.rs
+++ b/components/stepd/src/entry/calls.rs
@@ -78,22 +78,43 @@
 }
 
 async fn handle_call(shared: &Shared, head: &http::request::Parts, body: &[u8]) -> ClientReply {
+    // The age is read first, so that it never belongs to a newer configuration.
+    let outdated = check_config_age(shared);
     let Some(config) = shared.config.load_full() else {
         return unavailable("no configuration is known yet");
     };
     let call = match shared.codec.decode_client_call(&config, head, body) {
         Ok(call) => call,
+        Err(ClientReply::NoSuchQueue) => return outdated.unwrap_or(ClientReply::NoSuchQueue),
         Err(reply) => return reply,
     };
     let deadline = shared.codec.client_deadline(head);
-    match call {
-        ClientCall::Submit(job) => submit::submit(shared, *job, deadline).await,
-        ClientCall::Cancel(name) => submit::cancel(shared, &name, deadline).await,
-        ClientCall::State(name) => state(shared, &name).await,
-        ClientCall::Pending(queue) => ClientReply::Pending(pending::count(shared, &queue).await),
+    match (call, outdated) {
+        (ClientCall::State(name), _) => state(shared, &name).await,
+        (ClientCall::Cancel(name), _) => submit::cancel(shared, &name, deadline).await,
+        (ClientCall::Submit(job), Some(_)) if shared.index().job(&job.name).is_some() => {
+            ClientReply::Accepted
+        }
+        (_, Some(outdated)) => outdated,
+        (ClientCall::Submit(job), None) => submit::submit(shared, *job, deadline).await,
+        (ClientCall::Pending(queue), None) => {
+            ClientReply::Pending(pending::count(shared, &queue).await)
+        }
     }
 }
 
+/// Returns the refusal of a call that depends on the configuration if a newer one may have
+/// been in force for too long. Jobs that have been accepted do not depend on it.
+fn check_config_age(shared: &Shared) -> Option<ClientReply> {
+    let age = shared.config_age()?;
+    (age > shared.settings.max_config_age).then(|| {
+        unavailable(format!(
+            "the configuration was last known to be the newest {} ms ago",
+            age.as_millis()
+        ))
+    })
+}
+
 pub(super) fn unavailable(reason: impl Into<String>) -> ClientReply {
     ClientReply::Unavailable {
         retry_after: RETRY_AFTER,
