An owner starts no tasks while it can't know which zones are out

The follower of operators' items now tells the owner when they were last known to be the newest, and no scheduling pass runs later than evacuation_ms less the validity of a start after that.

The new test of owner.rs got a start without the check and none with it.

--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -157,23 +157,28 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn record_operator_items(&self, complete_at: Option<BootInstant>) {
-        let at = complete_at.map(|at| self.clock.time_of(at));
+    fn record_operator_items(&self, complete_at: BootInstant) {
+        let at = self.clock.time_of(complete_at);
         let mut operator_items_at = self
             .operator_items_at
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        *operator_items_at = at.max(*operator_items_at);
+        *operator_items_at = (*operator_items_at).max(Some(at));
+    }
+
+    /// Returns when the items of operators known here were last known to be the newest ones.
+    fn operator_items_at(&self) -> Option<Time> {
+        *self
+            .operator_items_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns how long ago the configuration was last known to be the newest one; `None` if
     /// there is none.
     fn config_age(&self) -> Option<Duration> {
-        let operator_items_at = self
-            .operator_items_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        operator_items_at.map(|at| self.clock.now().since(at))
+        let at = self.operator_items_at()?;
+        Some(self.clock.now().since(at))
     }
 
     fn has_current_config(&self) -> bool {
--- a/components/stepd/src/entry/follow.rs
+++ b/components/stepd/src/entry/follow.rs
@@ -9,7 +9,7 @@
 use store::{Change, KeyRange, KeyValue, RangeFollower, RangeUpdate};
 
 use super::{
-    Shared,
+    Shared, Term,
     index::{KeyUpdate, jobs_first, parse_change},
 };
 use crate::{edge::OperatorItem, keys};
@@ -50,7 +50,19 @@
                 publish_zones(&shared, &zones);
             }
         }
-        shared.record_operator_items(follower.complete_at());
+        if let Some(complete_at) = follower.complete_at() {
+            shared.record_operator_items(complete_at);
+        }
+        if let Some(term) = shared.term() {
+            pass_operator_items_on(&shared, &term);
+        }
+    }
+}
+
+/// Tells the owner when its configuration and zones out were last known to be the newest.
+pub(super) fn pass_operator_items_on(shared: &Shared, term: &Arc<Term>) {
+    if let Some(at) = shared.operator_items_at() {
+        term.handle(steps::Event::OperatorItemsCurrent(at));
     }
 }
 
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -26,7 +26,7 @@
 use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, StoreRevision, Txn};
 
 use super::{
-    Shared, campaign, candidacy,
+    Shared, campaign, candidacy, follow,
     index::{KeyUpdate, jobs_first, parse_item},
     journal,
     load::LoadMeter,
@@ -338,6 +338,7 @@
     }
     let zones_out = shared.index().zones_out.clone();
     term.handle(Event::ZonesOut(zones_out));
+    follow::pass_operator_items_on(shared, term);
     if !term.knows_note.swap(true, Ordering::Relaxed) {
         apply_handover(term, &kvs);
     }
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -62,6 +62,9 @@
     },
     /// A job has ended and its end is durable.
     Ended(JobName, Outcome),
+    /// The configuration and the zones out that were passed on last were the newest ones at
+    /// this time.
+    OperatorItemsCurrent(Time),
     /// A client has cancelled a job.
     Cancelled(JobName),
     /// The store holds neither this job nor its end.
@@ -124,6 +127,11 @@
     /// Last known policy of each queue, including queues that have been removed.
     queues: BTreeMap<Arc<str>, Arc<Queue>>,
     zones_out: BTreeSet<AvailabilityZoneName>,
+    /// When these two were last known to be the newest ones; `None` before the first event
+    /// that tells, when they are taken to be.
+    operator_items_at: Option<Time>,
+    /// Since when nothing starts, as a zone may have been taken out; `None` while tasks start.
+    starts_withheld_since: Option<Time>,
     jobs: BTreeMap<JobName, JobEntry>,
     /// Whether all jobs in the store are known.
     are_jobs_loaded: bool,
@@ -205,6 +213,8 @@
             config: None,
             queues: BTreeMap::new(),
             zones_out: BTreeSet::new(),
+            operator_items_at: None,
+            starts_withheld_since: None,
             jobs: BTreeMap::new(),
             are_jobs_loaded: false,
             is_loading: false,
@@ -270,6 +280,9 @@
                 self.zones_out = zones;
                 self.schedule_due = true;
             }
+            Event::OperatorItemsCurrent(at) => {
+                self.operator_items_at = self.operator_items_at.max(Some(at));
+            }
             Event::Job { job, progress } => self.on_job(now, job, progress),
             Event::Ended(name, outcome) => self.on_ended(now, &name, outcome),
             Event::Cancelled(name) => self.on_cancelled(now, &name),
@@ -288,15 +301,46 @@
             Event::PassDue => {}
             Event::Tick => self.on_tick(now),
         }
+        self.track_operator_items(now);
         self.ran_pass = self.is_pass_due() && self.next_pass.passed(now);
         if self.ran_pass {
             self.schedule(now, wall);
         }
     }
 
-    /// Whether there is a reason for a scheduling pass.
+    /// Whether there is a reason for a scheduling pass, and tasks may start.
     fn is_pass_due(&self) -> bool {
-        self.schedule_due || !self.round.is_empty()
+        let has_reason = self.schedule_due || !self.round.is_empty();
+        has_reason && self.starts_withheld_since.is_none()
+    }
+
+    /// Notices whether a zone may have been taken out too long ago for a task to start there.
+    fn track_operator_items(&mut self, now: Time) {
+        let Some(at) = self.operator_items_at else {
+            return;
+        };
+        let age_ms = now.since(at).as_millis() as u64;
+        let may_start = !(at + self.timing.operator_items).passed(now);
+        match (self.starts_withheld_since, may_start) {
+            (None, false) => {
+                tracing::warn!(
+                    epoch = self.epoch,
+                    age_ms,
+                    "operators may have taken zones out that this owner does not know; it starts no tasks"
+                );
+                self.starts_withheld_since = Some(now);
+            }
+            (Some(since), true) => {
+                tracing::info!(
+                    epoch = self.epoch,
+                    age_ms,
+                    span_ms = now.since(since).as_millis() as u64,
+                    "all zones out are known; this owner starts tasks again"
+                );
+                self.starts_withheld_since = None;
+            }
+            _ => {}
+        }
     }
 
     /// Time at which the next event starts a scheduling pass; `None` if none is due.
--- a/components/steps/src/timing.rs
+++ b/components/steps/src/timing.rs
@@ -19,6 +19,9 @@
     pub ownership: Duration,
     /// Time after such a proof during which an owner lets agents renew leases.
     pub renewal: Duration,
+    /// Time after the last proof that the configuration and the zones out are the newest ones
+    /// during which an owner starts tasks.
+    pub operator_items: Duration,
     /// Validity of a start order from the time at which the owner sends it.
     pub start_within: Duration,
     /// Time for which the members of a gang wait for each other.
@@ -49,6 +52,8 @@
 const RENEWAL: Duration = Duration::from_millis(1500);
 /// Below the bounds for draining (2 s) and cancelling (3 s).
 const START_WITHIN: Duration = Duration::from_millis(1200);
+/// Time after which no task may start in a zone that operators have taken out.
+const EVACUATION: Duration = Duration::from_secs(5);
 /// Lowest rate of a worker's clock: at most 2% slow.
 const SLOWEST_CLOCK: f64 = 0.98;
 
@@ -61,6 +66,7 @@
             owner_key: OWNER_KEY,
             ownership: OWNERSHIP,
             renewal: RENEWAL,
+            operator_items: Self::operator_items(EVACUATION),
             start_within: START_WITHIN,
             gang_wait: Duration::from_secs(3),
             far_factor: 1.5,
@@ -71,6 +77,13 @@
 }
 
 impl Timing {
+    /// Returns [`Self::operator_items`] if no task may start in a zone for longer than
+    /// `evacuation` after operators have taken it out.
+    #[must_use]
+    pub const fn operator_items(evacuation: Duration) -> Duration {
+        evacuation.saturating_sub(START_WITHIN)
+    }
+
     /// Time after the last reply of an agent to an owner during which a task on
     /// the VM of that agent may still run.
     #[must_use]
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1392,3 +1392,19 @@
     }
     panic!("the task is down for 5 s");
 }
+
+#[test]
+fn an_owner_starts_tasks_though_their_zone_may_have_been_taken_out_long_ago() {
+    let mut session = Session::new(1);
+    let limit = Timing::default().operator_items;
+    session.report(at(0), 0, |_| ());
+    session.handle(at(0), Event::OperatorItemsCurrent(at(0)));
+    let too_late = at(0) + limit;
+    session.submit(too_late, JOB, 1);
+    session.handle(too_late, Event::Tick);
+    assert_eq!(session.take_starts(too_late, 0), []);
+    assert_eq!(session.owner.next_pass(), None);
+    session.handle(too_late, Event::OperatorItemsCurrent(at(10)));
+    session.handle(too_late, Event::PassDue);
+    assert_eq!(session.take_starts(too_late, 0).len(), 1);
+}
