Calls for the earlier incarnation of a worker carry a lower fencing token

The class: an order addressed to a name, refused only by who sends it.

It is made at the edge to the worker, so owners and agents keep comparing epochs. An agent polls a worker that it does not know at once, also before an owner has called it, which raises the token there.

--- a/components/steps/examples/owner_cost.rs
+++ b/components/steps/examples/owner_cost.rs
@@ -18,7 +18,11 @@
     time::{Duration, Instant},
 };
 
-use common::{config, entry, job, vm, worker::SimulatedWorker, worker_info};
+use common::{
+    config, entry, job, vm,
+    worker::{SimulatedWorker, token},
+    worker_info,
+};
 use kernel::{JobName, Resources, Time, VmName};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -177,15 +181,22 @@
                 false => step.estimate_millis,
             };
             let (epoch, until) = (grant.epoch, grant.until_millis);
-            let (result, _) = machine
-                .worker
-                .start(now, &start.key, epoch, until, (work, false));
+            let (result, _) = machine.worker.start(
+                now,
+                &start.key,
+                token(&orders.incarnation, epoch),
+                until,
+                (work, false),
+            );
             machine.agent.settle_start(&start.key, result);
             machine.agent.record_start(start);
             reply.starts.push(result);
         }
         for key in &orders.stops {
-            let result = machine.worker.stop(now, key, orders.header.epoch);
+            let result =
+                machine
+                    .worker
+                    .stop(now, key, token(&orders.incarnation, orders.header.epoch));
             reply.stops.push(result);
         }
         reply.agent_incarnation = machine.agent.incarnation();
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -640,13 +640,12 @@
         self.renewal_stop.map(|(_, bound)| bound)
     }
 
-    /// Returns the next poll of the worker; `None` while no owner or no worker is
-    /// known.
+    /// Returns the next poll of the worker; `None` while no worker is known.
+    ///
+    /// Without an owner it grants no lease, but it keeps late calls that were meant for an
+    /// earlier incarnation from the worker.
     pub fn next_poll(&mut self, now: Time, may_wait: bool) -> Option<WorkerPoll> {
         let incarnation = self.worker.as_ref()?.incarnation.clone();
-        if self.epoch == 0 {
-            return None;
-        }
         self.track_renewal(now);
         // An unanswered poll may still have reached the worker and renewed its leases.
         // If further polls granted leases, these would never be known to have expired.
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -442,3 +442,12 @@
     assert!(!agent.report(at(4_300)).leases_expired);
     assert!(agent.report(at(4_500)).leases_expired);
 }
+
+/// A restarted worker took late orders for its earlier incarnation until an owner had called.
+#[test]
+fn an_agent_without_an_owner_leaves_its_worker_open_to_late_calls() {
+    let mut agent = AgentState::new(Timing::default(), START);
+    agent.apply_heartbeat(heartbeat(1, 1));
+    let poll = agent.next_poll(START, true).unwrap();
+    assert_eq!((poll.epoch, poll.until_millis), (0, None));
+}
--- a/components/steps/tests/common/processor.rs
+++ b/components/steps/tests/common/processor.rs
@@ -19,7 +19,11 @@
     owner::{Handover, PollFailure, RecordWrite, WorkCounts},
 };
 
-use super::{config, entry, vm, worker::SimulatedWorker, worker_info};
+use super::{
+    config, entry, vm,
+    worker::{SimulatedWorker, token},
+    worker_info,
+};
 
 pub(crate) const EVENT_COST: Duration = Duration::from_micros(100);
 pub(crate) const MESSAGE_COST: Duration = Duration::from_micros(300);
@@ -645,6 +649,7 @@
             self.arrive(sent_at + ORDERS_TIMEOUT + RETRY_DELAY, epoch, unanswered);
             return;
         }
+        let token = token(&orders.incarnation, epoch);
         let mut reply = OrdersReply::default();
         let mut started = Vec::new();
         for start in &orders.starts {
@@ -663,7 +668,7 @@
             };
             let until = grant.until_millis;
             let outcome = (work, false);
-            let (result, is_new) = machine.worker.start(now, &start.key, epoch, until, outcome);
+            let (result, is_new) = machine.worker.start(now, &start.key, token, until, outcome);
             machine.agent.settle_start(&start.key, result);
             if result == OrderResult::Done {
                 machine.agent.record_start(start);
@@ -677,7 +682,7 @@
             reply.starts.push(result);
         }
         for key in &orders.stops {
-            let result = machine.worker.stop(now, key, epoch);
+            let result = machine.worker.stop(now, key, token);
             machine.agent.settle_stop(key, result);
             reply.stops.push(result);
         }
--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -20,7 +20,11 @@
     owner::{Handover, PollFailure, RecordWrite},
 };
 
-use super::{config, entry, vm, worker::SimulatedWorker, worker_info};
+use super::{
+    config, entry, vm,
+    worker::{SimulatedWorker, Token, token},
+    worker_info,
+};
 
 const TICK: Duration = Duration::from_millis(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -39,9 +43,9 @@
     ReportTimeout(u64, VmName),
     Orders(u64, VmName, Box<Orders>),
     OrdersAnswered(u64, VmName, Box<Orders>, Option<OrdersReply>),
-    /// A start order that reaches the worker late: VM, name of the worker, run, epoch of
-    /// the owner, end of the lease by the worker's clock.
-    DelayedStart(VmName, Arc<str>, RunKey, u64, u64),
+    /// A start order that reaches the worker late: VM, name of the worker, run, fencing
+    /// token, end of the lease by the worker's clock.
+    DelayedStart(VmName, Arc<str>, RunKey, Token, u64),
     RecordsWritten(u64, u64, Vec<RecordWrite>),
     /// The answer to a write of records, with their revisions.
     WriteAnswered(u64, u64, Vec<(JobName, i64)>),
@@ -659,10 +663,10 @@
             Message::OrdersAnswered(epoch, vm, orders, reply) => {
                 self.handle_event_of(epoch, Event::OrdersAnswered { vm, orders, reply });
             }
-            Message::DelayedStart(name, worker, key, epoch, until) => {
+            Message::DelayedStart(name, worker, key, token, until) => {
                 // A worker refuses orders that are meant for another one.
                 if self.machines[&name].worker.info.incarnation.worker == worker {
-                    self.start_run(&name, &key, epoch, until);
+                    self.start_run(&name, &key, token, until);
                 }
             }
             Message::RecordsWritten(epoch, last, changes) => self.on_written(epoch, last, changes),
@@ -740,13 +744,15 @@
                 let after = Duration::from_millis(self.rng.random_range(500..6_000));
                 let key = start.key.clone();
                 let worker = Arc::clone(&orders.incarnation.worker);
-                let (epoch, until) = (grant.epoch, grant.until_millis);
-                let delayed = Message::DelayedStart(name.clone(), worker, key, epoch, until);
+                let token = token(&orders.incarnation, grant.epoch);
+                let until = grant.until_millis;
+                let delayed = Message::DelayedStart(name.clone(), worker, key, token, until);
                 self.send(after, delayed);
                 starts.push(OrderResult::Unsettled);
                 continue;
             }
-            let result = self.start_run(&name, &start.key, grant.epoch, grant.until_millis);
+            let token = token(&orders.incarnation, grant.epoch);
+            let result = self.start_run(&name, &start.key, token, grant.until_millis);
             self.check_capacity(&name, &start.key);
             let machine = self.machines.get_mut(&name).unwrap();
             machine.agent.settle_start(&start.key, result);
@@ -760,7 +766,11 @@
                 () if !is_accepted => fenced,
                 () if !machine.worker.unresponsive_until.passed(now) => OrderResult::Unsettled,
                 () if !is_same => OrderResult::Refused(Refusal::Worker),
-                () => machine.worker.stop(now, key, orders.header.epoch),
+                () => {
+                    machine
+                        .worker
+                        .stop(now, key, token(&orders.incarnation, orders.header.epoch))
+                }
             };
             machine.agent.settle_stop(key, result);
             stops.push(result);
@@ -813,7 +823,10 @@
                 Err(refusal) => OrderResult::Refused(*refusal),
                 Ok(_) if !is_same => OrderResult::Refused(Refusal::Worker),
                 Ok(_) if !is_responsive => OrderResult::Unsettled,
-                Ok(grant) => self.start_run(&name, &start.key, grant.epoch, grant.until_millis),
+                Ok(grant) => {
+                    let token = token(&orders.incarnation, grant.epoch);
+                    self.start_run(&name, &start.key, token, grant.until_millis)
+                }
             });
         }
         let worker = &mut self.machines.get_mut(&name).unwrap().worker;
@@ -823,7 +836,7 @@
                 () if !admission.is_accepted => OrderResult::Refused(Refusal::Fenced),
                 () if !is_responsive => OrderResult::Unsettled,
                 () if !is_same => OrderResult::Refused(Refusal::Worker),
-                () => worker.stop(now, key, orders.header.epoch),
+                () => worker.stop(now, key, token(&orders.incarnation, orders.header.epoch)),
             });
         }
         let settlement = Settlement {
@@ -871,7 +884,7 @@
         self.send(delay, Message::OrdersAnswered(epoch, name, orders, reply));
     }
 
-    fn start_run(&mut self, name: &VmName, key: &RunKey, epoch: u64, until: u64) -> OrderResult {
+    fn start_run(&mut self, name: &VmName, key: &RunKey, token: Token, until: u64) -> OrderResult {
         let now = self.now;
         let is_poison = self.poison.contains(&key.task.job);
         let step = usize::from(key.task.step);
@@ -884,7 +897,7 @@
         let machine = self.machines.get_mut(name).unwrap();
         let (result, is_new) = machine
             .worker
-            .start(now, key, epoch, until, (work, is_poison));
+            .start(now, key, token, until, (work, is_poison));
         if is_new {
             self.starts += 1;
             self.check_start(name, key);
--- a/components/steps/tests/common/worker.rs
+++ b/components/steps/tests/common/worker.rs
@@ -6,12 +6,23 @@
 use kernel::Time;
 use steps::{
     agent::{Heartbeat, PollError, PollReply, WorkerPoll},
-    message::{ActiveRun, EndedRun, OrderResult, Refusal, RunEnd, RunKey, WorkerInfo},
+    message::{
+        ActiveRun, EndedRun, OrderResult, Refusal, RunEnd, RunKey, WorkerIncarnation, WorkerInfo,
+    },
 };
 
 /// Time that a stop takes, in milliseconds.
 const STOP_MILLIS: u64 = 100;
 
+/// The fencing token of a call: the start of the incarnation for which the call is meant, then
+/// the epoch of the owner.
+pub(crate) type Token = (u64, u64);
+
+/// Returns the fencing token of a call to an incarnation.
+pub(crate) fn token(incarnation: &WorkerIncarnation, epoch: u64) -> Token {
+    (incarnation.started_at, epoch)
+}
+
 struct SimulatedRun {
     started_at: Time,
     work_millis: u64,
@@ -26,7 +37,7 @@
     clock_rate: f64,
     /// Until when the worker answers no poll.
     pub(crate) unresponsive_until: Time,
-    epoch: u64,
+    token: Token,
     /// Whether the worker refuses calls with a lower fencing token than it has seen.
     checks_tokens: bool,
     lease_until: u64,
@@ -50,7 +61,7 @@
             started_at: now,
             clock_rate,
             unresponsive_until: Time::ZERO,
-            epoch: 0,
+            token: (0, 0),
             checks_tokens: true,
             lease_until: 0,
             runs: BTreeMap::new(),
@@ -70,9 +81,9 @@
         self
     }
 
-    fn is_fenced(&mut self, epoch: u64) -> bool {
-        let is_lower = epoch < self.epoch;
-        self.epoch = self.epoch.max(epoch);
+    fn is_fenced(&mut self, token: Token) -> bool {
+        let is_lower = token < self.token;
+        self.token = self.token.max(token);
         is_lower && self.checks_tokens
     }
 
@@ -155,7 +166,7 @@
         if poll.incarnation.worker != self.info.incarnation.worker {
             return Err(PollError::OtherIncarnation);
         }
-        if self.is_fenced(poll.epoch) {
+        if self.is_fenced(token(&poll.incarnation, poll.epoch)) {
             return Err(PollError::Fenced);
         }
         self.lease_until = self.lease_until.max(poll.until_millis.unwrap_or_default());
@@ -181,12 +192,12 @@
         &mut self,
         now: Time,
         key: &RunKey,
-        epoch: u64,
+        token: Token,
         until: u64,
         (work_millis, fails): (u64, bool),
     ) -> (OrderResult, bool) {
         let refused = |refusal| (OrderResult::Refused(refusal), false);
-        if self.is_fenced(epoch) {
+        if self.is_fenced(token) {
             return refused(Refusal::Fenced);
         }
         if self.runs.contains_key(key) {
@@ -210,8 +221,8 @@
         (OrderResult::Done, true)
     }
 
-    pub(crate) fn stop(&mut self, now: Time, key: &RunKey, epoch: u64) -> OrderResult {
-        if self.is_fenced(epoch) {
+    pub(crate) fn stop(&mut self, now: Time, key: &RunKey, token: Token) -> OrderResult {
+        if self.is_fenced(token) {
             return OrderResult::Refused(Refusal::Fenced);
         }
         match self.runs.get_mut(key) {
--- a/components/steps/tests/explore.rs
+++ b/components/steps/tests/explore.rs
@@ -160,9 +160,9 @@
 }
 
 /// Calls for the earlier incarnation that the next one carries out before anyone can stop
-/// it. 30008: a late poll extends its lease. 30010: a late start.
+/// it. 30008, 30064: a late poll extends its lease. 30010: a late start.
 #[rstest]
-fn late_calls_act_on_the_next_incarnation(#[values(30_008, 30_010)] seed: u64) {
+fn late_calls_act_on_the_next_incarnation(#[values(30_008, 30_010, 30_064)] seed: u64) {
     let reach = Reach {
         isolated_owner: false,
         next_incarnation: true,
@@ -291,3 +291,24 @@
         }
     }
 }
+
+/// Runs more seeds with calls that reach the next incarnation on demand:
+/// `STEPS_NEXT_SEEDS=100 cargo test -p steps --test explore`.
+#[rstest]
+fn additional_seeds_that_reach_the_next_incarnation(#[values(true, false)] fencing: bool) {
+    let count = std::env::var("STEPS_NEXT_SEEDS").ok();
+    let count: u64 = count.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let reach = Reach {
+        isolated_owner: false,
+        next_incarnation: true,
+        zone_of_owner: false,
+    };
+    let mut failed = Vec::new();
+    for seed in 30_000..30_000 + count {
+        let passed = std::panic::catch_unwind(|| explore_late(seed, 0.05, fencing, reach));
+        if passed.is_err() {
+            failed.push(seed);
+        }
+    }
+    assert_eq!(failed, Vec::<u64>::new(), "seeds of {count}");
+}
--- a/components/steps/tests/fencing.rs
+++ b/components/steps/tests/fencing.rs
@@ -7,7 +7,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use common::{config, entry, job, step, vm, worker::SimulatedWorker, worker_info};
+use common::{
+    config, entry, job, step, vm,
+    worker::{SimulatedWorker, token},
+    worker_info,
+};
 use kernel::Time;
 use rstest::rstest;
 use steps::{
@@ -120,7 +124,10 @@
                 ..OrdersReply::default()
             };
             for key in &orders.stops {
-                let result = machine.worker.stop(now, key, orders.header.epoch);
+                let result =
+                    machine
+                        .worker
+                        .stop(now, key, token(&orders.incarnation, orders.header.epoch));
                 machine.agent.settle_stop(key, result);
                 reply.stops.push(result);
             }
@@ -159,7 +166,13 @@
     // The worker gets to the late order only now.
     let work = (WORK_MILLIS, false);
     let worker = &mut fleet.machines[number].worker;
-    let (_, is_started) = worker.start(at(1_000), &key, grant.epoch, grant.until_millis, work);
+    let (_, is_started) = worker.start(
+        at(1_000),
+        &key,
+        token(&orders.incarnation, grant.epoch),
+        grant.until_millis,
+        work,
+    );
     assert!(!is_started, "the run was stopped before it started");
     fleet.exchange(at(1_000));
     fleet.exchange(at(1_010));
