The record of a scheduled job no longer grows with its finished occurrences

The store refused the write, the owner repeated it for good, and no other record was written, so ends were never released and tasks of later jobs never started. The class: a write taken to be bounded, and one that can't succeed in front of all others.

Finished occurrences are recorded as ranges, so a record is bounded by the occurrences under way; records with rows are still read. A job whose record is too long all the same ends as failed, with a line that says so, before the write. The two cases of the_record_of_a_scheduled_job_grows_with_its_finished_occurrences start from a record of 998 finished occurrences in either form. What the owner keeps in memory for finished occurrences is as before.

--- a/components/fakes/src/store/mod.rs
+++ b/components/fakes/src/store/mod.rs
@@ -33,9 +33,6 @@
 /// Interval at which open watches are told that there are no further changes.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Limit of the size of a value, in bytes.
-pub const MAX_VALUE_BYTES: usize = 1 << 20;
-
 #[derive(Debug)]
 struct Inner {
     state: Mutex<State>,
--- a/components/fakes/src/store/state.rs
+++ b/components/fakes/src/store/state.rs
@@ -7,12 +7,10 @@
 
 use kernel::{BootInstant, Time};
 use store::{
-    Change, Compare, KeyRange, KeyValue, LeaseId, Op, RangeReply, StoreError, StoreRevision, Txn,
-    TxnReply, Watch, WatchItem,
+    Change, Compare, KeyRange, KeyValue, LeaseId, MAX_VALUE_BYTES, Op, RangeReply, StoreError,
+    StoreRevision, Txn, TxnReply, Watch, WatchItem,
 };
 
-use super::MAX_VALUE_BYTES;
-
 type WatchSender = async_channel::Sender<Result<WatchItem, StoreError>>;
 
 #[derive(Debug)]
--- a/components/stepd/src/entry/journal.rs
+++ b/components/stepd/src/entry/journal.rs
@@ -9,7 +9,10 @@
 use futures_lite::FutureExt;
 use kernel::{JobName, Verdict};
 use steps::owner::RecordWrite;
-use store::{Compare, KeyRange, KeyValue, Op, StoreRevision, Txn, TxnReply, backoff::Backoff};
+use store::{
+    Compare, KeyRange, KeyValue, MAX_VALUE_BYTES, Op, StoreRevision, Txn, TxnReply,
+    backoff::Backoff,
+};
 
 use super::term::Term;
 use crate::keys::{self, EndRecord};
@@ -144,6 +147,9 @@
             return false;
         }
     };
+    if end_unrecordable_jobs(term, changes, &rows) {
+        return false;
+    }
     let txn = transaction(term, changes, &rows);
     let mut backoff = Backoff::with_random_seed();
     loop {
@@ -190,6 +196,24 @@
     }
 }
 
+/// Ends the jobs whose records are too long; returns whether there are any. The store would
+/// refuse the whole transaction, each time. The other records are written again.
+fn end_unrecordable_jobs(term: &Term, changes: &[RecordWrite], rows: &[Row]) -> bool {
+    let is_too_long = |row: &Row| row.value.len() > MAX_VALUE_BYTES;
+    if !rows.iter().any(is_too_long) {
+        return false;
+    }
+    let now = term.now();
+    let mut owner = term.owner();
+    for (change, row) in changes.iter().zip(rows) {
+        match is_too_long(row) {
+            true => owner.record_too_long(now, &change.job, row.value.len()),
+            false => owner.record_not_written(&change.job, change.replaces),
+        }
+    }
+    true
+}
+
 fn transaction(term: &Term, changes: &[RecordWrite], rows: &[Row]) -> Txn {
     let mut txn = Txn {
         compares: vec![term.is_latest_term()],
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -124,6 +124,12 @@
         true
     }
 
+    fn complete_all(&mut self) {
+        for index in 0..self.tasks.len() {
+            self.complete(index);
+        }
+    }
+
     fn record_duration(&mut self, millis: u64) {
         let place = self
             .durations_millis
@@ -210,7 +216,14 @@
     fn restore(&mut self, progress: &Progress, now: Time) {
         self.outcome = progress.outcome;
         self.ended_at = progress.outcome.map(|_| now);
-        self.started = !progress.steps.is_empty();
+        self.started = !progress.steps.is_empty() || !progress.finished.is_empty();
+        for &(from, until) in &progress.finished {
+            for occurrence in from..until.min(self.job.occurrences()) {
+                for step in self.occurrence(occurrence) {
+                    step.complete_all();
+                }
+            }
+        }
         for saved in &progress.steps {
             let job = Arc::clone(&self.job);
             if saved.occurrence >= job.occurrences() {
@@ -478,12 +491,16 @@
     pub(super) fn progress(&self) -> Progress {
         let mut progress = Progress {
             outcome: self.outcome,
-            steps: Vec::new(),
+            ..Progress::default()
         };
         if self.outcome.is_some() {
             return progress;
         }
+        progress.finished = to_ranges(self.finished.iter().copied());
         for (&occurrence, steps) in &self.occurrences {
+            if self.finished.contains(&occurrence) {
+                continue;
+            }
             for (number, step) in steps.iter().enumerate() {
                 let saved = step_progress(occurrence, number, step);
                 let is_empty = saved.done.is_empty() && saved.failed.is_empty();
--- a/components/steps/src/owner/journal.rs
+++ b/components/steps/src/owner/journal.rs
@@ -1,9 +1,9 @@
 //! Changes that must become durable, and run ends that workers may forget afterwards.
 
-use kernel::JobName;
+use kernel::{JobName, Time};
 
 use super::Owner;
-use crate::Progress;
+use crate::{Outcome, Progress};
 
 /// Record of one job that must be written to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -98,6 +98,13 @@
         }
     }
 
+    /// Ends a job whose record is longer than the store accepts, so that the records of other
+    /// jobs do not wait for it. `bytes` is its length.
+    pub fn record_too_long(&mut self, now: Time, job: &JobName, bytes: usize) {
+        tracing::error!(%job, bytes, "record of the job is longer than the store accepts; the job fails");
+        self.end_job(now, job, Outcome::Failed);
+    }
+
     /// Marks all changes up to this number as durable.
     pub fn confirm_durable(&mut self, change: u64) {
         self.durable_change = self.durable_change.max(change);
--- a/components/steps/src/progress.rs
+++ b/components/steps/src/progress.rs
@@ -61,7 +61,11 @@
     /// How the job ended; `None` while it has not.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub outcome: Option<Outcome>,
-    /// Steps with completed or failed tasks; empty once the job has ended.
+    /// Occurrences in which all tasks have completed, as half-open ranges.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub finished: Vec<(u32, u32)>,
+    /// Steps of the other occurrences with completed or failed tasks; empty once the job has
+    /// ended.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<StepProgress>,
 }
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -4,17 +4,20 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use common::{config, entry, job, job_name, run, step, vm, worker_info};
 use kernel::{Resources, Time};
+use rstest::rstest;
 use steps::{
-    Event, Outcome, Owner, Timing,
+    Event, Job, Outcome, Owner, Progress, Timing,
+    job::Schedule,
     message::{
         ActiveRun, AgentReport, ClockReading, EndedRun, OrderResult, Orders, OrdersReply, Refusal,
         RunEnd, RunKey,
     },
     owner::{Handover, LongRunningTasks, PollFailure},
+    progress::StepProgress,
 };
 
 const START: Time = Time::from_secs(1_000);
@@ -1408,3 +1411,69 @@
     session.handle(too_late, Event::PassDue);
     assert_eq!(session.take_starts(too_late, 0).len(), 1);
 }
+
+const OCCURRENCES: u32 = 1_000;
+
+/// A job that has run all but the last of its occurrences, as its record tells.
+fn scheduled_job(progress: Progress) -> Event {
+    let job = Job {
+        schedule: Some(Schedule {
+            first: Time::ZERO,
+            interval_millis: 0,
+            repetitions: OCCURRENCES,
+        }),
+        ..Job::clone(&job(JOB, "quick", vec![step(1, &[])]))
+    };
+    Event::Job {
+        job: Arc::new(job),
+        progress: Some((progress, 1)),
+    }
+}
+
+fn step_done(occurrence: u32) -> StepProgress {
+    StepProgress {
+        occurrence,
+        done: vec![(0, 1)],
+        ..StepProgress::default()
+    }
+}
+
+/// The record grew with each occurrence until the store refused it and all others with it.
+#[rstest]
+#[case::rows_of_finished_occurrences(Progress {
+    steps: (0..OCCURRENCES - 2).map(step_done).collect(),
+    ..Progress::default()
+})]
+#[case::ranges_of_finished_occurrences(Progress {
+    finished: vec![(0, OCCURRENCES - 2)],
+    ..Progress::default()
+})]
+fn the_record_of_a_scheduled_job_grows_with_its_finished_occurrences(#[case] progress: Progress) {
+    let mut session = Session::new(1);
+    session.handle(at(0), scheduled_job(progress));
+    session.report(at(10), 0, |_| ());
+    let starts = session.take_starts(at(20), 0);
+    let occurrences: Vec<u32> = starts.iter().map(|key| key.task.occurrence).collect();
+    assert_eq!(occurrences, [OCCURRENCES - 2, OCCURRENCES - 1]);
+    let end = ended(1, &starts[0], RunEnd::Done);
+    session.report(at(30), 0, |report| report.ended = vec![end]);
+    let record = session.owner.take_changes().pop().unwrap().progress;
+    assert_eq!(record.finished, [(0, OCCURRENCES - 1)]);
+    assert_eq!(record.steps, []);
+    let end = ended(2, &starts[1], RunEnd::Done);
+    session.report(at(40), 0, |report| report.ended = vec![end]);
+    let record = session.owner.take_changes().pop().unwrap().progress;
+    assert_eq!(record.outcome, Some(Outcome::Completed));
+}
+
+#[test]
+fn a_job_whose_record_is_too_long_keeps_the_records_of_others_waiting() {
+    let mut session = Session::new(1);
+    session.submit(at(0), JOB, 1);
+    session
+        .owner
+        .record_too_long(at(10), &job_name(JOB), 1 << 21);
+    let record = session.owner.take_changes().pop().unwrap();
+    assert!(record.is_end);
+    assert_eq!(record.progress.outcome, Some(Outcome::Failed));
+}
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -19,6 +19,9 @@
 pub use etcd::EtcdStore;
 pub use follow::{RangeFollower, RangeUpdate};
 
+/// The maximum length of a value in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
 /// The store-wide revision number, which grows with every change.
 pub type StoreRevision = i64;
 
