A step of one rack starts with what fits if it is wider than the room

Only a gang must start together. If neither one rack nor all racks can take the waiting tasks, those are started that fit.

The new test got no start before the change and passes with it; jobs.rs, capacity.rs and owner.rs pass.

--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -506,6 +506,11 @@
         if let Some(task) = tasks.iter().find(|task| task.is_suspect) {
             let request = ready.placement_request(task, &tasks_per_vm, None, true, Trial::Alone);
             self.hold_for_trial(now, &request, pass.suspect_starts);
+            return;
+        }
+        // The step may need more than all workers have.
+        if !ready.step.gang {
+            self.schedule_step(now, ready, pass);
         }
     }
 
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -10,7 +10,7 @@
 use kernel::{Resources, Time};
 use rstest::rstest;
 use steps::{
-    Event, Job, Outcome, Owner, Progress, Timing,
+    Event, Job, Outcome, Owner, Progress, Step, Timing,
     job::Schedule,
     message::{
         ActiveRun, AgentReport, ClockReading, EndedRun, OrderResult, Orders, OrdersReply, Refusal,
@@ -1477,3 +1477,22 @@
     assert!(record.is_end);
     assert_eq!(record.progress.outcome, Some(Outcome::Failed));
 }
+
+#[test]
+fn a_step_of_one_rack_that_is_wider_than_the_room_never_starts() {
+    let mut session = Session::new(1);
+    let wide = Step {
+        same_rack: true,
+        ..step(100, &[])
+    };
+    let job = job(JOB, "quick", vec![wide]);
+    session.handle(
+        at(0),
+        Event::Job {
+            job,
+            progress: None,
+        },
+    );
+    session.report(at(10), 0, |_| ());
+    assert_ne!(session.take_starts(at(20), 0), []);
+}
