A job carries the queue that accepted it, so that any owner can run it

The class: what the next process needs is only in the memory of the last one.

The job is stored with its queue as it was when the job was accepted; an owner goes by it until a configuration tells of the queue. The new test starts no task without it, since the session's configuration does not have the queue.

--- a/components/steps/src/config.rs
+++ b/components/steps/src/config.rs
@@ -3,9 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use kernel::ServiceName;
+use serde::{Deserialize, Serialize};
 
 /// A queue of jobs.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Name of the queue.
     pub name: Arc<str>,
@@ -29,7 +30,7 @@
 }
 
 /// Rules for approvals of workers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ApprovalPolicy {
     /// Time for which an approval is valid.
     pub valid: Duration,
--- a/components/steps/src/job.rs
+++ b/components/steps/src/job.rs
@@ -5,6 +5,8 @@
 use kernel::{JobName, Resources, Time};
 use serde::{Deserialize, Serialize};
 
+use crate::Queue;
+
 /// Maximum number of tasks of a step; bounds the state that one request can create in
 /// an owner.
 pub const MAX_STEP_TASKS: u32 = 10_000;
@@ -129,12 +131,16 @@
 }
 
 /// A job as stored.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Job {
     /// Name chosen by the submitter; identifies the job.
     pub name: JobName,
     /// Name of the queue through which the job was submitted.
     pub queue: Arc<str>,
+    /// The queue as it was when the job was accepted. An owner that has never seen a
+    /// configuration with the queue goes by it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted_by: Option<Arc<Queue>>,
     /// Description that is passed to the tasks.
     pub spec: Arc<str>,
     /// Steps in the order in which they refer to each other.
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -124,7 +124,8 @@
     epoch: u64,
     timing: Timing,
     config: Option<Arc<Config>>,
-    /// Last known policy of each queue, including queues that have been removed.
+    /// Last known policy of each queue, including queues that have been removed and of which
+    /// only jobs tell.
     queues: BTreeMap<Arc<str>, Arc<Queue>>,
     zones_out: BTreeSet<AvailabilityZoneName>,
     /// When these two were last known to be the newest ones; `None` before the first event
@@ -367,6 +368,10 @@
             return;
         }
         let mut entry = JobEntry::new(job, progress, now);
+        if let Some(queue) = &entry.job.accepted_by {
+            let name = Arc::clone(&queue.name);
+            self.queues.entry(name).or_insert_with(|| Arc::clone(queue));
+        }
         // Loading the jobs may take longer than an earlier owner goes on.
         let is_earlier_owner_over = (self.term_start + self.timing.ownership).passed(now);
         let was_reported = self.unknown_jobs.contains_key(&entry.job.name);
--- a/components/steps/tests/common/mod.rs
+++ b/components/steps/tests/common/mod.rs
@@ -70,6 +70,7 @@
     Arc::new(Job {
         name: job_name(id),
         queue: queue.into(),
+        accepted_by: None,
         spec: "spec".into(),
         steps,
         schedule: None,
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1496,3 +1496,21 @@
     session.report(at(10), 0, |_| ());
     assert_ne!(session.take_starts(at(20), 0), []);
 }
+
+/// The next owner has seen no configuration with the queue.
+#[test]
+fn a_new_owner_forgets_the_jobs_of_a_queue_that_has_been_removed() {
+    let mut session = Session::new(1);
+    let mut queue = config().queues[0].clone();
+    queue.name = "removed".into();
+    let accepted = Job {
+        accepted_by: Some(Arc::new(queue)),
+        ..Job::clone(&job(JOB, "removed", vec![step(1, &[])]))
+    };
+    let stored = serde_json::to_vec(&accepted).unwrap();
+    let job: Job = serde_json::from_slice(&stored).unwrap();
+    let (job, progress) = (Arc::new(job), None);
+    session.handle(at(0), Event::Job { job, progress });
+    session.report(at(10), 0, |_| ());
+    assert_eq!(session.take_starts(at(20), 0).len(), 1);
+}
