The loop of delayed passes ends with its term and lets other tasks run

A pass that was due as the term ended by itself stayed due, its timer was ready at once, and the task that would have cancelled the loop runs on the same thread. The class: a loop that counts on its term.

The other loops of a term return when it is over or wait for a timer or a call.

--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -32,7 +32,12 @@
     load::LoadMeter,
     submit,
 };
-use crate::{SteadyClock, keys, keys::OwnerRecord, time};
+use crate::{
+    SteadyClock, keys,
+    keys::OwnerRecord,
+    passes::{self, NextPass},
+    time,
+};
 
 /// How often the owner checks deadlines.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
@@ -444,17 +449,16 @@
 
 /// Starts the scheduling passes that had to wait.
 async fn run_delayed_passes(term: Arc<Term>) {
-    loop {
-        let pass_delayed = term.pass_delayed.listen();
-        let next_pass = term.owner().next_pass();
-        match next_pass {
-            Some(at) => {
-                smol::Timer::after(at.remaining(term.now())).await;
-                term.handle(Event::PassDue);
-            }
-            None => pass_delayed.await,
+    let next = || {
+        if term.is_over() {
+            return NextPass::Never;
         }
-    }
+        match term.owner().next_pass() {
+            Some(at) => NextPass::In(at.remaining(term.now())),
+            None => NextPass::NotDelayed,
+        }
+    };
+    passes::run_delayed(&term.pass_delayed, next, || term.handle(Event::PassDue)).await;
 }
 
 /// Renews the lease, and writes the key of the owner again if the lease expired while no
--- a/components/stepd/src/lib.rs
+++ b/components/stepd/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http1;
 pub mod keys;
 mod metrics;
+pub mod passes;
 mod secret;
 mod time;
 
