A job that was cancelled before it was stored is not stored any more

The cancelling of an unknown job left nothing behind that the write could have met. The class: a negative answer from a state that a write under way may still change.

Cancelling an unknown job now creates a mark, under a lease of the time for which ended jobs are known, on condition that neither the job nor its end exists; the creation of a job is on condition that there is no such mark. Who submits that job again is refused (503). It costs two calls more for each cancelling of a job that is not known.

--- a/components/stepd/src/entry/submit.rs
+++ b/components/stepd/src/entry/submit.rs
@@ -4,7 +4,7 @@
 
 use kernel::{JobName, Verdict};
 use steps::{Job, JobState};
-use store::{Compare, KeyRange, KeyValue, Op, Store, StoreError, Txn, backoff::Backoff};
+use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, Txn, backoff::Backoff};
 
 use super::{
     Shared,
@@ -22,12 +22,20 @@
 /// may reach the store when this one can't: an early refusal lets the client try there.
 const MAX_REFUSED_WRITES: u32 = 2;
 
+/// A key to be created, unless it or one of `excluded_by` exists.
+struct NewKey {
+    key: String,
+    value: Vec<u8>,
+    lease: Option<LeaseId>,
+    excluded_by: Vec<String>,
+}
+
 /// The outcome of the creation of a key.
 enum CreateOutcome {
     /// This call created the key.
     Created,
-    /// The key, or one that excludes it, already existed.
-    AlreadyExisted,
+    /// This key, which is the key itself or one that excludes it, already existed.
+    AlreadyExisted(String),
     /// The key was not created and will not be.
     NotCreated(StoreError),
     /// The key may have been created.
@@ -52,21 +60,24 @@
         Err(error) => return ClientReply::Malformed(error.to_string()),
     };
     let started_at = shared.clock.now();
-    let created = create(
-        shared,
-        &keys::job(&job.name),
-        &[keys::ended(&job.name)],
+    let withdrawn = keys::withdrawn(&job.name);
+    let new_key = NewKey {
+        key: keys::job(&job.name),
         value,
-        deadline,
-    )
-    .await;
+        lease: None,
+        excluded_by: vec![keys::ended(&job.name), withdrawn.clone()],
+    };
+    let created = create(shared, new_key, deadline).await;
     let took_ms = shared.clock.now().since(started_at).as_millis() as u64;
     match created {
         CreateOutcome::Created => {
             tracing::info!(job = %job.name, queue = %job.queue, took_ms, "job accepted");
             ClientReply::Accepted
         }
-        CreateOutcome::AlreadyExisted => {
+        CreateOutcome::AlreadyExisted(key) if key == withdrawn => {
+            unavailable("the job was cancelled before it was stored")
+        }
+        CreateOutcome::AlreadyExisted(_) => {
             tracing::info!(
                 job = %job.name,
                 queue = %job.queue,
@@ -98,28 +109,67 @@
         Some(state) => state,
         None => match read_job(shared, name).await {
             Ok(Some(state)) => state,
-            Ok(None) => return ClientReply::NoSuchJob,
+            Ok(None) => match withdraw(shared, name, deadline).await {
+                CreateOutcome::AlreadyExisted(key) if key == keys::job(name) => JobState::Queued,
+                CreateOutcome::Created | CreateOutcome::AlreadyExisted(_) => {
+                    tracing::info!(job = %name, "unknown job cancelled; it will not be stored");
+                    return ClientReply::NoSuchJob;
+                }
+                failed => return not_cancelled(failed),
+            },
             Err(error) => return unavailable(error.message),
         },
     };
     if let JobState::Ended(_) = state {
         return ClientReply::CancelAccepted;
     }
-    let key = keys::cancelled(name);
-    match create(shared, &key, &[], b"{}".to_vec(), deadline).await {
-        CreateOutcome::Created | CreateOutcome::AlreadyExisted => {
+    let new_key = NewKey {
+        key: keys::cancelled(name),
+        value: b"{}".to_vec(),
+        lease: None,
+        excluded_by: Vec::new(),
+    };
+    match create(shared, new_key, deadline).await {
+        CreateOutcome::Created | CreateOutcome::AlreadyExisted(_) => {
             tracing::info!(job = %name, "cancellation accepted");
             ClientReply::CancelAccepted
         }
+        failed => not_cancelled(failed),
+    }
+}
+
+fn not_cancelled(outcome: CreateOutcome) -> ClientReply {
+    match outcome {
         CreateOutcome::NotCreated(error) => {
             unavailable(format!("the cancellation can't be stored: {error}"))
         }
         CreateOutcome::Unknown(error) => ClientReply::OutcomeUnknown(format!(
             "the cancellation may or may not have been stored: {error}"
         )),
+        CreateOutcome::Created | CreateOutcome::AlreadyExisted(_) => ClientReply::CancelAccepted,
     }
 }
 
+/// Keeps a job that is not stored from being stored by a write that is carried out late. The
+/// mark ends with its lease.
+async fn withdraw(shared: &Shared, name: &JobName, deadline: Option<Duration>) -> CreateOutcome {
+    let lease = match shared
+        .store
+        .grant(shared.settings.timing.ended_job_retention)
+        .await
+    {
+        Ok(lease) => lease,
+        Err(error) => return CreateOutcome::NotCreated(error),
+    };
+    let new_key = NewKey {
+        key: keys::withdrawn(name),
+        value: b"{}".to_vec(),
+        lease: Some(lease),
+        excluded_by: vec![keys::job(name), keys::ended(name)],
+    };
+    create(shared, new_key, deadline).await
+}
+
 /// Reads the state of a job from the store.
 pub(super) async fn read_job(
     shared: &Shared,
@@ -169,28 +219,23 @@
     }
 }
 
-/// Creates a key unless it or one of `others` exists. If an answer is lost, sends the same
-/// transaction again: it only creates the key, so it takes effect at most once.
-async fn create(
-    shared: &Shared,
-    key: &str,
-    others: &[String],
-    value: Vec<u8>,
-    deadline: Option<Duration>,
-) -> CreateOutcome {
+/// Creates a key. If an answer is lost, sends the same transaction again: it only creates the
+/// key, so it takes effect at most once.
+async fn create(shared: &Shared, new_key: NewKey, deadline: Option<Duration>) -> CreateOutcome {
     if let Err(error) = check_contact(shared) {
         return CreateOutcome::NotCreated(error);
     }
     let give_up_at =
         shared.clock.now() + deadline.unwrap_or(DEFAULT_DEADLINE).mul_f64(WRITE_FRACTION);
+    let (key, value, lease) = (new_key.key, new_key.value, new_key.lease);
     let mut txn = Txn {
-        compares: vec![Compare::Absent(key.to_owned())],
-        ops: vec![Op::put(key, value)],
-        otherwise: vec![KeyRange::one(key)],
+        compares: vec![Compare::Absent(key.clone())],
+        otherwise: vec![KeyRange::one(key.as_str())],
+        ops: vec![Op::Put { key, value, lease }],
     };
-    for other in others {
-        txn.compares.push(Compare::Absent(other.clone()));
+    for other in new_key.excluded_by {
         txn.otherwise.push(KeyRange::one(other.as_str()));
+        txn.compares.push(Compare::Absent(other));
     }
     let mut backoff = Backoff::with_random_seed();
     let mut may_have_run = false;
@@ -202,8 +247,8 @@
             }
             Ok(reply) => {
                 shared.record_store_reply();
-                if reply.otherwise.iter().any(|kvs| !kvs.is_empty()) {
-                    return CreateOutcome::AlreadyExisted;
+                if let Some(found) = reply.otherwise.into_iter().flatten().next() {
+                    return CreateOutcome::AlreadyExisted(found.key);
                 }
                 StoreError::not_run(
                     "the write was refused because a key of the job existed, which was then deleted",
--- a/components/stepd/src/keys.rs
+++ b/components/stepd/src/keys.rs
@@ -21,6 +21,8 @@
 /// Outside [`ROOT`], since only an owner reads these keys, at the start of its term.
 const PROGRESS: &str = "hemlockmoor-progress/";
 const CANCELLED: &str = "hemlockmoor/cancelled/";
+/// Outside [`ROOT`], since these keys only exclude the creation of jobs.
+const WITHDRAWN: &str = "hemlockmoor-withdrawn/";
 const AGENTS: &str = "hemlockmoor/agents/";
 const ENTRIES: &str = "hemlockmoor/entries/";
 
@@ -130,6 +132,12 @@
     format!("{CANCELLED}{name}")
 }
 
+/// Returns the key that marks a job as cancelled before it was stored.
+#[must_use]
+pub fn withdrawn(name: &JobName) -> String {
+    format!("{WITHDRAWN}{name}")
+}
+
 /// Returns the key of the agent on a VM.
 #[must_use]
 pub fn agent(vm: &VmName) -> String {
