An agent pauses between polls that its worker does not answer

After a change of owner, an agent whose worker was down polled it without a pause until the worker was back, on all of the processor time that it had. By reading, a worker that refuses the polls since it has seen a higher epoch was polled in the same way.

Cause: the agent repeats a poll as soon as the last one has ended, until the worker has answered under the newest epoch, whether or not the last one could tell anything. The other loops of entries, agents and store clients were read and wait for a timer or a call.

--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -112,11 +112,13 @@
 }
 
 async fn short_poll(shared: Arc<Shared>, poll: WorkerPoll) {
-    poll_worker(&shared, &poll).await;
-    shared.poll_wanted.notify(usize::MAX);
+    // Otherwise a worker that refuses polls would be polled without a pause.
+    if poll_worker(&shared, &poll).await {
+        shared.poll_wanted.notify(usize::MAX);
+    }
 }
 
-/// Polls the worker once; returns whether it answered.
+/// Polls the worker once; returns whether the answer tells anything new.
 async fn poll_worker(shared: &Arc<Shared>, poll: &WorkerPoll) -> bool {
     let result = shared.api.poll(poll).await;
     let now = shared.clock.now();
@@ -124,19 +126,23 @@
     let (is_answered, paces) = {
         let mut agent_state = shared.agent_state();
         match result {
-            Ok(reply) => (true, agent_state.apply_reply(now, poll, reply)),
+            Ok(reply) => {
+                let paces = agent_state.apply_reply(now, poll, reply);
+                (!agent_state.is_unconfirmed(), paces)
+            }
             Err(error) => {
                 agent_state.apply_error(now, poll, error);
-                (error == PollError::Fenced, Vec::new())
+                (error == PollError::OtherIncarnation, Vec::new())
             }
         }
     };
     shared.metrics.record_worker(&shared.agent_state());
-    if shared.agent_state().version() != version_before {
+    let is_changed = shared.agent_state().version() != version_before;
+    if is_changed {
         shared.report_changed.notify(usize::MAX);
     }
     for (key, percent) in paces {
         set_pace(shared, &poll.incarnation, &key, percent, poll.epoch).await;
     }
-    is_answered
+    is_answered || is_changed
 }
