A heartbeat alone ends no worker; its agent asks the worker which one runs

Tasks ran twice, many at a time: a heartbeat that no worker had sent, of another name or of a later start, made the agent report a crash and forget the runs, leases and ends of its worker, which went on working. The owner started the tasks again elsewhere, and ends that came later were taken note of all the same.

Cause: the agent took any heartbeat of a newer incarnation for the end of the known one. Now it keeps such a heartbeat and polls the worker at once, without renewing anything. The known incarnation ends if another one answers (its start in the reply, or 421) or once its leases have expired; an answer of the known one refutes the heartbeat. A departure counts only for the incarnation that it names. An answer also corrects an incarnation that is known by a heartbeat only.

--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -102,7 +102,7 @@
     if is_doubts_check_due {
         agent_state.record_doubts_check(now);
     }
-    if (is_doubts_check_due || agent_state.is_stop_check_due())
+    if (is_doubts_check_due || agent_state.is_check_due())
         && let Some(poll) = agent_state.next_poll(now, false)
     {
         smol::spawn(short_poll(Arc::clone(shared), poll)).detach();
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -90,6 +90,14 @@
     pub has_more_ends: bool,
 }
 
+/// A heartbeat of another incarnation than the known one, which the worker has to confirm.
+#[derive(Debug)]
+struct Claim {
+    heartbeat: Heartbeat,
+    /// Number of the first poll whose answer shows which incarnation runs.
+    check: u64,
+}
+
 /// Why a poll failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PollError {
@@ -156,7 +164,12 @@
     /// none.
     confirmed_epoch: u64,
     worker: Option<WorkerInfo>,
+    /// Whether the worker has answered as this incarnation.
+    has_answered: bool,
     heartbeat_sequence: u64,
+    /// Newest heartbeat of another incarnation, which replaces the known one only once the worker
+    /// shows that the known one is over.
+    claim: Option<Claim>,
     /// Last reading of the worker's clock and the time at which it arrived.
     clock: Option<(u64, Time)>,
     /// Newest clock reading that an owner has echoed, on the worker's clock.
@@ -227,7 +240,9 @@
             owner: None,
             confirmed_epoch: 0,
             worker: None,
+            has_answered: false,
             heartbeat_sequence: 0,
+            claim: None,
             clock: None,
             echo: None,
             last_call_at: None,
@@ -334,7 +349,9 @@
         (incarnation.started_at > latest_start).then_some("start is in the future")
     }
 
-    /// Applies a heartbeat. A late heartbeat of an earlier incarnation is ignored.
+    /// Applies a heartbeat. A late heartbeat of an earlier incarnation is ignored. One of a later
+    /// incarnation ends no known one by itself, since it may come from another writer: the worker
+    /// is asked which of them runs.
     pub fn apply_heartbeat(&mut self, beat: Heartbeat) {
         let is_same_incarnation = match &self.worker {
             Some(known) if known.incarnation == beat.info.incarnation => true,
@@ -352,26 +369,14 @@
         if is_same_incarnation && beat.sequence <= self.heartbeat_sequence {
             return;
         }
-        self.heartbeat_sequence = beat.sequence;
         if !is_same_incarnation {
-            tracing::info!(
-                worker = %beat.info.incarnation.worker,
-                born = beat.info.incarnation.started_at,
-                zone = %beat.info.zone,
-                "new worker incarnation"
-            );
-            let name = &beat.info.incarnation.worker;
-            let known = self.worker.as_ref();
-            let is_restart = known.is_some_and(|known| known.incarnation.worker == *name);
-            self.note_crash();
-            // What an owner has told an agent that has just started is about this worker.
-            let roles = match self.worker {
-                None => std::mem::take(&mut self.roles),
-                Some(_) => BTreeMap::new(),
-            };
-            self.reset_worker(is_restart);
-            self.roles = roles;
+            if self.has_answered && !self.leases_expired {
+                self.ask_worker(beat);
+                return;
+            }
+            self.start_incarnation(&beat.info);
         }
+        self.heartbeat_sequence = beat.sequence;
         if self.worker.as_ref() == Some(&beat.info) {
             return;
         }
@@ -393,25 +398,89 @@
         self.version += 1;
     }
 
+    /// Keeps the heartbeat of another incarnation until the worker has shown which one runs.
+    fn ask_worker(&mut self, beat: Heartbeat) {
+        let incarnation = &beat.info.incarnation;
+        let asked = self.claim.as_ref();
+        let asked = asked.filter(|claim| claim.heartbeat.info.incarnation == *incarnation);
+        let check = match asked {
+            Some(claim) => claim.check,
+            None => {
+                tracing::info!(
+                    worker = %incarnation.worker,
+                    born = incarnation.started_at,
+                    known = self.worker.as_ref().map(|known| tracing::field::display(&known.incarnation.worker)),
+                    known_born = self.worker.as_ref().map(|known| known.incarnation.started_at),
+                    "heartbeat of another worker incarnation; asking the worker which one runs"
+                );
+                self.last_poll + 1
+            }
+        };
+        self.claim = Some(Claim {
+            heartbeat: beat,
+            check,
+        });
+    }
+
+    /// Drops the heartbeat of another incarnation, since the known one has answered a poll that
+    /// was sent after it.
+    fn refute_claim(&mut self, poll: u64) {
+        let Some(claim) = self.claim.take_if(|claim| poll >= claim.check) else {
+            return;
+        };
+        let incarnation = &claim.heartbeat.info.incarnation;
+        tracing::warn!(
+            worker = %incarnation.worker,
+            born = incarnation.started_at,
+            sequence = claim.heartbeat.sequence,
+            "heartbeat of another worker incarnation ignored, since the known one answers"
+        );
+    }
+
+    /// Starts the incarnation that a heartbeat has named, in place of the known one.
+    fn start_incarnation(&mut self, info: &WorkerInfo) {
+        tracing::info!(
+            worker = %info.incarnation.worker,
+            born = info.incarnation.started_at,
+            zone = %info.zone,
+            "new worker incarnation"
+        );
+        let known = self.worker.as_ref();
+        let is_restart =
+            known.is_some_and(|known| known.incarnation.worker == info.incarnation.worker);
+        self.note_crash();
+        // What an owner has told an agent that has just started is about this worker.
+        let roles = match self.worker {
+            None => std::mem::take(&mut self.roles),
+            Some(_) => BTreeMap::new(),
+        };
+        self.reset_worker(is_restart);
+        self.roles = roles;
+    }
+
     /// Handles the departure of the worker, after which no run exists. `started_at` is the
-    /// start of the incarnation that left, if the departure names it. A late departure of an
-    /// earlier incarnation is ignored: a worker reports that it drains before it leaves.
+    /// start of the incarnation that left, if the departure names it. A departure of another
+    /// incarnation than the known one is ignored. If it names none it may be a late one of an
+    /// earlier incarnation: a worker reports that it drains before it leaves.
     pub fn worker_left(&mut self, worker: &str, started_at: Option<u64>) {
-        let known = self.worker.as_ref();
-        let Some(known) = known.filter(|known| known.incarnation.worker.as_ref() == worker) else {
-            return;
+        let has_left = |info: &WorkerInfo| {
+            let is_incarnation = match started_at {
+                Some(started_at) => started_at == info.incarnation.started_at,
+                None => info.draining,
+            };
+            info.incarnation.worker.as_ref() == worker && is_incarnation
         };
-        let known_started_at = known.incarnation.started_at;
-        let is_current = match started_at {
-            Some(started_at) => started_at >= known_started_at,
-            None => known.draining,
+        self.claim.take_if(|claim| has_left(&claim.heartbeat.info));
+        let Some(known) = &self.worker else {
+            return;
         };
-        if !is_current {
+        if !has_left(known) {
             tracing::info!(
                 worker,
                 born = started_at,
-                known_born = known_started_at,
-                "late departure of an earlier worker incarnation ignored"
+                known = %known.incarnation.worker,
+                known_born = known.incarnation.started_at,
+                "departure of another worker incarnation ignored"
             );
             return;
         }
@@ -479,6 +548,8 @@
             };
             self.unsettled.insert(key.clone(), start);
         }
+        self.has_answered = false;
+        self.claim = None;
         self.tracked = TrackedRuns::default();
         self.clock = None;
         self.echo = None;
@@ -648,19 +719,21 @@
         let incarnation = self.worker.as_ref()?.incarnation.clone();
         self.track_renewal(now);
         // An unanswered poll may still have reached the worker and renewed its leases.
-        // If further polls granted leases, these would never be known to have expired.
-        let until_millis = self.lease_until(now).filter(|_| self.unanswered_polls == 0);
+        // If further polls granted leases, these would never be known to have expired. Another
+        // incarnation, which may get the poll, has other leases and ends.
+        let renews = self.unanswered_polls == 0 && self.claim.is_none();
+        let until_millis = self.lease_until(now).filter(|_| renews);
         self.granted_until = self.granted_until.max(until_millis.unwrap_or_default());
         self.last_poll += 1;
         let may_wait =
-            may_wait && !self.is_unconfirmed() && self.stop_check != Some(self.last_poll);
+            may_wait && !self.is_unconfirmed() && self.next_check() != Some(self.last_poll);
         let wait_millis = match may_wait {
             false => 0,
             true if self.is_pacing() => PACING_POLL_WAIT_MILLIS,
             true => POLL_WAIT_MILLIS,
         };
         // A poll may reach the next incarnation of the worker, whose ends have other numbers.
-        let has_news = self.recorded > self.forgotten;
+        let has_news = self.recorded > self.forgotten && self.claim.is_none();
         Some(WorkerPoll {
             number: self.last_poll,
             incarnation,
@@ -703,17 +776,11 @@
         if let Some(born) = reply.started_at
             && born != worker.incarnation.started_at
         {
-            if born < worker.incarnation.started_at {
+            // An answer proves more than the heartbeat by which the worker is known.
+            if born < worker.incarnation.started_at && self.has_answered {
                 return Vec::new();
             }
-            tracing::info!(worker = %worker.incarnation.worker, born, "worker has restarted");
-            self.note_crash();
-            if let Some(worker) = &mut self.worker {
-                worker.incarnation.started_at = born;
-            }
-            self.heartbeat_sequence = 0;
-            self.reset_worker(true);
-            self.version += 1;
+            self.restart_worker(born);
             return Vec::new();
         }
         let incarnation = &worker.incarnation;
@@ -733,6 +800,8 @@
             tracing::info!(worker = %incarnation.worker, "worker answers again");
             self.version += 1;
         }
+        self.has_answered = true;
+        self.refute_claim(poll.number);
         self.unanswered_polls = 0;
         self.leases_expired = false;
         self.forgotten = self.forgotten.max(poll.recorded);
@@ -782,6 +851,27 @@
         )
     }
 
+    /// Handles a worker that has answered as a later incarnation of its name.
+    fn restart_worker(&mut self, born: u64) {
+        let Some(mut info) = self.worker.clone() else {
+            return;
+        };
+        info.incarnation.started_at = born;
+        tracing::info!(worker = %info.incarnation.worker, born, "worker has restarted");
+        let claim = self.claim.take();
+        let claim = claim.filter(|claim| claim.heartbeat.info.incarnation == info.incarnation);
+        self.note_crash();
+        self.reset_worker(true);
+        self.heartbeat_sequence = 0;
+        if let Some(Claim { heartbeat, .. }) = claim {
+            self.heartbeat_sequence = heartbeat.sequence;
+            info = heartbeat.info;
+        }
+        self.worker = Some(info);
+        self.has_answered = true;
+        self.version += 1;
+    }
+
     /// Handles a failed poll.
     pub fn apply_error(&mut self, now: Time, poll: &WorkerPoll, error: PollError) {
         let is_current = self
@@ -802,10 +892,14 @@
             }
             PollError::OtherIncarnation => {
                 tracing::info!(worker = %poll.incarnation.worker, "poll answered by another incarnation of the worker");
+                let claim = self.claim.take();
                 self.note_crash();
                 self.remove_worker();
                 // The other incarnation may run what an earlier agent process granted.
                 self.leases_expired = self.earlier_leases_end.passed(now);
+                if let Some(Claim { heartbeat, .. }) = claim {
+                    self.apply_heartbeat(heartbeat);
+                }
             }
             PollError::Fenced => {
                 tracing::warn!(
@@ -839,6 +933,9 @@
             self.leases_expired = true;
             self.running.clear();
             self.version += 1;
+            if let Some(Claim { heartbeat, .. }) = self.claim.take() {
+                self.apply_heartbeat(heartbeat);
+            }
         }
     }
 
@@ -950,10 +1047,18 @@
         }
     }
 
-    /// Whether the next poll should be sent at once to show whether stopped runs exist.
+    /// Whether the next poll should be sent at once to show whether stopped runs exist, or which
+    /// incarnation of the worker runs.
     #[must_use]
-    pub fn is_stop_check_due(&self) -> bool {
-        self.stop_check.is_some_and(|check| check > self.last_poll)
+    pub fn is_check_due(&self) -> bool {
+        self.next_check()
+            .is_some_and(|check| check > self.last_poll)
+    }
+
+    /// Number of the last poll whose reply something waits for.
+    fn next_check(&self) -> Option<u64> {
+        let claim = self.claim.as_ref().map(|claim| claim.check);
+        self.stop_check.max(claim)
     }
 
     fn runs_in_doubt(&self) -> Vec<RunKey> {
