An owner believes another worker once it has answered

An agent that has just started knows its worker by the first heartbeat that it hears, which may be a late one or that of another writer. Its report ended the known incarnation at the owner: the runs counted as lost and were started again elsewhere, while the worker went on with them.

The owner ignored such a report only if the incarnation was an earlier one. Now it ignores any other incarnation until the agent reports that the worker has answered under the owner's epoch.

--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -41,13 +41,13 @@
     }
 }
 
-/// Whether a report may result from a late heartbeat of a worker that has restarted since. A
-/// restarted agent does not know the later incarnation.
-fn is_late_incarnation(vm: &Vm, report: &AgentReport, epoch: u64) -> bool {
+/// Whether a report names another worker than the known one, of which only a heartbeat tells. It
+/// may be a late one or that of another writer, and a restarted agent knows no other.
+fn is_unconfirmed_incarnation(vm: &Vm, report: &AgentReport, epoch: u64) -> bool {
     let (Some(known), Some(info)) = (vm.incarnation(), &report.worker) else {
         return false;
     };
-    info.incarnation.started_at < known.started_at && report.confirmed_epoch != epoch
+    info.incarnation != *known && report.confirmed_epoch != epoch
 }
 
 impl Owner {
@@ -63,8 +63,8 @@
             tracing::info!(vm = %name, agent = report.agent_incarnation, "late report of an earlier agent process ignored");
             return;
         }
-        if is_late_incarnation(vm, &report, self.epoch) {
-            tracing::info!(vm = %name, agent = report.agent_incarnation, "earlier incarnation of the worker ignored, since it has not answered");
+        if is_unconfirmed_incarnation(vm, &report, self.epoch) {
+            tracing::info!(vm = %name, agent = report.agent_incarnation, "another incarnation of the worker ignored, since it has not answered");
             report.worker = None;
             report.clock_reading = None;
         }
--- a/components/steps/tests/restarts.rs
+++ b/components/steps/tests/restarts.rs
@@ -116,6 +116,25 @@
     assert!(starts[0].run > key.run);
 }
 
+/// A restarted agent may hear first of a worker that does not exist; the runs of the real one
+/// were started again elsewhere.
+#[rstest]
+#[case::restarted("w")]
+#[case::replaced("w-other")]
+fn an_incarnation_that_has_not_answered_ends_the_known_one(#[case] worker: &str) {
+    let (mut session, key, orders) = with_sent_start();
+    session.answer(at(20), 0, orders);
+    session.report(at(25), 0, |report| report.running = vec![active(&key)]);
+    session.report(at(30), 0, |report| {
+        report.worker = Some(worker_info(worker, 2));
+        report.confirmed_epoch = 0;
+    });
+    session.report(at(30), 1, |_| ());
+    assert_eq!(session.take_starts(at(40)), []);
+    let runs = session.owner.runs_of(&job_name(JOB));
+    assert_eq!(runs, [(vm(0), key)]);
+}
+
 #[test]
 fn a_start_is_dropped_with_a_worker_of_another_name() {
     let (mut session, key, _) = with_sent_start();
