--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -10,7 +10,7 @@
 use event_listener::Event;
 use futures_lite::FutureExt;
 use http::StatusCode;
-use kernel::VmName;
+use kernel::{ServiceName, VmName};
 use observe::{ListenError, listen};
 use proto::{Router, RpcError};
 use smol::Task;
@@ -48,6 +48,8 @@
     pub worker_report_address: SocketAddr,
     /// The address at which the agent listens for calls of the owner.
     pub internal_address: SocketAddr,
+    /// The service of the worker on the VM; `None` if the settings name none.
+    pub service: Option<ServiceName>,
     /// The durations on which owners and agents must agree.
     pub timing: Timing,
     /// The maximum duration of a graceful stop.
@@ -261,15 +263,13 @@
     };
     match shared.codec.decode_worker_call(&head, &body) {
         Ok(WorkerCall::Heartbeat(heartbeat)) => {
-            let odd = shared
-                .agent_state()
-                .odd_heartbeat(time::wall_time(), &heartbeat);
-            if let Some(why) = odd {
+            if let Some(why) = odd_heartbeat(shared, &heartbeat) {
                 let incarnation = &heartbeat.info.incarnation;
                 tracing::warn!(
                     worker = %incarnation.worker,
                     born = incarnation.started_at,
                     sequence = heartbeat.sequence,
+                    service = %heartbeat.info.service,
                     why,
                     "heartbeat refused, since no worker can have sent it"
                 );
@@ -294,6 +294,17 @@
     status(StatusCode::OK)
 }
 
+/// Why the worker of this VM can't have sent the heartbeat; `None` if it can.
+fn odd_heartbeat(shared: &Shared, heartbeat: &Heartbeat) -> Option<&'static str> {
+    let expected = shared.settings.service.as_ref();
+    if expected.is_some_and(|service| *service != heartbeat.info.service) {
+        return Some("service is not the one of this VM");
+    }
+    shared
+        .agent_state()
+        .odd_heartbeat(time::wall_time(), heartbeat)
+}
+
 fn status(code: StatusCode) -> HttpResponse {
     let mut resp = HttpResponse::new(bytes::Bytes::from_static(b"{}").into());
     *resp.status_mut() = code;
