A run whose end is known is not reported as active

The long poll of a worker and a short one beside it may overtake each other. The agent then held the end of a run and, from the other reply, the run itself as active. The owner adopted the run again after its end: it ordered a stop, and the run kept its room until the next list, up to 1 s; a task that had failed waited that long for its next start.

An end removes its run from the agent's list, and a list leaves out the runs whose ends the agent holds. Both cases of the test fail before the change.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -765,7 +765,7 @@
         &mut self,
         now: Time,
         poll: &WorkerPoll,
-        reply: PollReply,
+        mut reply: PollReply,
     ) -> Vec<(RunKey, u32)> {
         let Some(worker) = &self.worker else {
             return Vec::new();
@@ -818,6 +818,7 @@
                 self.pacer.remove(&end.key);
                 self.tracked.remove(&end.key);
                 self.unsettled.remove(&end.key);
+                self.running.retain(|row| row.key != end.key);
                 self.ended.insert(end.number, end);
                 self.version += 1;
             }
@@ -826,6 +827,10 @@
             return Vec::new();
         }
         self.last_applied_poll = poll.number;
+        // A reply may have been overtaken by one that lists the ends of its runs.
+        let ended = &self.ended;
+        let has_ended = |key: &RunKey| ended.values().any(|end| end.key == *key);
+        reply.running.retain(|row| !has_ended(&row.key));
         let in_doubt = self.wants_doubts.then(|| self.tracked.in_doubt().len());
         self.tracked.apply_running(now, &reply.running);
         if in_doubt.is_some_and(|before| self.tracked.in_doubt().len() < before) {
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -14,7 +14,10 @@
     AgentState, Timing,
     agent::{Heartbeat, PollError, PollReply, RenewalBound, WorkerPoll},
     crash::SuspectRun,
-    message::{ActiveRun, ClockReading, OrderResult, Orders, OwnerHeader, Refusal, RunKey},
+    message::{
+        ActiveRun, ClockReading, EndedRun, OrderResult, Orders, OwnerHeader, Refusal, RunEnd,
+        RunKey,
+    },
 };
 
 const START: Time = Time::from_secs(1_000);
@@ -444,6 +447,44 @@
     assert_eq!(agent.report(at(100)).crashes, []);
 }
 
+/// The owner took the run for active again: it was stopped, and kept its room, until the next list.
+#[rstest]
+#[case::end_arrives_after_the_list(false)]
+#[case::list_arrives_after_the_end(true)]
+fn a_run_whose_end_is_known_is_reported_as_active(#[case] is_end_first: bool) {
+    let mut agent = agent();
+    let key = key();
+    let [first, second] = [at(10), at(20)].map(|now| next_poll(&mut agent, now));
+    let listed = |key: &RunKey| PollReply {
+        running: vec![ActiveRun {
+            key: key.clone(),
+            checkpoint: None,
+            progress_percent: 0,
+            measurement: 0,
+        }],
+        ..reply(10_020)
+    };
+    let has_ended = PollReply {
+        ended: vec![EndedRun {
+            number: 1,
+            key: key.clone(),
+            how: RunEnd::Failed,
+            checkpoint: None,
+        }],
+        ..reply(10_025)
+    };
+    // The first poll waited at the worker until the run ended.
+    if is_end_first {
+        agent.apply_reply(at(30), &first, has_ended);
+        agent.apply_reply(at(31), &second, listed(&key));
+    } else {
+        agent.apply_reply(at(30), &second, listed(&key));
+        agent.apply_reply(at(31), &first, has_ended);
+    }
+    let report = agent.report(at(40));
+    assert_eq!((report.running.len(), report.ended.len()), (0, 1));
+}
+
 /// It may have heard of its worker first by a late heartbeat of an earlier incarnation.
 #[test]
 fn a_restarted_agent_waits_for_earlier_leases_when_another_incarnation_answers() {
