Leases that an earlier poll has granted to a restarted worker count as granted

The agent learned of the restart by the reply, counted from zero, and took the leases for expired 4 s after the worker had fallen silent.

The agent now keeps the end of the leases of the earlier incarnation over a restart. With the first answer to a poll for the new one, from which on calls with lower tokens are refused, it bounds them by that clock and the longest lease (`hold_max_ms` on the platform) and counts them as granted.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -178,6 +178,10 @@
     last_call_at: Option<Time>,
     /// Latest end of all granted leases, on the worker's clock.
     granted_until: u64,
+    /// Latest end of the leases that were granted to the earlier incarnation of a restarted
+    /// worker. Calls for that one may have reached this one, and count by its clock; `None` once
+    /// it refuses them.
+    inherited_until: Option<u64>,
     /// Since when and why leases are not renewed; `None` while they are, and before the
     /// first lease.
     renewal_stop: Option<(Time, RenewalBound)>,
@@ -247,6 +251,7 @@
             echo: None,
             last_call_at: None,
             granted_until: 0,
+            inherited_until: None,
             renewal_stop: None,
             earlier_leases_end: now + earlier,
             unanswered_polls: 0,
@@ -553,6 +558,8 @@
         self.tracked = TrackedRuns::default();
         self.clock = None;
         self.echo = None;
+        let inherited = self.granted_until.max(self.inherited_until.unwrap_or(0));
+        self.inherited_until = (is_restart && inherited > 0).then_some(inherited);
         self.granted_until = 0;
         self.renewal_stop = None;
         self.unanswered_polls = 0;
@@ -808,6 +815,7 @@
         if poll.number > self.last_applied_poll {
             self.clock = Some((reply.clock_millis, now));
         }
+        self.bound_inherited_leases(reply.clock_millis);
         if poll.epoch > self.confirmed_epoch {
             self.confirmed_epoch = poll.epoch;
             self.version += 1;
@@ -856,6 +864,16 @@
         )
     }
 
+    /// Counts the leases that a restarted worker may have got from calls for its earlier
+    /// incarnation. It has answered a poll with a higher fencing token now, so it refuses
+    /// further ones.
+    fn bound_inherited_leases(&mut self, clock_millis: u64) {
+        if let Some(inherited) = self.inherited_until.take() {
+            let longest = clock_millis.saturating_add(millis(self.timing.max_lease));
+            self.granted_until = self.granted_until.max(inherited.min(longest));
+        }
+    }
+
     /// Handles a worker that has answered as a later incarnation of its name.
     fn restart_worker(&mut self, born: u64) {
         let Some(mut info) = self.worker.clone() else {
--- a/components/steps/src/timing.rs
+++ b/components/steps/src/timing.rs
@@ -9,6 +9,8 @@
     /// Duration of a task lease: time for which a worker runs a task without a
     /// renewal.
     pub lease: Duration,
+    /// Longest lease that a worker grants, whatever a call asks for.
+    pub max_lease: Duration,
     /// Time for which an agent continues to renew leases without a call from an owner.
     pub contact_grace: Duration,
     /// Time after the end of a lease during which a task may still be running.
@@ -37,6 +39,8 @@
 /// Task lease: long enough for an agent to restart (about 2 s), short enough to
 /// restart the tasks of a lost worker soon.
 const LEASE: Duration = Duration::from_secs(4);
+/// The longest of the published limits.
+const MAX_LEASE: Duration = Duration::from_secs(10);
 /// Longer than one report poll (1 s) and its timeout, so that a single lost reply does
 /// not end any task.
 const CONTACT_GRACE: Duration = Duration::from_secs(3);
@@ -61,6 +65,7 @@
     fn default() -> Self {
         Self {
             lease: LEASE,
+            max_lease: MAX_LEASE,
             contact_grace: CONTACT_GRACE,
             kill_slack: KILL_SLACK,
             owner_key: OWNER_KEY,
--- a/components/steps/tests/common/worker.rs
+++ b/components/steps/tests/common/worker.rs
@@ -5,6 +5,7 @@
 
 use kernel::Time;
 use steps::{
+    Timing,
     agent::{Heartbeat, PollError, PollReply, WorkerPoll},
     message::{
         ActiveRun, EndedRun, OrderResult, Refusal, RunEnd, RunKey, WorkerIncarnation, WorkerInfo,
@@ -151,6 +152,13 @@
         ends
     }
 
+    /// A worker shortens a lease that is longer than its limit.
+    fn extend_lease(&mut self, now: Time, until: u64) {
+        let longest = Timing::default().max_lease.as_millis() as u64;
+        let until = until.min(self.clock(now) + longest);
+        self.lease_until = self.lease_until.max(until);
+    }
+
     fn close(&mut self, key: &RunKey) {
         let closed = self
             .highest_closed_run
@@ -169,7 +177,7 @@
         if self.is_fenced(token(&poll.incarnation, poll.epoch)) {
             return Err(PollError::Fenced);
         }
-        self.lease_until = self.lease_until.max(poll.until_millis.unwrap_or_default());
+        self.extend_lease(now, poll.until_millis.unwrap_or_default());
         self.recorded = self.recorded.max(poll.recorded.min(self.end_count));
         self.ended.retain(|end| end.number > poll.recorded);
         let row = |key: &RunKey| ActiveRun {
@@ -210,7 +218,7 @@
         if until <= self.clock(now) {
             return refused(Refusal::Late);
         }
-        self.lease_until = self.lease_until.max(until);
+        self.extend_lease(now, until);
         let run = SimulatedRun {
             started_at: now,
             work_millis,
--- a/components/steps/tests/restarts.rs
+++ b/components/steps/tests/restarts.rs
@@ -5,6 +5,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{
     entry, job_name, run,
     session::{JOB, Session, active, at, ended},
@@ -213,6 +215,39 @@
     agent.apply_reply(at(20), &poll, reply(started_at));
 }
 
+/// A poll for the earlier incarnation renewed the leases of the next one. The agent took these for
+/// expired too soon, and tasks were started again elsewhere (explore, seed 30064).
+#[test]
+fn leases_that_an_earlier_poll_has_granted_count_as_expired() {
+    let mut agent = agent();
+    let timing = Timing::default();
+    let earlier = agent.next_poll(at(0), false).unwrap();
+    let until = earlier.until_millis.unwrap();
+    agent.apply_reply(at(10), &earlier, reply(2));
+    let clock = 1_000;
+    let first = agent.next_poll(at(20), false).unwrap();
+    assert_eq!(first.until_millis, None);
+    let answer = PollReply {
+        clock_millis: clock,
+        ..reply(2)
+    };
+    agent.apply_reply(at(30), &first, answer);
+    let longest = clock + timing.max_lease.as_millis() as u64;
+    let lease = Duration::from_millis(until.min(longest) - clock);
+    let mut now = at(30);
+    while !agent.report(now).leases_expired {
+        now = now + Duration::from_millis(100);
+        assert!(at(30_000) > now, "the leases never expire");
+        let poll = agent.next_poll(now, false).unwrap();
+        agent.apply_error(now, &poll, PollError::Unresponsive);
+    }
+    assert!(
+        (at(30) + lease).passed(now),
+        "after {:?}",
+        now.since(at(30))
+    );
+}
+
 fn orders() -> Orders {
     Orders {
         header: header(5, None),
