A restarted worker that falls silent at once keeps the leases that it may have got

Without a reading of the new incarnation's clock the agent took all of its leases for expired after two unanswered polls, though that very poll had renewed them.

The reply that shows the restart also gives the clock, so the leases are counted from it, and once more with the first answer to a poll for the new incarnation. The case without a second answer fails before the change (expired at the first check, after 5.2 s in place of 10 s), and passes now.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -180,7 +180,7 @@
     granted_until: u64,
     /// Latest end of the leases that were granted to the earlier incarnation of a restarted
     /// worker. Calls for that one may have reached this one, and count by its clock; `None` once
-    /// it refuses them.
+    /// it refuses them, since it has answered a poll with a higher fencing token.
     inherited_until: Option<u64>,
     /// Since when and why leases are not renewed; `None` while they are, and before the
     /// first lease.
@@ -787,7 +787,7 @@
             if born < worker.incarnation.started_at && self.has_answered {
                 return Vec::new();
             }
-            self.restart_worker(born);
+            self.restart_worker(now, born, reply.clock_millis);
             return Vec::new();
         }
         let incarnation = &worker.incarnation;
@@ -815,7 +815,8 @@
         if poll.number > self.last_applied_poll {
             self.clock = Some((reply.clock_millis, now));
         }
-        self.bound_inherited_leases(reply.clock_millis);
+        self.count_inherited_leases(reply.clock_millis);
+        self.inherited_until = None;
         if poll.epoch > self.confirmed_epoch {
             self.confirmed_epoch = poll.epoch;
             self.version += 1;
@@ -864,18 +865,17 @@
         )
     }
 
-    /// Counts the leases that a restarted worker may have got from calls for its earlier
-    /// incarnation. It has answered a poll with a higher fencing token now, so it refuses
-    /// further ones.
-    fn bound_inherited_leases(&mut self, clock_millis: u64) {
-        if let Some(inherited) = self.inherited_until.take() {
+    /// Counts the leases that a restarted worker, whose clock is at `clock_millis`, may have got
+    /// from calls for its earlier incarnation.
+    fn count_inherited_leases(&mut self, clock_millis: u64) {
+        if let Some(inherited) = self.inherited_until {
             let longest = clock_millis.saturating_add(millis(self.timing.max_lease));
             self.granted_until = self.granted_until.max(inherited.min(longest));
         }
     }
 
     /// Handles a worker that has answered as a later incarnation of its name.
-    fn restart_worker(&mut self, born: u64) {
+    fn restart_worker(&mut self, now: Time, born: u64, clock_millis: u64) {
         let Some(mut info) = self.worker.clone() else {
             return;
         };
@@ -892,6 +892,8 @@
         }
         self.worker = Some(info);
         self.has_answered = true;
+        self.clock = Some((clock_millis, now));
+        self.count_inherited_leases(clock_millis);
         self.version += 1;
     }
 
--- a/components/steps/tests/restarts.rs
+++ b/components/steps/tests/restarts.rs
@@ -217,24 +217,28 @@
 
 /// A poll for the earlier incarnation renewed the leases of the next one. The agent took these for
 /// expired too soon, and tasks were started again elsewhere (explore, seed 30064).
-#[test]
-fn leases_that_an_earlier_poll_has_granted_count_as_expired() {
+#[rstest]
+fn leases_that_an_earlier_poll_has_granted_count_as_expired(
+    #[values(false, true)] answers_twice: bool,
+) {
     let mut agent = agent();
     let timing = Timing::default();
     let earlier = agent.next_poll(at(0), false).unwrap();
     let until = earlier.until_millis.unwrap();
-    agent.apply_reply(at(10), &earlier, reply(2));
     let clock = 1_000;
-    let first = agent.next_poll(at(20), false).unwrap();
-    assert_eq!(first.until_millis, None);
     let answer = PollReply {
         clock_millis: clock,
         ..reply(2)
     };
-    agent.apply_reply(at(30), &first, answer);
+    agent.apply_reply(at(10), &earlier, answer.clone());
+    if answers_twice {
+        let next = agent.next_poll(at(20), false).unwrap();
+        assert_eq!(next.until_millis, None);
+        agent.apply_reply(at(30), &next, answer);
+    }
     let longest = clock + timing.max_lease.as_millis() as u64;
     let lease = Duration::from_millis(until.min(longest) - clock);
-    let mut now = at(30);
+    let mut now = at(5_000);
     while !agent.report(now).leases_expired {
         now = now + Duration::from_millis(100);
         assert!(at(30_000) > now, "the leases never expire");
@@ -242,9 +246,9 @@
         agent.apply_error(now, &poll, PollError::Unresponsive);
     }
     assert!(
-        (at(30) + lease).passed(now),
+        (at(10) + lease).passed(now),
         "after {:?}",
-        now.since(at(30))
+        now.since(at(10))
     );
 }
 
