--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -23,24 +23,6 @@
 /// How often an agent checks its leases if no event wakes it.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The interval of attempts to fence a worker off that the agent does not know yet.
-const FENCE_INTERVAL: Duration = Duration::from_millis(20);
-/// The time for which an agent that has started tries that. A worker that started with it is up.
-const FENCE_PERIOD: Duration = Duration::from_secs(1);
-
-/// Makes a worker that has started again with its VM refuse late calls for its earlier
-/// incarnation. Its first heartbeat may come only later, as it may have found no agent.
-pub(super) async fn fence_unknown_worker(shared: Arc<Shared>) {
-    let give_up_at = shared.clock.now() + FENCE_PERIOD;
-    while shared.agent_state().worker().is_none() && !give_up_at.passed(shared.clock.now()) {
-        if shared.api.fence().await {
-            tracing::info!("worker refuses late calls for its earlier incarnations");
-            return;
-        }
-        smol::Timer::after(FENCE_INTERVAL).await;
-    }
-}
-
 /// Polls the worker until the task is cancelled.
 pub(super) async fn run(shared: Arc<Shared>) {
     let long_poll_open = Arc::new(AtomicBool::new(false));
--- a/components/stepd/src/edge.rs
+++ b/components/stepd/src/edge.rs
@@ -22,10 +22,6 @@
     /// Renews the leases of the runs; returns the active and the ended runs.
     async fn poll(&self, poll: &WorkerPoll) -> Result<PollReply, PollError>;
 
-    /// Makes the worker refuse late calls for its earlier incarnations, whichever one it is;
-    /// returns whether it does.
-    async fn fence(&self) -> bool;
-
     /// Starts a run of a task under the granted lease.
     async fn start(
         &self,
