A call that times out retires a connection that has fallen silent

By reading: callers' requests to one agent fail for up to 10 s after the connection to it has gone silent, and an agent whose heartbeats go to its owner over such a connection may lose the leases of its tasks.

Cause: all calls to a process share one connection, and only the owner of jobs of steps dropped it after a timeout. For heartbeats, exchanges between entries and forwarded requests it stayed in use until its probe had failed, 5 s without traffic and 5 s for the answer.

A timeout now drops the connection, unless it has answered another call meanwhile: a slow peer keeps it. A later connection is not dropped for the timeouts of calls on an earlier one.

--- a/components/proto/src/channel.rs
+++ b/components/proto/src/channel.rs
@@ -7,9 +7,9 @@
 use std::{
     net::SocketAddr,
     pin::Pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use hyper::client::conn::http2;
@@ -75,7 +75,24 @@
 #[derive(Clone, Debug)]
 pub struct Channel {
     address: SocketAddr,
-    current: Arc<Mutex<Option<Sender>>>,
+    current: Arc<Mutex<Option<Connection>>>,
+}
+
+#[derive(Clone, Debug)]
+struct Connection {
+    sender: Sender,
+    /// When the last response on it began, or when it was opened.
+    last_response_at: Arc<Mutex<Instant>>,
+}
+
+impl Connection {
+    fn last_response_at(&self) -> MutexGuard<'_, Instant> {
+        lock(&self.last_response_at)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Channel {
@@ -96,21 +113,38 @@
 
     /// Drops the connection, so that the next call opens a new one.
     pub fn reset(&self) {
-        *self.current.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        *self.current() = None;
+    }
+
+    /// Drops the connection if nothing has been answered on it since then. It may have fallen
+    /// silent without being closed, which its probes notice only later.
+    pub fn reset_if_silent(&self, since: Instant) {
+        let silent = self
+            .current()
+            .take_if(|connection| *connection.last_response_at() < since);
+        if silent.is_some() {
+            tracing::info!(address = %self.address, "call not answered in time; its connection is not used any more");
+        }
     }
 
-    fn open_sender(&self) -> Option<Sender> {
-        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
-        current.clone().filter(|sender| !sender.is_closed())
+    fn current(&self) -> MutexGuard<'_, Option<Connection>> {
+        lock(&self.current)
     }
 
-    async fn sender(&self) -> Result<Sender, ChannelError> {
-        if let Some(sender) = self.open_sender() {
-            return Ok(sender);
+    fn open_connection(&self) -> Option<Connection> {
+        let current = self.current().clone();
+        current.filter(|connection| !connection.sender.is_closed())
+    }
+
+    async fn connection(&self) -> Result<Connection, ChannelError> {
+        if let Some(connection) = self.open_connection() {
+            return Ok(connection);
         }
-        let sender = connect(self.address).await?;
-        let mut current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(current.insert(sender).clone())
+        let connection = Connection {
+            sender: connect(self.address).await?,
+            last_response_at: Arc::new(Mutex::new(Instant::now())),
+        };
+        Ok(self.current().insert(connection).clone())
     }
 
     async fn send(self, mut req: http::Request<Body>) -> Result<Response, ChannelError> {
@@ -120,13 +154,16 @@
         if let Ok(uri) = http::Uri::from_parts(parts) {
             *req.uri_mut() = uri;
         }
-        let mut sender = self.sender().await?;
-        if sender.ready().await.is_err() {
+        let mut connection = self.connection().await?;
+        if connection.sender.ready().await.is_err() {
             self.reset();
             return Err(ChannelError::NotSent(self.address));
         }
-        let mut send_error = match sender.try_send_request(req).await {
-            Ok(resp) => return Ok(resp),
+        let mut send_error = match connection.sender.try_send_request(req).await {
+            Ok(resp) => {
+                *connection.last_response_at() = Instant::now();
+                return Ok(resp);
+            }
             Err(send_error) => send_error,
         };
         self.reset();
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -74,13 +74,14 @@
         self.channel.address()
     }
 
-    /// Drops the connection, so that the next call opens a new one; for use when the
-    /// peer is unresponsive.
+    /// Drops the connection, so that the next call opens a new one, whether or not other calls
+    /// have been answered on it.
     pub fn reset(&self) {
         self.channel.reset();
     }
 
-    /// Sends one call and waits at most `timeout` for the reply.
+    /// Sends one call and waits at most `timeout` for the reply. After a timeout the next call
+    /// opens a new connection, unless others have been answered on this one meanwhile.
     ///
     /// # Errors
     ///
@@ -91,9 +92,11 @@
         req: M::Req,
         timeout: Duration,
     ) -> Result<M::Resp, RpcError> {
+        let sent_at = Instant::now();
         let completed = self.exchange::<M>(req);
         let expired = async {
             expire(timeout).await;
+            self.channel.reset_if_silent(sent_at);
             Err(RpcError::may_have_run(format!(
                 "no answer from {} within {timeout:?}; it may have acted on the call",
                 self.address()
