The leases of a worker that refuses its agent's polls are known to expire

Cause: an agent that has just started takes the start of its worker from the first heartbeat, and its first poll carries the token of that start. If another writer sent that heartbeat, with a later start, the worker refuses all calls for its real one from then on. Nobody renews the leases there; but a poll that is refused was neither an answer nor silence, so the agent never noticed that they had expired, and the owner waited.

A refused poll now counts towards the expiry like an unanswered one: once the last lease that this agent or an earlier one granted has ended, nothing runs there, since only the agent can call the worker.

The new test in claims.rs failed before (no report of expired leases within 20 s), passes now. The worker itself stays refused until it restarts.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -932,6 +932,7 @@
                     epoch = poll.epoch,
                     "poll refused: worker has received a higher epoch"
                 );
+                self.end_expired_leases(now);
             }
         }
     }
@@ -940,7 +941,15 @@
     /// ended.
     pub fn check_lease_expiry(&mut self, now: Time) {
         self.track_renewal(now);
-        if self.leases_expired || self.unanswered_polls < UNRESPONSIVE_AFTER_POLLS {
+        if self.unanswered_polls >= UNRESPONSIVE_AFTER_POLLS {
+            self.end_expired_leases(now);
+        }
+    }
+
+    /// Notes that nothing runs on a worker that does not answer, or refuses what renews its
+    /// leases, once the last of them has ended.
+    fn end_expired_leases(&mut self, now: Time) {
+        if self.leases_expired {
             return;
         }
         let slack = millis(self.timing.kill_slack);
--- a/components/steps/tests/claims.rs
+++ b/components/steps/tests/claims.rs
@@ -187,3 +187,22 @@
     agent.worker_left(worker, started_at);
     assert_eq!(agent.worker().is_some(), stays);
 }
+
+/// The worker refuses the calls for its own start then, and nobody renews the leases there.
+#[test]
+fn a_worker_that_has_seen_the_token_of_another_writers_heartbeat_keeps_its_tasks_waiting() {
+    let mut agent = AgentState::new(Timing::default(), at(0));
+    agent.apply_heartbeat(heartbeat("w", 11));
+    assert!(agent.accept_header(at(0), &header()));
+    let poll = agent.next_poll(at(0), false).unwrap();
+    agent.apply_reply(at(0), &poll, reply(10));
+    let mut now = at(0);
+    while !agent.report(now).leases_expired {
+        now = now + Duration::from_millis(200);
+        assert!(at(20_000) > now, "the tasks wait for the worker for good");
+        let poll = agent.next_poll(now, false).unwrap();
+        agent.apply_error(now, &poll, PollError::Fenced);
+    }
+    let lease = Timing::default().lease;
+    assert!((at(0) + lease).passed(now), "after {:?}", now.since(at(0)));
+}
