The poll after an unanswered one does not wait at the worker

Found by an independent review, in virtual time: after one poll on a silent connection the leases of a worker that goes on were renewed 250 ms before their end, of 4 s; after two of them they ended.

Cause: an unanswered poll may have renewed leases, so the next one renews none until the worker has answered. But it was a long poll, which the worker answers after a second if no run ends. That second was lost.

Such a poll is answered at once now.

the_poll_after_an_unanswered_one_waits_at_the_worker failed before (wait 1000), passes now.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -732,8 +732,11 @@
         let until_millis = self.lease_until(now).filter(|_| renews);
         self.granted_until = self.granted_until.max(until_millis.unwrap_or_default());
         self.last_poll += 1;
-        let may_wait =
-            may_wait && !self.is_unconfirmed() && self.next_check() != Some(self.last_poll);
+        // After an unanswered poll, leases are renewed only once the worker has answered.
+        let may_wait = may_wait
+            && self.unanswered_polls == 0
+            && !self.is_unconfirmed()
+            && self.next_check() != Some(self.last_poll);
         let wait_millis = match may_wait {
             false => 0,
             true if self.is_pacing() => PACING_POLL_WAIT_MILLIS,
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -224,6 +224,20 @@
 /// A worker was taken away with its VM, whose agent was stopped before the leases had
 /// expired, so each new owner waited for them from its own start on (day
 /// machines-stopped, Brenes seed 2559395759).
+/// Such a poll renews nothing, so leases ended while the worker held it.
+#[test]
+fn the_poll_after_an_unanswered_one_waits_at_the_worker() {
+    let mut agent = agent();
+    let lost = agent.next_poll(at(0), true).unwrap();
+    assert!(lost.wait_millis > 0);
+    agent.apply_error(at(1_600), &lost, PollError::Unresponsive);
+    let poll = agent.next_poll(at(1_750), true).unwrap();
+    assert_eq!((poll.wait_millis, poll.until_millis), (0, None));
+    agent.apply_reply(at(1_751), &poll, reply(11_751));
+    let next = agent.next_poll(at(1_752), true).unwrap();
+    assert!(next.wait_millis > 0 && next.until_millis > lost.until_millis);
+}
+
 #[test]
 fn a_stopping_agent_waits_until_nothing_can_run_on_its_vm() {
     let mut agent = agent();
