A connection that is silent from the start is retired after one timeout

Found by an independent review: if the connection that a call opens never answers, the next call used it once more. The time of the last answer began with the opening, which is later than the sending of the call.

A timeout retires the connection unless it has answered another call in the second half of the time. That covers long calls too, during which others were answered before the silence. A call that fails on an earlier connection no longer drops a later one.

--- a/components/proto/src/channel.rs
+++ b/components/proto/src/channel.rs
@@ -127,6 +127,14 @@
         }
     }
 
+    /// Drops a connection that has failed; another call may have opened a later one.
+    fn drop_connection(&self, failed: &Connection) {
+        let is_failed = |current: &mut Connection| {
+            Arc::ptr_eq(&current.last_response_at, &failed.last_response_at)
+        };
+        self.current().take_if(is_failed);
+    }
+
     fn current(&self) -> MutexGuard<'_, Option<Connection>> {
         lock(&self.current)
     }
@@ -156,7 +164,7 @@
         }
         let mut connection = self.connection().await?;
         if connection.sender.ready().await.is_err() {
-            self.reset();
+            self.drop_connection(&connection);
             return Err(ChannelError::NotSent(self.address));
         }
         let mut send_error = match connection.sender.try_send_request(req).await {
@@ -166,7 +174,7 @@
             }
             Err(send_error) => send_error,
         };
-        self.reset();
+        self.drop_connection(&connection);
         if send_error.take_message().is_some() {
             return Err(ChannelError::NotSent(self.address));
         }
--- a/components/proto/src/peer.rs
+++ b/components/proto/src/peer.rs
@@ -81,7 +81,7 @@
     }
 
     /// Sends one call and waits at most `timeout` for the reply. After a timeout the next call
-    /// opens a new connection, unless others have been answered on this one meanwhile.
+    /// opens a new connection, unless this one has answered others in the second half of the time.
     ///
     /// # Errors
     ///
@@ -96,7 +96,7 @@
         let completed = self.exchange::<M>(req);
         let expired = async {
             expire(timeout).await;
-            self.channel.reset_if_silent(sent_at);
+            self.channel.reset_if_silent(sent_at + timeout / 2);
             Err(RpcError::may_have_run(format!(
                 "no answer from {} within {timeout:?}; it may have acted on the call",
                 self.address()
--- a/components/proto/tests/silent_connection.rs
+++ b/components/proto/tests/silent_connection.rs
@@ -19,6 +19,7 @@
     methods::CancelCall,
     serve,
 };
+use rstest::rstest;
 use smol::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -53,19 +54,16 @@
     }
 }
 
-/// Forwards connections to the server; those that are open when the flag is set fall silent.
+/// Forwards connections to the server; the first one falls silent when the flag is set.
 async fn start_proxy(server: SocketAddr, is_silent: Arc<AtomicBool>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     smol::spawn(async move {
+        let mut silence = is_silent;
         loop {
             let (client, _) = listener.accept().await.unwrap();
             let server = TcpStream::connect(server).await.unwrap();
-            // Later connections do not fall silent.
-            let silence = match is_silent.load(Ordering::SeqCst) {
-                true => Arc::default(),
-                false => Arc::clone(&is_silent),
-            };
+            let silence = std::mem::take(&mut silence);
             let requests = forward(client.clone(), server.clone(), Arc::clone(&silence));
             let replies = forward(server, client, silence);
             smol::spawn(zip(requests, replies)).detach();
@@ -76,16 +74,20 @@
 }
 
 /// Guards against calls that keep failing on a silent connection until a probe notices it.
-#[test]
-fn a_silent_connection_fails_the_calls_of_one_timeout_only() {
+#[rstest]
+#[case::after_an_answer(false)]
+#[case::from_the_start(true)]
+fn a_silent_connection_fails_the_calls_of_one_timeout_only(#[case] from_the_start: bool) {
     smol::block_on(async {
-        let is_silent = Arc::new(AtomicBool::new(false));
+        let is_silent = Arc::new(AtomicBool::new(from_the_start));
         let proxy = start_proxy(start_server().await, Arc::clone(&is_silent)).await;
         let peer = Peer::new(proxy, Secrets::parse(SECRET).unwrap());
         let cancel = || Cancel {
             job: "a".parse().unwrap(),
         };
-        peer.call::<CancelCall>(cancel(), TIMEOUT).await.unwrap();
+        if !from_the_start {
+            peer.call::<CancelCall>(cancel(), TIMEOUT).await.unwrap();
+        }
         is_silent.store(true, Ordering::SeqCst);
         let lost = peer.call::<CancelCall>(cancel(), SHORT_TIMEOUT).await;
         assert_eq!(lost.unwrap_err().verdict, Verdict::MayHaveRun);
