--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod endpoint;
 pub mod history;
+pub mod proxy;
 pub mod store;
 pub mod worker;
