Connections to an endpoint that fall silent together fail one request

By reading: the agent's client of an endpoint kept its idle connections for 20 s after a request on one of them had run into its deadline, and took the next one for the next request.

A deadline that passes now drops the idle connections on which nothing has been answered since the request was sent, as the platform's client does.

connections_that_fall_silent_together_fail_one_request failed before (the second request ran into its 20 s deadline), passes now.

--- a/components/agent/src/endpoint.rs
+++ b/components/agent/src/endpoint.rs
@@ -141,7 +141,20 @@
         deadline: Instant,
         max_body: usize,
     ) -> Result<http::Response<Bytes>, EndpointError> {
-        let mut req = req;
+        let sent_at = Instant::now();
+        let result = self.exchange(req, deadline, max_body).await;
+        if matches!(result, Err(EndpointError::DeadlineExceeded)) {
+            self.drop_idle(sent_at);
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        mut req: EndpointRequest,
+        deadline: Instant,
+        max_body: usize,
+    ) -> Result<http::Response<Bytes>, EndpointError> {
         loop {
             let (mut connection, is_new) = self.checkout(deadline).await?;
             let id = req.headers().get(REQUEST_ID_HEADER).cloned();
@@ -196,6 +209,13 @@
         idle.pop()
     }
 
+    /// Drops the idle connections on which nothing has been answered since then. They may have
+    /// fallen silent like the one of a request without an answer.
+    fn drop_idle(&self, unanswered_since: Instant) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|connection| connection.idle_until > unanswered_since + MAX_IDLE);
+    }
+
     fn put_back(&self, mut connection: Connection) {
         if connection.sender.is_closed() {
             return;
