An agent that starts calls its worker once to fence it off

An agent that starts now makes one attempt. A worker that was up before the agent answers it; one that can't be reached has not lost its first heartbeat yet.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -173,6 +173,7 @@
     let running = vec![
         smol::spawn(report_server),
         smol::spawn(serve_owners),
+        smol::spawn(polls::fence_unknown_worker(Arc::clone(&shared))),
         smol::spawn(polls::run(Arc::clone(&shared))),
         smol::spawn(metrics::serve(
             shared.settings.metrics_address,
--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -14,6 +14,7 @@
 use steps::agent::{PollError, WorkerPoll};
 
 use super::{Shared, set_pace};
+use crate::edge::FenceResult;
 
 /// The interval of polls while ended runs wait for their records. The worker lists such
 /// runs in each reply, so a long poll would return at once.
@@ -23,6 +24,21 @@
 /// How often an agent checks its leases if no event wakes it.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Makes a worker that was up before its agent refuse late calls for its earlier incarnation,
+/// since its first heartbeat has found no agent. That of a worker that is not up yet will find it.
+pub(super) async fn fence_unknown_worker(shared: Arc<Shared>) {
+    while shared.agent_state().worker().is_none() {
+        match shared.api.fence().await {
+            FenceResult::Fenced => {
+                tracing::info!("worker refuses late calls for its earlier incarnations");
+                return;
+            }
+            FenceResult::NotUp => return,
+            FenceResult::Unanswered => smol::Timer::after(UNANSWERED_DELAY).await,
+        };
+    }
+}
+
 /// Polls the worker until the task is cancelled.
 pub(super) async fn run(shared: Arc<Shared>) {
     let long_poll_open = Arc::new(AtomicBool::new(false));
--- a/components/stepd/src/edge.rs
+++ b/components/stepd/src/edge.rs
@@ -16,12 +16,26 @@
 /// A response to a client, worker or load balancer.
 pub type HttpResponse = http::Response<Full<Bytes>>;
 
+/// How an attempt to make a worker refuse late calls for its earlier incarnations ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FenceResult {
+    /// The worker refuses them.
+    Fenced,
+    /// No connection to the worker can be opened.
+    NotUp,
+    /// The worker may or may not refuse them.
+    Unanswered,
+}
+
 /// The interface of an agent to its worker.
 #[async_trait]
 pub trait WorkerApi: Send + Sync + 'static {
     /// Renews the leases of the runs; returns the active and the ended runs.
     async fn poll(&self, poll: &WorkerPoll) -> Result<PollReply, PollError>;
 
+    /// Makes the worker refuse late calls for its earlier incarnations, whichever one it is.
+    async fn fence(&self) -> FenceResult;
+
     /// Starts a run of a task under the granted lease.
     async fn start(
         &self,
