A worker that refuses the newest poll gets no further leases, and one without an epoch counts for nothing

Only the refusal of the newest poll under the newest epoch counts now. Until the worker answers again, polls renew nothing and starts are refused.

--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -189,6 +189,8 @@
     /// expired.
     earlier_leases_end: Time,
     unanswered_polls: u32,
+    /// Whether the worker has refused the newest poll, which carried the newest epoch.
+    refuses_polls: bool,
     leases_expired: bool,
     /// Number of the last poll that was sent.
     last_poll: u64,
@@ -255,6 +257,7 @@
             renewal_stop: None,
             earlier_leases_end: now + earlier,
             unanswered_polls: 0,
+            refuses_polls: false,
             leases_expired: false,
             last_poll: 0,
             stop_check: None,
@@ -563,6 +566,7 @@
         self.granted_until = 0;
         self.renewal_stop = None;
         self.unanswered_polls = 0;
+        self.refuses_polls = false;
         self.stop_check = None;
         self.leases_expired = false;
         self.confirmed_epoch = 0;
@@ -726,9 +730,9 @@
         let incarnation = self.worker.as_ref()?.incarnation.clone();
         self.track_renewal(now);
         // An unanswered poll may still have reached the worker and renewed its leases.
-        // If further polls granted leases, these would never be known to have expired. Another
-        // incarnation, which may get the poll, has other leases and ends.
-        let renews = self.unanswered_polls == 0 && self.claim.is_none();
+        // If further polls granted leases, these would never be known to have expired; nor if
+        // refused ones did. Another incarnation, which may get the poll, has other leases and ends.
+        let renews = self.unanswered_polls == 0 && !self.refuses_polls && self.claim.is_none();
         let until_millis = self.lease_until(now).filter(|_| renews);
         self.granted_until = self.granted_until.max(until_millis.unwrap_or_default());
         self.last_poll += 1;
@@ -813,6 +817,7 @@
         self.has_answered = true;
         self.refute_claim(poll.number);
         self.unanswered_polls = 0;
+        self.refuses_polls = false;
         self.leases_expired = false;
         self.forgotten = self.forgotten.max(poll.recorded);
         if poll.number > self.last_applied_poll {
@@ -935,7 +940,12 @@
                     epoch = poll.epoch,
                     "poll refused: worker has received a higher epoch"
                 );
-                self.end_expired_leases(now);
+                // An agent that has just started may not know the epoch yet.
+                let is_newest = poll.number > self.last_applied_poll;
+                if is_newest && poll.epoch > 0 && poll.epoch == self.epoch {
+                    self.refuses_polls = true;
+                    self.end_expired_leases(now);
+                }
             }
         }
     }
@@ -1007,8 +1017,9 @@
         // After a report that all leases have expired, the owner assumes that nothing
         // runs on the worker, so nothing may start there before the worker answers
         // again.
-        let is_unresponsive =
-            self.leases_expired || self.unanswered_polls >= UNRESPONSIVE_AFTER_POLLS;
+        let is_unresponsive = self.leases_expired
+            || self.refuses_polls
+            || self.unanswered_polls >= UNRESPONSIVE_AFTER_POLLS;
         if worker.incarnation != orders.incarnation || worker.draining || is_unresponsive {
             return Err(Refusal::Worker);
         }
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -221,9 +221,6 @@
     assert!(agent.report(at(clock)).leases_expired);
 }
 
-/// A worker was taken away with its VM, whose agent was stopped before the leases had
-/// expired, so each new owner waited for them from its own start on (day
-/// machines-stopped, Brenes seed 2559395759).
 /// Such a poll renews nothing, so leases ended while the worker held it.
 #[test]
 fn the_poll_after_an_unanswered_one_waits_at_the_worker() {
@@ -238,6 +235,9 @@
     assert!(next.wait_millis > 0 && next.until_millis > lost.until_millis);
 }
 
+/// A worker was taken away with its VM, whose agent was stopped before the leases had
+/// expired, so each new owner waited for them from its own start on (day
+/// machines-stopped, Brenes seed 2559395759).
 #[test]
 fn a_stopping_agent_waits_until_nothing_can_run_on_its_vm() {
     let mut agent = agent();
--- a/components/steps/tests/claims.rs
+++ b/components/steps/tests/claims.rs
@@ -200,9 +200,31 @@
     while !agent.report(now).leases_expired {
         now = now + Duration::from_millis(200);
         assert!(at(20_000) > now, "the tasks wait for the worker for good");
+        let echo = agent.report(now).clock_reading;
+        assert!(agent.accept_header(now, &OwnerHeader { echo, ..header() }));
         let poll = agent.next_poll(now, false).unwrap();
         agent.apply_error(now, &poll, PollError::Fenced);
     }
     let lease = Timing::default().lease;
     assert!((at(0) + lease).passed(now), "after {:?}", now.since(at(0)));
 }
+
+/// Such a worker has seen a higher epoch, and its runs and ends are heard of under that one.
+#[test]
+fn an_agent_that_has_not_read_the_epoch_gives_up_the_runs_of_its_worker() {
+    let mut agent = AgentState::new(Timing::default(), at(0));
+    agent.apply_heartbeat(heartbeat("w", 10));
+    let mut now = at(0);
+    while at(10_000) > now {
+        now = now + Duration::from_millis(200);
+        let poll = agent.next_poll(now, false).unwrap();
+        agent.apply_error(now, &poll, PollError::Fenced);
+    }
+    agent.observe_epoch(5);
+    assert!(agent.accept_header(now, &header()));
+    assert!(!agent.report(now).leases_expired);
+    let poll = agent.next_poll(now, false).unwrap();
+    agent.apply_reply(now, &poll, reply(10));
+    let report = agent.report(now);
+    assert_eq!((report.running.len(), report.ended.len()), (1, 1));
+}
