The opening of a connection and early answers are no later sign of life

Found by an independent review, by reading: a connection whose opening took more than half of a call's timeout counted as answered and was used once more; idle connections to an endpoint counted as alive for answers that came early in a long request that then ran into its deadline.

The opening counts from its begin, and answers of an endpoint from the second half of the request's time, as those of other processes. No test shows either: both need a pause in the middle of a call.

--- a/components/agent/src/endpoint.rs
+++ b/components/agent/src/endpoint.rs
@@ -144,7 +144,7 @@
         let sent_at = Instant::now();
         let result = self.exchange(req, deadline, max_body).await;
         if matches!(result, Err(EndpointError::DeadlineExceeded)) {
-            self.drop_idle(sent_at);
+            self.drop_idle(sent_at + sent_at.elapsed() / 2);
         }
         result
     }
--- a/components/proto/src/channel.rs
+++ b/components/proto/src/channel.rs
@@ -81,7 +81,7 @@
 #[derive(Clone, Debug)]
 struct Connection {
     sender: Sender,
-    /// When the last response on it began, or when it was opened.
+    /// When the last response on it began; before the first one, when its opening began.
     last_response_at: Arc<Mutex<Instant>>,
 }
 
@@ -148,9 +148,10 @@
         if let Some(connection) = self.open_connection() {
             return Ok(connection);
         }
+        let opened_at = Instant::now();
         let connection = Connection {
             sender: connect(self.address).await?,
-            last_response_at: Arc::new(Mutex::new(Instant::now())),
+            last_response_at: Arc::new(Mutex::new(opened_at)),
         };
         Ok(self.current().insert(connection).clone())
     }
