--- a/components/stepd/src/agent/polls.rs
+++ b/components/stepd/src/agent/polls.rs
@@ -30,7 +30,9 @@
     while shared.agent_state().worker().is_none() {
         match shared.api.fence().await {
             FenceResult::Fenced => {
-                tracing::info!("worker refuses late calls for its earlier incarnations");
+                tracing::info!(
+                    "worker has seen a fencing token and refuses calls with a lower one"
+                );
                 return;
             }
             FenceResult::NotUp => return,
