--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -10,6 +10,8 @@
 
 /// As `finish_s` of the sites.
 const FINISH_S: f64 = 14.0;
+/// How long all has to be calm before a span counts.
+const CALM_S: f64 = 4.0;
 
 pub fn play(case: &str, record: Record, trouble: bool) -> Verdict {
     match case {
@@ -18,6 +20,7 @@
         "idle" => idle(record, trouble),
         "clock" => clock(record, trouble),
         "gang" => gang(record, trouble),
+        "power" => power(record, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     }
 }
@@ -306,3 +309,55 @@
         false => Verdict::Broken(text),
     }
 }
+
+/// All side machines lose power once, while 300 tasks have just started.
+fn power(record: Record, trouble: bool) -> Verdict {
+    let Some(mut world) = start(&record, &["a"; 7], &[]) else {
+        return Verdict::NotRun("the system did not get ready".to_owned());
+    };
+    let steps = r#"[{"count":15,"cpu":200,"mem_mb":300,"estimate_ms":6000}]"#;
+    let name = |n: u64| format!("{:016x}", 0xcc00_0000_u64 + n);
+    for n in 0..20 {
+        if !world.submit(1, &name(n), "work=6000 cpu=200 mem=300", steps) {
+            return Verdict::NotRun("a job was not accepted".to_owned());
+        }
+        pause(90);
+    }
+    pause(200);
+    if trouble {
+        world.lose_power(Duration::from_millis(500));
+    }
+    // The rule counts once the 4 s before a span of 3 s are calm.
+    let from_s = record.now_s() + CALM_S;
+    let mut most_used: f64 = 0.0;
+    while record.now_s() < from_s + 30.0 {
+        pause(100);
+        if record.now_s() >= from_s {
+            most_used = most_used.max(world.used_share());
+        }
+    }
+    let mut longest: f64 = 0.0;
+    let mut waiting = 0;
+    for n in 0..20 {
+        let runs = record.runs_of(&name(n));
+        let later = runs.iter().filter(|run| run.started_s > from_s - CALM_S);
+        let first = later.map(|run| run.started_s).fold(f64::MAX, f64::min);
+        let is_done = runs.iter().all(|run| run.started_s < from_s - CALM_S)
+            && runs
+                .iter()
+                .all(|run| run.ended.as_ref().is_some_and(|end| end.1 == "done"));
+        let gap = first.min(record.now_s()) - from_s;
+        if !is_done && gap > 3.0 {
+            waiting += 1;
+            longest = longest.max(gap);
+        }
+    }
+    let text = format!(
+        "{waiting} of 20 jobs had nothing running for more than 3 s, {longest:.1} s at most, from {CALM_S} s after the power was back; at most {:.0}% of the capacity was in use then",
+        most_used * 100.0
+    );
+    match waiting > 0 && most_used < 0.5 {
+        true => Verdict::Broken(text),
+        false => Verdict::Held(text),
+    }
+}
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -42,12 +42,12 @@
     next_entry: usize,
 }
 
-/// The programs that were started.
-static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+/// The programs that were started, by machine.
+static CHILDREN: Mutex<Vec<(String, Child)>> = Mutex::new(Vec::new());
 
 /// Ends all programs that were started.
 pub fn end_children() {
-    for mut child in CHILDREN.lock().unwrap().drain(..) {
+    for (_, mut child) in CHILDREN.lock().unwrap().drain(..) {
         let _ = child.kill();
         let _ = child.wait();
     }
@@ -182,7 +182,38 @@
             .spawn()
             .expect("target/release/hemlockmoor; build it first");
         self.record.note(&format!("{role} {name} started"));
-        CHILDREN.lock().unwrap().push(child);
+        CHILDREN.lock().unwrap().push((name.to_owned(), child));
+    }
+
+    /// All side machines lose power with their workers, and are back after `down`.
+    pub fn lose_power(&mut self, down: Duration) {
+        self.record.note("all side machines LOSE POWER");
+        let names: Vec<String> = self
+            .workers
+            .iter()
+            .map(|worker| worker.place.name.clone())
+            .collect();
+        for (name, child) in CHILDREN.lock().unwrap().iter_mut() {
+            if names.contains(name) {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        CHILDREN
+            .lock()
+            .unwrap()
+            .retain(|(name, _)| !names.contains(name));
+        for worker in &self.workers {
+            worker.crash();
+        }
+        thread::sleep(down);
+        for name in &names {
+            let settings = fs::read_to_string(self.folder.join(format!("{name}.toml")));
+            self.spawn("agent", name, &settings.expect("the settings of a machine"));
+        }
+        for worker in &self.workers {
+            worker.begin();
+        }
     }
 
     /// Waits until all entries are ready and each worker has run a task.
