Suspects of a crash withhold capacity within bounds

Cause: each task that had just started on a worker that was lost started again on trial, one at a time on a worker that took nothing else for 0.65 s.

Ruled out: to drop the evidence wherever an agent is lost with its worker; a task that crashes its workers is then started too often (a trial of the users').

Change: the crashes of more than half of the workers within 2 s cast no suspicion. Suspects are tested in groups of eight after one crash, and alone after two. A suspect that could have started for 1.5 s but for its trial takes any worker, and trials withhold at most half of the workers that suit. A pass examines at most 16 suspects that go on waiting.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -177,6 +177,7 @@
     round: BTreeSet<JobName>,
     /// Tasks that may crash each worker that starts them.
     suspects: BTreeSet<TaskKey>,
+    recent_crashes: crashes::RecentCrashes,
     /// VMs that may have orders to send.
     order_vms: BTreeSet<VmName>,
     /// VMs with ends that wait for a durable record.
@@ -237,6 +238,7 @@
             waiting_jobs: BTreeSet::new(),
             round: BTreeSet::new(),
             suspects: BTreeSet::new(),
+            recent_crashes: crashes::RecentCrashes::default(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
             index: place::WorkerIndex::default(),
--- a/components/steps/src/owner/crashes.rs
+++ b/components/steps/src/owner/crashes.rs
@@ -2,16 +2,24 @@
 //!
 //! A crash says little about the tasks beside the one that caused it. A task that a worker
 //! had just started as it crashed is therefore suspect, and starts next on trial: on a worker
-//! that has survived everything else it runs and gets nothing new meanwhile. Only a crash with
-//! a single suspect counts against a task. See `docs/STEPS.md`.
+//! that has survived everything else it runs and gets nothing new meanwhile but other suspects.
+//! Suspects are tested in groups first, and alone once a group has crashed its worker. Machines
+//! that are lost in the same moment cast no suspicion. What a suspicion withholds is bounded in
+//! time and in the share of the workers. See `docs/STEPS.md`.
 
-use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use kernel::{JobName, Time, VmName};
+use kernel::{JobName, ServiceName, Time, VmName};
 
 use super::{
     Owner,
-    place::{PlacementRequest, suits},
+    entry::Task,
+    place::{PlacementRequest, Trial, suits},
     unknown::{Release, release},
     vm::{AssignedRun, Phase, Vm},
 };
@@ -22,26 +30,152 @@
     progress::TaskCrash,
 };
 
+/// Number of crashes in a row under a task after which it is given up. Fewer may be crashes of
+/// workers by themselves; a task may be started twice more after three.
+const CRASHES_TO_GIVE_UP: usize = 4;
 /// Number of VMs on which a task must have been the only suspect to be given up.
 const VMS_TO_GIVE_UP: usize = 3;
-/// Number of crashes under a task after which it is given up whoever else was suspect.
-const CRASHES_TO_GIVE_UP: usize = 4;
+/// Number of them that must not be mass losses.
+const SUSPECTED_TO_GIVE_UP: usize = 3;
+/// The same if more of them are mass losses.
+const CRASHES_WITH_MASS_LOSSES_TO_GIVE_UP: usize = 5;
+/// Number of tasks that are tested together after their first crash.
+const TRIAL_GROUP_SIZE: usize = 8;
 /// Time for which a worker gets no other task, so that one can start there on trial.
 const HOLD: Duration = Duration::from_millis(500);
-/// Time after which a suspect gang starts without a trial, for which it may need more workers
-/// than can be held.
-const MAX_GANG_WAIT: Duration = Duration::from_secs(5);
+/// Time after a crash from which on a suspect takes any worker: users consider a job that has
+/// nothing running lost after 3 s.
+const MAX_TRIAL_WAIT: Duration = Duration::from_millis(1_500);
+/// Number of suspects that go on waiting after which a pass examines no further ones.
+const MAX_WAITING_EXAMINED: usize = 16;
 /// Age of a run at the last report of a lost agent from which on the worker had survived it:
 /// an agent notices only after some time that its worker does not answer.
 const UNREPORTED_PROBATION: Duration = Duration::from_secs(3);
-/// Share of the workers that may be held for trials, as a divisor.
-const HELD_DIVISOR: usize = 2;
+/// Share of the workers that may be withheld from other tasks by trials, as a divisor.
+const WITHHELD_DIVISOR: usize = 2;
+/// Time within which an owner learns of workers that were lost together: machines come back
+/// within 1.5 s of each other.
+const LOSS_WINDOW: Duration = Duration::from_secs(2);
+/// Share of the workers above which a loss is one of many, as a divisor.
+const MASS_LOSS_DIVISOR: usize = 2;
+/// Number of such losses in a row under a task from which on it is tested all the same.
+const MASS_LOSSES_TO_TEST: usize = 3;
 
-/// Whether a task has crashed enough workers to be given up.
+/// Whether a task has crashed enough workers to be given up: several in a row, at least once as
+/// the only suspect.
 fn is_given_up(crashes: &[TaskCrash]) -> bool {
     let sole = crashes.iter().filter(|crash| crash.is_sole_suspect);
     let vms: BTreeSet<&VmName> = sole.map(|crash| &crash.vm).collect();
-    vms.len() >= VMS_TO_GIVE_UP || crashes.len() >= CRASHES_TO_GIVE_UP
+    if vms.len() >= VMS_TO_GIVE_UP {
+        return true;
+    }
+    let suspected = crashes.iter().filter(|crash| !crash.is_mass_loss).count();
+    let most = match suspected >= SUSPECTED_TO_GIVE_UP {
+        true => CRASHES_TO_GIVE_UP,
+        false => CRASHES_WITH_MASS_LOSSES_TO_GIVE_UP,
+    };
+    crashes.len() >= most && crashes.iter().any(|crash| crash.is_sole_suspect)
+}
+
+/// Number of suspects with which a task may be tested together; `None` if it is not suspect.
+fn trial_size(crashes: &[TaskCrash]) -> Option<usize> {
+    let mut suspected = crashes.iter().filter(|crash| !crash.is_mass_loss);
+    let Some(first) = suspected.next() else {
+        return (crashes.len() >= MASS_LOSSES_TO_TEST).then_some(TRIAL_GROUP_SIZE);
+    };
+    let is_last_chance = crashes.len() >= CRASHES_TO_GIVE_UP;
+    let is_alone = first.is_sole_suspect || suspected.next().is_some() || is_last_chance;
+    Some(if is_alone { 1 } else { TRIAL_GROUP_SIZE })
+}
+
+/// Workers of whose crashes an owner learned at about the same time.
+#[derive(Debug, Default)]
+pub(super) struct RecentCrashes {
+    since: Time,
+    vms: BTreeSet<VmName>,
+    /// Runs that are suspect as long as most of the workers are not among them.
+    suspects: Vec<(VmName, RunKey)>,
+}
+
+impl RecentCrashes {
+    /// Adds a worker; returns whether most of all `workers` have crashed.
+    fn add(&mut self, now: Time, vm: &VmName, workers: usize) -> bool {
+        if (self.since + LOSS_WINDOW).passed(now) {
+            *self = Self {
+                since: now,
+                ..Self::default()
+            };
+        }
+        self.vms.insert(vm.clone());
+        self.vms.len() > 1 && self.vms.len() > workers / MASS_LOSS_DIVISOR
+    }
+}
+
+/// Workers that one kind of suspects may use, and those that trials withhold from other tasks.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TrialRoom {
+    suitable: usize,
+    withheld: BTreeSet<VmName>,
+}
+
+impl TrialRoom {
+    fn has_room(&self) -> bool {
+        self.withheld.len() < (self.suitable / WITHHELD_DIVISOR).max(1)
+    }
+
+    /// Whether a trial on the worker withholds no more workers than it may.
+    pub(super) fn may_use(&self, vm: &VmName) -> bool {
+        self.withheld.contains(vm) || self.has_room()
+    }
+}
+
+/// Suspects in a scheduling pass.
+#[derive(Debug, Default)]
+pub(super) struct Trials {
+    /// Workers by service and required label.
+    rooms: BTreeMap<(ServiceName, Option<Arc<str>>), TrialRoom>,
+    /// Whether a worker has been held for them.
+    has_held: bool,
+    /// Number of suspects that go on waiting.
+    waiting: usize,
+    /// Whether the last one that was examined could have started without a trial.
+    do_withhold: bool,
+}
+
+impl Trials {
+    /// Whether the pass has examined enough suspects that go on waiting.
+    pub(super) const fn are_exhausted(&self) -> bool {
+        self.waiting >= MAX_WAITING_EXAMINED
+    }
+
+    pub(super) fn record_start(&mut self, request: &PlacementRequest<'_>, vm: &VmName) {
+        if let Some(room) = self.rooms.get_mut(&room_key(request)) {
+            room.withheld.insert(vm.clone());
+        }
+    }
+}
+
+fn room_key(request: &PlacementRequest<'_>) -> (ServiceName, Option<Arc<str>>) {
+    (request.service.clone(), request.step.label.clone())
+}
+
+impl Task {
+    /// Number of suspects with which the task may be tested together; `None` if it is not
+    /// suspect.
+    pub(super) fn trial_size(&self) -> Option<usize> {
+        trial_size(&self.crashes).filter(|_| !self.is_done())
+    }
+
+    /// Whether the task may crash each worker that starts it.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.trial_size().is_some()
+    }
+
+    /// Whether the task is suspect and has not waited for too long to start on trial.
+    pub(super) fn needs_trial(&self, now: Time) -> bool {
+        let until = self.trial_awaited_since.map(|since| since + MAX_TRIAL_WAIT);
+        self.is_suspect() && !until.is_some_and(|until| until.passed(now))
+    }
 }
 
 impl Owner {
@@ -56,28 +190,70 @@
         key
     }
 
-    /// Whether a task may crash each worker that starts it.
-    pub(super) fn is_suspect(&self, task: &TaskKey) -> bool {
-        !self.suspects.is_empty() && self.suspects.contains(&self.crash_key(task))
+    /// The task that holds the crashes under a task.
+    fn crashed_task(&self, task: &TaskKey) -> Option<&Task> {
+        let key = self.crash_key(task);
+        self.jobs.get(&key.job)?.task(&key)
+    }
+
+    /// Number of suspects with which a task is tested together if it starts now; `None` if it
+    /// starts without a trial. Gangs wait for workers that are free of other runs as long as
+    /// tasks do, but nothing else starts beside them even then.
+    pub(super) fn trial_size(&self, now: Time, task: &TaskKey) -> Option<usize> {
+        if self.suspects.is_empty() {
+            return None;
+        }
+        let step = self
+            .jobs
+            .get(&task.job)?
+            .job
+            .steps
+            .get(usize::from(task.step))?;
+        let crashed = self.crashed_task(task)?;
+        crashed
+            .trial_size()
+            .filter(|_| step.gang || crashed.needs_trial(now))
     }
 
     /// Whether the next start of a suspect must wait, since a new owner would not know of
     /// the last crash.
-    pub(super) fn awaits_crash_record(&self, task: &TaskKey) -> bool {
+    pub(super) fn awaits_crash_record(&self, now: Time, task: &TaskKey) -> bool {
+        let task = self.crashed_task(task);
+        task.is_some_and(|task| task.needs_trial(now) && task.crash_change > self.durable_change)
+    }
+
+    /// Notes whether a suspect could start now if it did not have to wait for its trial.
+    pub(super) fn await_trial(
+        &mut self,
+        now: Time,
+        task: &TaskKey,
+        request: PlacementRequest<'_>,
+        trials: &mut Trials,
+    ) {
+        if !trials.are_exhausted() {
+            trials.waiting += 1;
+            let without_trial = PlacementRequest {
+                may_use_withheld: true,
+                trial: Trial::No,
+                ..request
+            };
+            trials.do_withhold = self.choose_vm(now, &without_trial).is_ok();
+        }
         let key = self.crash_key(task);
-        let entry = self.jobs.get(&key.job);
-        let task = entry.and_then(|entry| entry.task(&key));
-        task.is_some_and(|task| task.crash_change > self.durable_change)
+        let entry = self.jobs.get_mut(&key.job);
+        let Some(task) = entry.and_then(|entry| entry.task_mut(&key)) else {
+            return;
+        };
+        task.trial_awaited_since = match trials.do_withhold {
+            true => task.trial_awaited_since.or(Some(now)),
+            false => None,
+        };
     }
 
     /// Whether a gang is suspect and has not waited for too long to start on trial.
     pub(super) fn needs_gang_trial(&self, now: Time, task: &TaskKey) -> bool {
-        let entry = self.jobs.get(&task.job);
-        let first = entry.and_then(|entry| Some((entry, entry.task(task)?)));
-        first.is_some_and(|(entry, first)| {
-            let waited = (entry.waiting_since(first) + MAX_GANG_WAIT).passed(now);
-            first.is_suspect() && !waited
-        })
+        self.crashed_task(task)
+            .is_some_and(|task| task.needs_trial(now))
     }
 
     /// Applies the crashes that an agent has reported.
@@ -104,27 +280,77 @@
     /// Records the crash of a worker with the runs that may have caused it. Returns their
     /// unknown jobs.
     fn record_crash(&mut self, now: Time, name: &VmName, suspects: &[SuspectRun]) -> Vec<JobName> {
+        let workers = self.vms.len();
+        let is_mass_loss = self.recent_crashes.add(now, name, workers);
+        if is_mass_loss {
+            self.withdraw_suspicions(name);
+        }
         let tasks = suspects.iter().map(|run| self.crash_key(&run.key.task));
         let tasks: BTreeSet<TaskKey> = tasks.collect();
         let mut unknown = Vec::new();
         for run in suspects {
-            let is_sole_suspect = tasks.len() == 1 && run.is_confirmed;
+            let is_sole_suspect = tasks.len() == 1 && run.is_confirmed && !is_mass_loss;
+            if !is_mass_loss {
+                let suspect = (name.clone(), run.key.clone());
+                self.recent_crashes.suspects.push(suspect);
+            }
             if self.keep_unknown_suspect(name, &run.key, is_sole_suspect) {
                 unknown.push(run.key.task.job.clone());
                 continue;
             }
-            self.record_task_crash(now, name, &run.key, is_sole_suspect);
+            let crash = TaskCrash {
+                run: run.key.run,
+                vm: name.clone(),
+                is_sole_suspect,
+                is_mass_loss,
+            };
+            self.record_task_crash(now, &run.key, crash);
         }
         unknown
     }
 
-    pub(super) fn record_task_crash(
-        &mut self,
-        now: Time,
-        name: &VmName,
-        run: &RunKey,
-        is_sole_suspect: bool,
-    ) {
+    /// Takes back that runs are suspect of recent crashes, as most of the workers have crashed
+    /// with theirs.
+    fn withdraw_suspicions(&mut self, name: &VmName) {
+        let suspects = std::mem::take(&mut self.recent_crashes.suspects);
+        if suspects.is_empty() {
+            return;
+        }
+        tracing::warn!(
+            vm = %name,
+            crashed = self.recent_crashes.vms.len(),
+            known = self.vms.len(),
+            withdrawn = suspects.len(),
+            "most workers have crashed at the same time; no task is suspected of it"
+        );
+        for (vm, run) in &suspects {
+            self.withdraw_suspicion(run, vm);
+        }
+    }
+
+    fn withdraw_suspicion(&mut self, run: &RunKey, vm: &VmName) {
+        let key = self.crash_key(&run.task);
+        let Some(entry) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if entry.outcome.is_some() {
+            return;
+        }
+        let Some(task) = entry.task_mut(&key) else {
+            return;
+        };
+        let mut crashes = task.crashes.iter_mut();
+        let Some(crash) = crashes.find(|crash| crash.run == run.run) else {
+            return;
+        };
+        crash.is_sole_suspect = false;
+        crash.is_mass_loss = true;
+        task.avoid.remove(vm);
+        self.schedule_due = true;
+        self.mark_dirty(&key.job);
+    }
+
+    pub(super) fn record_task_crash(&mut self, now: Time, run: &RunKey, crash: TaskCrash) {
         let key = self.crash_key(&run.task);
         let Some(entry) = self.jobs.get_mut(&key.job) else {
             return;
@@ -138,21 +364,25 @@
         if task.crashes.iter().any(|crash| crash.run == run.run) {
             return;
         }
-        task.crashes.push(TaskCrash {
-            run: run.run,
-            vm: name.clone(),
-            is_sole_suspect,
-        });
-        task.avoid.insert(name.clone());
-        let crashes = task.crashes.clone();
         tracing::warn!(
             task = %run.task,
             run = run.run,
-            vm = %name,
-            is_sole_suspect,
-            crashes = crashes.len(),
+            vm = %crash.vm,
+            is_sole_suspect = crash.is_sole_suspect,
+            is_mass_loss = crash.is_mass_loss,
+            crashes = task.crashes.len() + 1,
             "worker crashed as it had just started the task"
         );
+        if !crash.is_mass_loss {
+            task.avoid.insert(crash.vm.clone());
+        }
+        task.crashes.push(crash);
+        task.trial_awaited_since = None;
+        // Otherwise the crash is kept in memory only, as it is no evidence by itself.
+        if !task.is_suspect() {
+            return;
+        }
+        let crashes = task.crashes.clone();
         self.suspects.insert(key.clone());
         self.mark_dirty(&key.job);
         let change = self.last_change;
@@ -173,7 +403,7 @@
         }
     }
 
-    /// Records the crash of a worker whose agent has been lost with it, so that no process
+    /// Records the crash of a worker whose agent may have been lost with it, so that no process
     /// knows any more how long the worker survived its runs.
     pub(super) fn record_unreported_crash(&mut self, now: Time, name: &VmName) {
         let Some(vm) = self.vms.get(name) else {
@@ -195,7 +425,10 @@
                 is_confirmed: run.phase() != Phase::Ordered,
             });
         }
-        self.record_crash(now, name, &suspects);
+        let is_machine_lost = vm.info.is_some() && vm.worker_reported_by != vm.agent_incarnation;
+        if is_machine_lost || !suspects.is_empty() {
+            self.record_crash(now, name, &suspects);
+        }
     }
 
     /// Notes which runs the worker of a VM has survived for long enough.
@@ -221,10 +454,11 @@
     /// survived.
     pub(super) fn clear_suspicion(&mut self, run: &RunKey) {
         let key = self.crash_key(&run.task);
-        if !self.suspects.contains(&key) || !self.has_gang_survived(run) {
+        let has_crashes = |task: &Task| !task.crashes.is_empty();
+        if !self.crashed_task(&key).is_some_and(has_crashes) || !self.has_gang_survived(run) {
             return;
         }
-        self.suspects.remove(&key);
+        let was_suspect = self.suspects.remove(&key);
         let task = self
             .jobs
             .get_mut(&key.job)
@@ -233,6 +467,9 @@
             return;
         };
         task.crashes.clear();
+        if !was_suspect {
+            return;
+        }
         tracing::info!(task = %run.task, run = run.run, "worker survived the task, which is not suspect any more");
         self.mark_dirty(&key.job);
     }
@@ -253,44 +490,63 @@
         })
     }
 
-    /// Drops the suspects that need no start any more; returns how many starts of the others
-    /// wait for a worker or are on trial.
-    pub(super) fn review_suspects(&mut self) -> usize {
+    /// Drops the suspects that need no start any more; returns whether any are left.
+    pub(super) fn review_suspects(&mut self) -> bool {
         let jobs = &self.jobs;
         self.suspects.retain(|key| {
             let entry = jobs.get(&key.job).filter(|entry| entry.outcome.is_none());
             let task = entry.and_then(|entry| entry.task(key));
-            task.is_some_and(|task| task.is_suspect())
+            task.is_some_and(Task::is_suspect)
         });
-        let mut starts = 0;
-        for key in &self.suspects {
-            let step = jobs.get(&key.job).map(|entry| &entry.job.steps);
-            let step = step.and_then(|steps| steps.get(usize::from(key.step)));
-            starts += match step {
-                Some(step) if step.gang => step.count as usize,
-                _ => 1,
-            };
-        }
-        starts
+        !self.suspects.is_empty()
     }
 
-    /// Keeps workers free of new tasks so that the request can be met on trial.
+    /// The workers that suspects with the same needs may use.
+    pub(super) fn trial_room(
+        &self,
+        now: Time,
+        request: &PlacementRequest<'_>,
+        trials: &mut Trials,
+    ) -> TrialRoom {
+        let room = trials.rooms.entry(room_key(request)).or_insert_with(|| {
+            let mut room = TrialRoom::default();
+            for (name, vm) in &self.vms {
+                if !suits(vm, request, &self.zones_out) {
+                    continue;
+                }
+                room.suitable += 1;
+                if vm.has_open_trial() || vm.is_held(now) {
+                    room.withheld.insert(name.clone());
+                }
+            }
+            room
+        });
+        room.clone()
+    }
+
+    /// Keeps workers free of new tasks so that a suspect for which there is none can start on
+    /// trial. The first one of a pass suffices, since a pass follows soon.
     pub(super) fn hold_for_trial(
         &mut self,
         now: Time,
         request: &PlacementRequest<'_>,
-        most: usize,
+        trials: &mut Trials,
     ) {
-        let mut suitable = 0;
-        let mut held = Vec::new();
+        if std::mem::replace(&mut trials.has_held, true) {
+            return;
+        }
+        let room = self.trial_room(now, request, trials);
+        for name in &room.withheld {
+            if let Some(vm) = self.vms.get_mut(name) {
+                vm.held_until = now + HOLD;
+            }
+        }
+        if !room.has_room() {
+            return;
+        }
         let mut best = None;
         for (name, vm) in &self.vms {
-            if !suits(vm, request, &self.zones_out) {
-                continue;
-            }
-            suitable += 1;
-            if vm.has_open_trial() || vm.is_held(now) {
-                held.push(name.clone());
+            if room.withheld.contains(name) || !suits(vm, request, &self.zones_out) {
                 continue;
             }
             let is_avoided = request.avoid.contains(name);
@@ -298,17 +554,20 @@
             let rank = (is_avoided, vm.runs_in_doubt(), free);
             best = best.max(Some(Reverse((rank, name.clone()))));
         }
-        let most = most.min((suitable / HELD_DIVISOR).max(1));
-        if held.len() < most
-            && let Some(Reverse((_, name))) = best
-        {
-            tracing::info!(vm = %name, held = held.len() + 1, "worker gets no new tasks until a suspect one has run on trial");
-            held.push(name);
+        let Some(Reverse((_, name))) = best else {
+            return;
+        };
+        tracing::info!(
+            vm = %name,
+            withheld = room.withheld.len() + 1,
+            suitable = room.suitable,
+            "worker gets no new tasks until suspect ones have run on trial"
+        );
+        if let Some(vm) = self.vms.get_mut(&name) {
+            vm.held_until = now + HOLD;
         }
-        for name in held {
-            if let Some(vm) = self.vms.get_mut(&name) {
-                vm.held_until = now + HOLD;
-            }
+        if let Some(room) = trials.rooms.get_mut(&room_key(request)) {
+            room.withheld.insert(name);
         }
     }
 }
@@ -330,17 +589,27 @@
         in_doubt.count()
     }
 
-    /// Whether a task may start here on trial: all other runs are known to be harmless, but
-    /// those that start with it as members of its gang.
-    pub(super) fn may_take_trial(&self, gang: Option<&RunKey>) -> bool {
-        self.runs.iter().all(|(key, run)| {
+    /// Whether a task may start here on trial with up to `size` suspects: all other runs are
+    /// known to be harmless, but those that start with it as members of its gang.
+    pub(super) fn may_take_trial(&self, size: usize, gang: Option<&RunKey>) -> bool {
+        let mut suspects = 0;
+        let mut most = size;
+        for (key, run) in &self.runs {
             let is_same_gang = gang.is_some_and(|gang| {
                 key.run == gang.run
                     && key.task.job == gang.task.job
                     && key.task.step == gang.task.step
             });
-            run.has_survived || is_same_gang
-        })
+            if run.has_survived || is_same_gang {
+                continue;
+            }
+            let Some(size) = run.trial_size else {
+                return false;
+            };
+            suspects += 1;
+            most = most.min(size);
+        }
+        suspects < most
     }
 
     /// Releases the crashes for which the changes up to this one suffice.
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -27,6 +27,8 @@
     pub(super) crashes: Vec<TaskCrash>,
     /// Number of the change that added the last crash.
     pub(super) crash_change: u64,
+    /// Since when the task would run if it did not have to start on trial.
+    pub(super) trial_awaited_since: Option<Time>,
     /// Runs that exist or may exist, each as VM and run number.
     runs: Vec<(VmName, u64)>,
     /// Newest checkpoint that a run of the task has saved.
@@ -43,11 +45,6 @@
         self.done
     }
 
-    /// Whether the task may crash each worker that starts it.
-    pub(super) const fn is_suspect(&self) -> bool {
-        !self.crashes.is_empty() && !self.done
-    }
-
     pub(super) fn runs(&self) -> &[(VmName, u64)] {
         &self.runs
     }
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Owner,
+    crashes::TrialRoom,
     entry::HeldBackBy,
     vm::{Vm, VmStatus},
 };
@@ -48,6 +49,8 @@
     pub(super) is_urgent: bool,
     /// Whether the task is long-running and has been down for too long.
     pub(super) is_overdue: bool,
+    /// Whether a worker that tests other suspects, or is held for them, is better than none.
+    pub(super) may_use_withheld: bool,
     /// Whether and how the task starts on trial.
     pub(super) trial: Trial<'a>,
 }
@@ -57,8 +60,8 @@
 pub(super) enum Trial<'a> {
     /// The task is not suspect.
     No,
-    /// The task is suspect.
-    Alone,
+    /// The task is suspect, and may be tested with others up to this number.
+    Group(usize, &'a TrialRoom),
     /// The task is a member of a suspect gang, with this run.
     WithGang(&'a RunKey),
 }
@@ -83,6 +86,7 @@
     label: Option<Arc<str>>,
     reserved: Resources,
     is_overdue: bool,
+    may_use_withheld: bool,
     best_effort: Option<BestEffortNeed>,
     held_back_by: HeldBackBy,
 }
@@ -107,6 +111,7 @@
             label: step.label.clone(),
             reserved: step.reserved(),
             is_overdue: request.is_overdue,
+            may_use_withheld: request.may_use_withheld,
             best_effort: step.best_effort.then(|| BestEffortNeed {
                 image: step.image.clone(),
                 cpu_milli: step.need.cpu_milli,
@@ -137,6 +142,9 @@
         if request.is_overdue && !self.is_overdue {
             return false;
         }
+        if request.may_use_withheld && !self.may_use_withheld {
+            return false;
+        }
         let Some(failed) = &self.best_effort else {
             return true;
         };
@@ -202,13 +210,24 @@
     }
 }
 
+/// Why a worker that could take a task is chosen only if there is no other, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum LastResort {
+    /// The task is to avoid the worker.
+    Avoided,
+    /// The worker is held for a trial.
+    Held,
+    /// The worker tests suspects.
+    OnTrial,
+}
+
 /// The workers that a search has found so far.
 #[derive(Default)]
 struct Found {
     /// Workers that can take the task and are not to be avoided, with their costs.
     scored: Vec<(f64, VmName)>,
-    /// Best of the workers that are to be avoided.
-    fallback: Option<(f64, VmName)>,
+    /// Best of the workers that are a last resort.
+    fallback: Option<(LastResort, f64, VmName)>,
     /// Whether a worker was left out only because the task would be too slow there.
     is_too_slow: bool,
     /// Whether the search has stopped before the last worker.
@@ -250,7 +269,7 @@
         }
         let held_back_by = found.held_back_by();
         let best = cheapest(&found.scored).map(|index| found.scored[index].1.clone());
-        best.or(found.fallback.map(|(_, name)| name))
+        best.or(found.fallback.map(|(_, _, name)| name))
             .ok_or(held_back_by)
     }
 
@@ -282,6 +301,10 @@
         let found = &shortlist.found;
         shortlist.last = cheapest(&found.scored);
         let name = shortlist.last.map(|index| found.scored[index].1.clone());
+        if name.is_none() && found.fallback.is_some() {
+            *shortlist = Shortlist::default();
+            return self.choose_vm(now, request);
+        }
         name.ok_or_else(|| found.held_back_by())
     }
 
@@ -362,7 +385,10 @@
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
-        if !is_eligible(vm, now, request, &self.zones_out) || request.is_at_limit(name) {
+        let withheld = withheld_by(vm, now, request);
+        let is_withheld = withheld.is_some() && !request.may_use_withheld;
+        let is_eligible = is_eligible(name, vm, now, request, &self.zones_out);
+        if is_withheld || !is_eligible || request.is_at_limit(name) {
             self.work.workers_without_room += 1;
             return;
         }
@@ -371,16 +397,16 @@
             found.is_too_slow = true;
             return;
         };
-        if !request.avoid.contains(name) {
+        let avoided = request.avoid.contains(name).then_some(LastResort::Avoided);
+        let Some(reason) = avoided.max(withheld) else {
             found.scored.push((cost, name.clone()));
             return;
-        }
-        if found
-            .fallback
-            .as_ref()
-            .is_none_or(|(least, _)| cost < *least)
-        {
-            found.fallback = Some((cost, name.clone()));
+        };
+        let is_better = |(known, least, _): &(LastResort, f64, VmName)| {
+            reason < *known || (reason == *known && cost < *least)
+        };
+        if found.fallback.as_ref().is_none_or(is_better) {
+            found.fallback = Some((reason, cost, name.clone()));
         }
     }
 
@@ -481,7 +507,17 @@
     request.required_rack.is_none_or(has)
 }
 
+/// Why a worker is withheld from tasks that are not on trial.
+fn withheld_by(vm: &Vm, now: Time, request: &PlacementRequest<'_>) -> Option<LastResort> {
+    match request.trial {
+        Trial::No if vm.has_open_trial() => Some(LastResort::OnTrial),
+        Trial::No if vm.is_held(now) => Some(LastResort::Held),
+        Trial::No | Trial::Group(..) | Trial::WithGang(_) => None,
+    }
+}
+
 fn is_eligible(
+    name: &VmName,
     vm: &mut Vm,
     now: Time,
     request: &PlacementRequest<'_>,
@@ -495,12 +531,9 @@
         return false;
     }
     let allows_trial = match request.trial {
-        Trial::No => {
-            let is_kept = !request.is_overdue && !vm.kept_until.passed(now);
-            !is_kept && !vm.is_held(now) && !vm.has_open_trial()
-        }
-        Trial::Alone => vm.may_take_trial(None),
-        Trial::WithGang(run) => vm.may_take_trial(Some(run)),
+        Trial::No => request.is_overdue || vm.kept_until.passed(now),
+        Trial::Group(size, room) => room.may_use(name) && vm.may_take_trial(size, None),
+        Trial::WithGang(run) => vm.may_take_trial(1, Some(run)),
     };
     allows_trial && vm.health.may_take_task(now)
 }
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -81,6 +81,7 @@
             required_rack: None,
             is_urgent: true,
             is_overdue: false,
+            may_use_withheld: false,
             trial: Trial::No,
         };
         self.choose_vm(now, &request).is_ok()
@@ -200,6 +201,7 @@
             required_rack: None,
             is_urgent: true,
             is_overdue: false,
+            may_use_withheld: false,
             trial: Trial::No,
         };
         let Ok(vm) = self.choose_vm(now, &request) else {
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -99,6 +99,7 @@
         let earlier_capacity = vm.info.as_ref().map(|info| info.capacity);
         if report.worker.is_some() {
             vm.info = report.worker.take();
+            vm.worker_reported_by = vm.agent_incarnation;
         }
         let capacity = vm.info.as_ref().map(|info| info.capacity);
         let is_attached = vm.attached;
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Owner,
+    crashes::Trials,
     entry::{HeldBackBy, JobEntry, StepState, Task, task_key},
     place::{FailedPlacements, PlacementRequest, Shortlist, Trial},
     vm::{AssignedRun, Phase, Vm},
@@ -64,8 +65,9 @@
     /// VMs on which such runs may exist.
     unlisted_vms: BTreeSet<VmName>,
     failed: FailedPlacements,
-    /// Number of starts of suspect tasks that wait for a worker or are on trial.
-    suspect_starts: usize,
+    /// Whether there are tasks that may crash each worker that starts them.
+    has_suspects: bool,
+    trials: Trials,
 }
 
 /// A step whose dependencies are done.
@@ -86,8 +88,11 @@
     avoid: BTreeSet<VmName>,
     /// Whether the task is long-running and has been down for too long.
     is_overdue: bool,
-    /// Whether the task may crash each worker that starts it.
-    is_suspect: bool,
+    /// Number of suspects with which the task has to be tested; `None` if it starts without a
+    /// trial.
+    trial_size: Option<usize>,
+    /// Whether the task is suspect and has waited for too long to start on trial.
+    has_waited_for_trial: bool,
 }
 
 impl Pass {
@@ -122,6 +127,7 @@
             required_rack,
             is_urgent,
             is_overdue: task.is_overdue,
+            may_use_withheld: task.has_waited_for_trial,
             trial,
         }
     }
@@ -159,10 +165,11 @@
             index,
             avoid,
             is_overdue: is_overdue(now, entry, ready.step, task),
-            is_suspect: task.is_suspect(),
+            trial_size: task.trial_size().filter(|_| task.needs_trial(now)),
+            has_waited_for_trial: task.is_suspect() && !task.needs_trial(now),
         });
     }
-    found.sort_by_key(|task| (!task.is_suspect, !task.is_overdue));
+    found.sort_by_key(|task| (task.trial_size.is_none(), !task.is_overdue));
     found.truncate(max);
     found
 }
@@ -244,7 +251,8 @@
             is_recovering: self.is_recovering(),
             unlisted_vms: self.unlisted_vms(),
             failed: FailedPlacements::default(),
-            suspect_starts: self.review_suspects(),
+            has_suspects: self.review_suspects(),
+            trials: Trials::default(),
         };
         for rank in self.ranked_jobs(now) {
             if Some(rank.priority) != first_priority {
@@ -355,7 +363,7 @@
                     number,
                     step,
                     service: &queue.service,
-                    has_suspects: pass.suspect_starts > 0 && entry.has_suspects(occurrence, number),
+                    has_suspects: pass.has_suspects && entry.has_suspects(occurrence, number),
                 };
                 // Suspect tasks start one by one, whichever rack can take them.
                 match step.gang || (step.same_rack && !ready.has_suspects) {
@@ -413,26 +421,31 @@
                 self.hold_back_step(ready, HeldBackBy::Window);
                 return;
             }
+            let is_trial = task.trial_size.is_some();
             let is_urgent = is_idle || task.is_overdue;
-            let trial = match task.is_suspect {
-                true => Trial::Alone,
-                false => Trial::No,
-            };
-            let request = ready.placement_request(&task, &tasks_per_vm, None, is_urgent, trial);
-            if task.is_suspect && self.awaits_crash_record(&ready.task(task.index)) {
+            let mut request =
+                ready.placement_request(&task, &tasks_per_vm, None, is_urgent, Trial::No);
+            let key = ready.task(task.index);
+            let awaits_record = is_trial && self.awaits_crash_record(now, &key);
+            if awaits_record || (is_trial && pass.trials.are_exhausted()) {
+                self.await_trial(now, &key, request, &mut pass.trials);
                 continue;
             }
-            if !task.is_suspect
-                && let Some(by) = pass.failed.cover(&request)
-            {
+            let room;
+            if let Some(size) = task.trial_size {
+                room = self.trial_room(now, &request, &mut pass.trials);
+                request.trial = Trial::Group(size, &room);
+            }
+            if !is_trial && let Some(by) = pass.failed.cover(&request) {
                 self.hold_back_step(ready, by);
                 return;
             }
             let wanted = count - started;
             let vm = match self.choose_next_vm(now, &request, &mut shortlist, wanted) {
                 Ok(vm) => vm,
-                Err(_) if task.is_suspect => {
-                    self.hold_for_trial(now, &request, pass.suspect_starts);
+                Err(_) if is_trial => {
+                    self.hold_for_trial(now, &request, &mut pass.trials);
+                    self.await_trial(now, &key, request, &mut pass.trials);
                     continue;
                 }
                 Err(by) => {
@@ -444,10 +457,12 @@
                     return;
                 }
             };
+            if is_trial {
+                pass.trials.record_start(&request, &vm);
+            }
             *tasks_per_vm.entry(vm.clone()).or_default() += 1;
             let run = self.next_run();
-            let task = ready.task(task.index);
-            let key = RunKey { task, run };
+            let key = RunKey { task: key, run };
             self.order_start(now, &vm, key.clone(), ready.step);
             if pass.room.is_full() {
                 self.reserve_starts.push((vm, key));
@@ -483,7 +498,10 @@
         if pass.is_recovering_job(entry) && tasks.iter().any(may_run) {
             return;
         }
-        if self.awaits_crash_record(&ready.task(0)) {
+        if self.awaits_crash_record(now, &ready.task(0)) {
+            let tasks_per_vm = count_tasks_per_vm(ready.step, state);
+            let request = ready.placement_request(&tasks[0], &tasks_per_vm, None, true, Trial::No);
+            self.await_trial(now, &ready.task(0), request, &mut pass.trials);
             return;
         }
         if !pass.room.admits(tasks.iter().any(|task| task.is_overdue)) {
@@ -503,9 +521,10 @@
                 return;
             }
         }
-        if let Some(task) = tasks.iter().find(|task| task.is_suspect) {
-            let request = ready.placement_request(task, &tasks_per_vm, None, true, Trial::Alone);
-            self.hold_for_trial(now, &request, pass.suspect_starts);
+        if let Some(task) = tasks.iter().find(|task| task.trial_size.is_some()) {
+            let request = ready.placement_request(task, &tasks_per_vm, None, true, Trial::No);
+            self.hold_for_trial(now, &request, &mut pass.trials);
+            self.await_trial(now, &ready.task(0), request, &mut pass.trials);
             return;
         }
         // The step may need more than all workers have.
@@ -569,7 +588,7 @@
 
     /// Reserves capacity for a run and queues its start order.
     pub(super) fn order_start(&mut self, now: Time, name: &VmName, key: RunKey, step: &Step) {
-        let is_trial = self.is_suspect(&key.task);
+        let trial_size = self.trial_size(now, &key.task);
         let Some(entry) = self.jobs.get_mut(&key.task.job) else {
             return;
         };
@@ -582,17 +601,18 @@
             return;
         }
         self.work.starts_ordered += 1;
-        let checkpoint = entry
-            .task_mut(&key.task)
-            .and_then(|task| task.checkpoint.clone())
-            .filter(|_| step.checkpoints);
+        let task = entry.task_mut(&key.task);
+        let checkpoint = task.and_then(|task| {
+            task.trial_awaited_since = None;
+            task.checkpoint.clone().filter(|_| step.checkpoints)
+        });
         tracing::info!(
             task = %key.task,
             run = key.run,
             vm = %name,
             image = step.image.as_deref(),
             resumes = checkpoint.is_some(),
-            is_trial,
+            trial_size,
             held_back_by = ?entry.held_back_by(&key.task),
             job_age_ms = now.since(known_since).as_millis() as u64,
             "starting run"
@@ -600,7 +620,7 @@
         let role = role_of(step);
         vm.health.record_start(now);
         let mut assigned = AssignedRun::new(Phase::Ordered, now, step.reserved(), role.clone());
-        assigned.is_trial = is_trial;
+        assigned.trial_size = trial_size;
         vm.add_run(key.clone(), assigned);
         vm.starts.push(StartOrder {
             key,
--- a/components/steps/src/owner/unknown.rs
+++ b/components/steps/src/owner/unknown.rs
@@ -9,7 +9,10 @@
 use kernel::{JobName, Time, VmName};
 
 use super::Owner;
-use crate::message::{EndedRun, RunKey};
+use crate::{
+    message::{EndedRun, RunKey},
+    progress::TaskCrash,
+};
 
 /// What must happen before the reporter of an end or a crash may forget it.
 #[derive(Clone, Debug)]
@@ -136,7 +139,13 @@
             self.apply_earlier_runs(now, vm, name);
         }
         for (vm, suspect) in &reported.suspects {
-            self.record_task_crash(now, vm, &suspect.run, suspect.is_sole_suspect);
+            let crash = TaskCrash {
+                run: suspect.run.run,
+                vm: vm.clone(),
+                is_sole_suspect: suspect.is_sole_suspect,
+                is_mass_loss: false,
+            };
+            self.record_task_crash(now, &suspect.run, crash);
         }
         let last_change = self.last_change;
         for (vm_name, vm) in &mut self.vms {
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -80,8 +80,9 @@
     pub(super) baseline: Option<f64>,
     /// Time since which the run has used no CPU.
     pub(super) idle_since: Option<Time>,
-    /// Whether the task is suspect, so that nothing else may start beside it.
-    pub(super) is_trial: bool,
+    /// Number of suspects that may be on trial together on the worker, and nothing else, until
+    /// it has survived them; `None` if the task is not suspect.
+    pub(super) trial_size: Option<usize>,
     /// Whether the worker is known to have survived the run for long enough.
     pub(super) has_survived: bool,
     /// Whether the worker has listed the run.
@@ -101,7 +102,7 @@
             stop_sent_at: None,
             baseline: None,
             idle_since: None,
-            is_trial: false,
+            trial_size: None,
             has_survived: false,
             is_listed: false,
             agent_incarnation: 0,
@@ -110,7 +111,7 @@
 
     /// Whether the run is on trial and the worker has not survived it for long enough.
     pub(super) const fn is_open_trial(&self) -> bool {
-        self.is_trial && !self.has_survived
+        self.trial_size.is_some() && !self.has_survived
     }
 
     pub(super) const fn phase(&self) -> Phase {
@@ -182,6 +183,8 @@
     /// Incarnations of agent processes that a later one has replaced. Their numbers say nothing
     /// about their order, since the time of day may jump back.
     pub(super) earlier_agents: BTreeSet<u64>,
+    /// Incarnation of the agent process that last told of the present worker.
+    pub(super) worker_reported_by: u64,
     pub(super) clock_reading: Option<(ClockReading, Time)>,
     /// When the worker's clock reading was first echoed to the agent in this term.
     pub(super) first_echo_at: Option<Time>,
@@ -259,6 +262,7 @@
             agent_incarnation: 0,
             report_version: 0,
             earlier_agents: BTreeSet::new(),
+            worker_reported_by: 0,
             clock_reading: None,
             first_echo_at: None,
             last_echo: None,
--- a/components/steps/src/progress.rs
+++ b/components/steps/src/progress.rs
@@ -36,6 +36,9 @@
     pub vm: VmName,
     /// Whether no other run can have caused the crash.
     pub is_sole_suspect: bool,
+    /// Whether other machines were lost in the same moment, which one task hardly causes.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_mass_loss: bool,
 }
 
 /// Completed and failed tasks of one step.
--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -29,6 +29,7 @@
 const TICK: Duration = Duration::from_millis(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 const REPORT_POLL_TIMEOUT: Duration = Duration::from_millis(400);
+const POWER_LOSS: Duration = Duration::from_millis(500);
 /// Time from the start of a task that crashes workers to the crash.
 const CRASH_AFTER: Duration = Duration::from_millis(20);
 /// Number of starts that break the rule for a task under which `MOST_CRASHES` workers crashed.
@@ -215,6 +216,8 @@
     /// How long a crashed worker is down.
     pub(crate) crash_span: Duration,
     pub(crate) lost_with_worker: LostProcess,
+    /// When all machines lose power for half a second.
+    pub(crate) power_losses: Vec<Time>,
     /// Number of the crash under each task after which the owner is lost, and after what time.
     pub(crate) owner_lost_after: Option<(u32, Duration)>,
     /// Further faults, drawn from a generator of their own; `None` if there are none.
@@ -270,6 +273,7 @@
             faulty_vm: None,
             crash_span: Duration::from_secs(3),
             lost_with_worker: LostProcess::Nothing,
+            power_losses: Vec::new(),
             owner_lost_after: None,
             late: None,
             other_writer: None,
@@ -402,6 +406,9 @@
         while !end.passed(self.now) {
             self.now = self.now + TICK;
             self.inject_faults();
+            if self.power_losses.contains(&self.now) {
+                self.crash_all_workers(POWER_LOSS, true);
+            }
             self.deliver();
             self.send_odd_heartbeats();
             self.advance_workers();
@@ -545,7 +552,22 @@
         }
     }
 
-    fn crash_owner(&mut self) {
+    /// Crashes all workers, and with them the agents if `are_agents_lost`, for a while.
+    pub(crate) fn crash_all_workers(&mut self, down: Duration, are_agents_lost: bool) {
+        let names: Vec<VmName> = self.machines.keys().cloned().collect();
+        for name in names {
+            self.crash_worker(&name, down, 1.0);
+            if !are_agents_lost {
+                continue;
+            }
+            let machine = self.machines.get_mut(&name).unwrap();
+            machine.agent = AgentState::new(self.timing, self.now);
+            machine.agent.observe_epoch(self.epoch);
+            machine.disconnected_until = self.now + down;
+        }
+    }
+
+    pub(crate) fn crash_owner(&mut self) {
         self.owner = None;
         self.polled_vms.clear();
         self.writing = false;
--- a/components/steps/tests/crashes.rs
+++ b/components/steps/tests/crashes.rs
@@ -87,6 +87,17 @@
     check_outcomes(&simulation, &DEADLY_JOBS, seed);
 }
 
+/// Lets all machines lose power after the first of the deadly tasks has started.
+fn explore_losses_of_power(seed: u64, losses: u64) {
+    let mut simulation = simulation(seed, 0.0);
+    for number in 0..losses {
+        let at = START + Duration::from_millis(4_500 + 900 * number);
+        simulation.power_losses.push(at);
+    }
+    submit_jobs(&mut simulation, &DEADLY_JOBS, SETTLED_LATE);
+    check_outcomes(&simulation, &DEADLY_JOBS, seed);
+}
+
 fn explore_faulty_worker(seed: u64) {
     let mut simulation = simulation(seed, 0.0);
     simulation.faulty_vm = Some(vm(0));
@@ -135,6 +146,74 @@
     explore_faulty_worker(seed);
 }
 
+const POWER_LOSS: Duration = Duration::from_millis(500);
+/// Time after the last disruption in which each job has to run: the calm that users grant, and
+/// the time after which they count a job that does not run as lost.
+const RUNS_WITHIN: Duration = Duration::from_secs(4 + 3);
+
+/// Submits small jobs, then crashes all workers several times within seconds. Returns the time of
+/// the last crash.
+fn crash_all_workers_repeatedly(
+    simulation: &mut Simulation,
+    jobs: u64,
+    crashes: u32,
+    are_agents_lost: bool,
+) -> Time {
+    simulation.run_until(START + Duration::from_secs(2));
+    for number in 0..jobs {
+        let small = Step {
+            need: Resources::new(20, 20, 0),
+            ..step(15, &[])
+        };
+        simulation.submit(job(&id(number), "quick", vec![small]), false);
+        simulation.run_until(START + Duration::from_millis(2_000 + 10 * number));
+    }
+    for _ in 0..crashes {
+        simulation.crash_all_workers(POWER_LOSS, are_agents_lost);
+        let now = simulation.now;
+        simulation.run_until(now + POWER_LOSS + Duration::from_millis(250));
+    }
+    simulation.now
+}
+
+/// Tasks that had just started on workers that crashed were started again one by one, on workers
+/// that took nothing else meanwhile.
+#[rstest]
+fn crashes_of_all_workers_hold_up_no_start_for_longer_than_users_bear(
+    #[values(2, 7, 20)] machines: usize,
+    #[values(20, 60)] jobs: u64,
+    #[values(1, 2, 5)] crashes: u32,
+    #[values(true, false)] are_agents_lost: bool,
+    #[values(true, false)] is_owner_lost: bool,
+) {
+    let faults = Faults {
+        fencing: true,
+        per_second: 0.0,
+        until: START,
+    };
+    let mut simulation = Simulation::new(31, machines, faults);
+    let crashed_at = crash_all_workers_repeatedly(&mut simulation, jobs, crashes, are_agents_lost);
+    if is_owner_lost {
+        simulation.crash_owner();
+    }
+    simulation.run_until(crashed_at + RUNS_WITHIN);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    for number in 0..jobs {
+        let outcome = simulation.outcome(&job_name(&id(number)));
+        assert_eq!(outcome, Some(Outcome::Completed), "job {number}");
+    }
+}
+
+/// The crash of a worker under such a task counts also if its machine loses power before anyone
+/// has told of it.
+#[rstest]
+fn tasks_that_crash_their_workers_are_given_up_among_losses_of_power(
+    #[values(41, 42, 43, 44)] seed: u64,
+    #[values(1, 2)] losses: u64,
+) {
+    explore_losses_of_power(seed, losses);
+}
+
 const VM_COUNT: usize = 4;
 
 /// An owner of VMs that have room for one task each.
@@ -258,17 +337,31 @@
 }
 
 /// Runs more seeds on demand: `STEPS_SEEDS=100 cargo test -p steps --test crashes`.
+#[rstest]
+fn additional_seeds(
+    #[values(LostProcess::Nothing, LostProcess::Owner, LostProcess::Agent)] lost: LostProcess,
+    #[values(3, 6, 12)] down_secs: u64,
+) {
+    play_additional_seeds(|seed| explore(seed, 0.0, lost, down_secs));
+}
+
+/// The same with other faults, with a worker that crashes by itself, and with losses of power.
 #[test]
-fn additional_seeds() {
+fn additional_seeds_of_other_faults() {
+    play_additional_seeds(|seed| explore(seed, 0.02, LostProcess::Nothing, 3));
+    play_additional_seeds(explore_faulty_worker);
+    play_additional_seeds(|seed| explore_losses_of_power(seed, 1));
+    play_additional_seeds(|seed| explore_losses_of_power(seed, 2));
+}
+
+fn play_additional_seeds(play: impl Fn(u64) + std::panic::RefUnwindSafe) {
     let count = std::env::var("STEPS_SEEDS").ok();
     let count: u64 = count.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut failed = Vec::new();
     for seed in 10_000..10_000 + count {
-        for lost in [LostProcess::Nothing, LostProcess::Owner, LostProcess::Agent] {
-            for down_secs in [3, 6, 12] {
-                explore(seed, 0.0, lost, down_secs);
-            }
+        if std::panic::catch_unwind(|| play(seed)).is_err() {
+            failed.push(seed);
         }
-        explore(seed, 0.02, LostProcess::Nothing, 3);
-        explore_faulty_worker(seed);
     }
+    assert_eq!(failed, Vec::<u64>::new(), "seeds of {count}");
 }
