Three crashes of workers do not fail the job of a task

Cause: three VMs on which a task had been the only suspect were the verdict. Three crashes by chance look the same. Users allow two starts after three crashes, of which one was not used.

Change: four crashes in a row, once at least as the only suspect; with mass losses among them, five.

--- a/components/steps/src/owner/crashes.rs
+++ b/components/steps/src/owner/crashes.rs
@@ -33,8 +33,6 @@
 /// Number of crashes in a row under a task after which it is given up. Fewer may be crashes of
 /// workers by themselves; a task may be started twice more after three.
 const CRASHES_TO_GIVE_UP: usize = 4;
-/// Number of VMs on which a task must have been the only suspect to be given up.
-const VMS_TO_GIVE_UP: usize = 3;
 /// Number of them that must not be mass losses.
 const SUSPECTED_TO_GIVE_UP: usize = 3;
 /// The same if more of them are mass losses.
@@ -64,11 +62,6 @@
 /// Whether a task has crashed enough workers to be given up: several in a row, at least once as
 /// the only suspect.
 fn is_given_up(crashes: &[TaskCrash]) -> bool {
-    let sole = crashes.iter().filter(|crash| crash.is_sole_suspect);
-    let vms: BTreeSet<&VmName> = sole.map(|crash| &crash.vm).collect();
-    if vms.len() >= VMS_TO_GIVE_UP {
-        return true;
-    }
     let suspected = crashes.iter().filter(|crash| !crash.is_mass_loss).count();
     let most = match suspected >= SUSPECTED_TO_GIVE_UP {
         true => CRASHES_TO_GIVE_UP,
