Jobs that always fail leave workers to others

Cause: a worker on which two jobs fail in a row is quarantined, however often these fail elsewhere, up to all workers at once; the trials went to the failing tasks.

Change: a step that has failed on two other workers within 8 s and had no success since says nothing about a third one. At most half of the workers are in quarantine. If no other worker suits a job that has been idle for 1.5 s, the trial of a quarantined one begins.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -178,6 +178,8 @@
     /// Tasks that may crash each worker that starts them.
     suspects: BTreeSet<TaskKey>,
     recent_crashes: crashes::RecentCrashes,
+    /// Workers that have been quarantined, some of them not any more.
+    quarantined: BTreeSet<VmName>,
     /// VMs that may have orders to send.
     order_vms: BTreeSet<VmName>,
     /// VMs with ends that wait for a durable record.
@@ -239,6 +241,7 @@
             round: BTreeSet::new(),
             suspects: BTreeSet::new(),
             recent_crashes: crashes::RecentCrashes::default(),
+            quarantined: BTreeSet::new(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
             index: place::WorkerIndex::default(),
--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -197,6 +197,9 @@
             return;
         };
         let queue = entry.job.queue.clone();
+        let is_evidence = entry
+            .step_mut(&run.task)
+            .is_some_and(|step| step.failing.record_failure(now, name));
         if let Some(task) = entry.task_mut(&run.task) {
             task.avoid.insert(name.clone());
         }
@@ -213,9 +216,10 @@
         }
         let failures = u32::try_from(task.failures.len()).unwrap_or(u32::MAX);
         if let Some(vm) = self.vms.get_mut(name)
+            && is_evidence
             && vm.health.record_end(now, &job, true)
         {
-            tracing::warn!(vm = %name, "worker quarantined: its recent runs failed");
+            self.quarantine(now, name, "its recent runs failed");
         }
         if long_running {
             return;
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -8,6 +8,7 @@
 
 use kernel::{JobName, Time, VmName};
 
+use super::health::FailingStep;
 use crate::{
     Job, Outcome, Progress, Queue, TaskKey,
     message::RunKey,
@@ -78,6 +79,7 @@
     held_back_by: Option<HeldBackBy>,
     /// Durations of the completed tasks in milliseconds, shortest first.
     durations_millis: Vec<u64>,
+    pub(super) failing: FailingStep,
 }
 
 impl StepState {
@@ -89,6 +91,7 @@
             waiting: count,
             held_back_by: None,
             durations_millis: Vec::new(),
+            failing: FailingStep::default(),
         }
     }
 
@@ -118,6 +121,7 @@
         self.waiting -= usize::from(task.is_waiting());
         task.done = true;
         self.done += 1;
+        self.failing.record_success();
         true
     }
 
--- a/components/steps/src/owner/health.rs
+++ b/components/steps/src/owner/health.rs
@@ -3,16 +3,25 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use kernel::{JobName, Time};
+use kernel::{JobName, Time, VmName};
+
+use super::{
+    Owner,
+    place::{PlacementRequest, suits},
+};
 
 /// Number of recent ends that are kept.
 const MAX_ENDS: usize = 8;
 /// Age beyond which ends and durations no longer count.
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(8);
 /// Number of different jobs that must fail in a row on a worker to make it suspect. A
-/// single job that can never succeed fails on several workers; two such jobs at a time
-/// are rare.
+/// single job that can never succeed fails on several workers.
 const SUSPECT_AFTER_JOBS: usize = 2;
+/// Number of workers on which a step must fail in a row before its failures say nothing about
+/// further workers.
+const VMS_OF_A_FAILING_STEP: usize = 2;
+/// Share of the workers that may be quarantined, as a divisor.
+const QUARANTINED_DIVISOR: usize = 2;
 /// Time for which a suspect worker gets no tasks. After it, the worker gets a single
 /// task as a trial.
 const QUARANTINE: Duration = Duration::from_secs(4);
@@ -22,6 +31,29 @@
 /// Weight of the newest duration in the moving average of the slowdown.
 const NEWEST_FACTOR: f64 = 0.3;
 
+/// Workers on which a step has failed since one of its runs was last done.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FailingStep(VecDeque<(Time, VmName)>);
+
+impl FailingStep {
+    /// Records a failure; returns whether it says something about the worker rather than about
+    /// the step.
+    pub(super) fn record_failure(&mut self, now: Time, vm: &VmName) -> bool {
+        self.0
+            .retain(|(at, known)| known != vm && !(*at + EVIDENCE_WINDOW).passed(now));
+        let is_evidence = self.0.len() < VMS_OF_A_FAILING_STEP;
+        self.0.push_back((now, vm.clone()));
+        if self.0.len() > VMS_OF_A_FAILING_STEP {
+            self.0.pop_front();
+        }
+        is_evidence
+    }
+
+    pub(super) fn record_success(&mut self) {
+        self.0.clear();
+    }
+}
+
 /// Evidence about the health of a worker.
 #[derive(Clone, Debug)]
 pub(super) struct Health {
@@ -53,7 +85,7 @@
 }
 
 impl Health {
-    /// Records the end of a run. Returns whether the worker has just become suspect.
+    /// Records the end of a run. Returns whether the worker should be quarantined.
     pub(super) fn record_end(&mut self, now: Time, job: &JobName, failed: bool) -> bool {
         self.ends.push_back((now, job.clone(), failed));
         while self.ends.len() > MAX_ENDS {
@@ -63,17 +95,11 @@
             self.clear();
             return false;
         }
-        if self.trial_until.is_some() || self.failing_jobs_in_a_row(now) >= SUSPECT_AFTER_JOBS {
-            let is_new = self.suspect_until.is_none();
-            self.quarantine(now);
-            return is_new;
-        }
-        false
+        self.trial_until.is_some() || self.failing_jobs_in_a_row(now) >= SUSPECT_AFTER_JOBS
     }
 
-    /// Gives the worker no tasks for a while, after failures or because a task was
-    /// stuck there.
-    pub(super) fn quarantine(&mut self, now: Time) {
+    /// Gives the worker no tasks for a while.
+    fn quarantine(&mut self, now: Time) {
         self.suspect_until = Some(now + QUARANTINE);
         self.trial_until = None;
     }
@@ -112,6 +138,11 @@
         }
     }
 
+    /// Whether the worker is suspect and its trial may begin early, as no other worker is left.
+    pub(super) const fn may_begin_trial(&self) -> bool {
+        self.suspect_until.is_some() && self.trial_until.is_none()
+    }
+
     /// Whether the worker is suspect, and gets no tasks or a single one.
     pub(super) const fn is_suspect(&self) -> bool {
         self.suspect_until.is_some()
@@ -141,3 +172,33 @@
         self.slowdown.max(1.0)
     }
 }
+
+impl Owner {
+    /// Gives a worker no tasks for a while, after failures or because a task was stuck there, but
+    /// not if half of the workers get none already: the cause is then hardly the worker.
+    pub(super) fn quarantine(&mut self, now: Time, name: &VmName, reason: &'static str) {
+        let vms = &self.vms;
+        self.quarantined
+            .retain(|name| vms.get(name).is_some_and(|vm| vm.health.is_suspect()));
+        let most = (self.vms.len() / QUARANTINED_DIVISOR).max(1);
+        let is_new = !self.quarantined.contains(name);
+        if is_new && self.quarantined.len() >= most {
+            tracing::warn!(vm = %name, reason, quarantined = most, "worker not quarantined, since half of the workers are");
+            return;
+        }
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
+        vm.health.quarantine(now);
+        self.quarantined.insert(name.clone());
+        if is_new {
+            tracing::warn!(vm = %name, reason, "worker quarantined");
+        }
+    }
+
+    /// Whether a worker that is not quarantined could take the task now or later.
+    pub(super) fn has_sound_worker(&self, request: &PlacementRequest<'_>) -> bool {
+        let mut vms = self.vms.values();
+        vms.any(|vm| !vm.health.is_suspect() && suits(vm, request, &self.zones_out))
+    }
+}
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -219,6 +219,8 @@
     Held,
     /// The worker tests suspects.
     OnTrial,
+    /// The worker is quarantined.
+    Quarantined,
 }
 
 /// The workers that a search has found so far.
@@ -267,6 +269,10 @@
         if found.scored.is_empty() && is_trial && self.has_other_worker(request) {
             return Err(HeldBackBy::Capacity);
         }
+        let is_quarantined = matches!(found.fallback, Some((LastResort::Quarantined, ..)));
+        if found.scored.is_empty() && is_quarantined && self.has_sound_worker(request) {
+            return Err(HeldBackBy::Capacity);
+        }
         let held_back_by = found.held_back_by();
         let best = cheapest(&found.scored).map(|index| found.scored[index].1.clone());
         best.or(found.fallback.map(|(_, _, name)| name))
@@ -385,8 +391,12 @@
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
-        let withheld = withheld_by(vm, now, request);
-        let is_withheld = withheld.is_some() && !request.may_use_withheld;
+        let mut withheld = withheld_by(vm, now, request);
+        let mut is_withheld = withheld.is_some() && !request.may_use_withheld;
+        if !vm.health.may_take_task(now) {
+            withheld = Some(LastResort::Quarantined);
+            is_withheld |= !request.is_urgent || !vm.health.may_begin_trial();
+        }
         let is_eligible = is_eligible(name, vm, now, request, &self.zones_out);
         if is_withheld || !is_eligible || request.is_at_limit(name) {
             self.work.workers_without_room += 1;
@@ -518,7 +528,7 @@
 
 fn is_eligible(
     name: &VmName,
-    vm: &mut Vm,
+    vm: &Vm,
     now: Time,
     request: &PlacementRequest<'_>,
     zones_out: &BTreeSet<kernel::AvailabilityZoneName>,
@@ -530,12 +540,11 @@
     if !request.step.reserved().fits(vm.available()) {
         return false;
     }
-    let allows_trial = match request.trial {
+    match request.trial {
         Trial::No => request.is_overdue || vm.kept_until.passed(now),
         Trial::Group(size, room) => room.may_use(name) && vm.may_take_trial(size, None),
         Trial::WithGang(run) => vm.may_take_trial(1, Some(run)),
-    };
-    allows_trial && vm.health.may_take_task(now)
+    }
 }
 
 /// Cost of running the task on the VM; `None` if a best-effort task should wait
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -103,9 +103,7 @@
             }
         }
         for (name, key) in stuck {
-            if let Some(vm) = self.vms.get_mut(&name) {
-                vm.health.quarantine(now);
-            }
+            self.quarantine(now, &name, "a task used no CPU time");
             self.stop_and_avoid(now, &name, &key, "uses no CPU time");
         }
     }
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -795,6 +795,16 @@
     assert_eq!(session.take_starts(at(9_400), 0).len(), 2);
 }
 
+/// The only worker with a label was quarantined, and its jobs had nothing running for 4 s.
+#[test]
+fn a_job_does_not_wait_for_the_only_worker_that_suits_to_leave_quarantine() {
+    let (mut session, _) = session_with_quarantined_worker();
+    session.submit(at(1_100), JOB, 2);
+    assert_eq!(session.take_starts(at(1_100), 0), []);
+    session.handle(at(2_700), Event::Tick);
+    assert_eq!(session.take_starts(at(2_700), 0).len(), 1, "a trial");
+}
+
 #[test]
 fn a_done_task_does_not_run_again_while_its_end_is_not_listed() {
     let mut session = Session::new(2);
