Tasks that need no processor time are not stopped, others ever later

Cause: no processor time counted as stuck whatever the task has asked for, without a limit on how often. Tasks that are slower than the others of their step lost their work in the same way, once on each worker.

Change: a task that asks for no processor time is never stuck. The time to a stop as stuck or late doubles with each run that was stopped, and only the first quarantines its worker.

--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -15,6 +15,9 @@
     progress::{StepProgress, TaskCrash, to_ranges},
 };
 
+/// Number of times that the time to a recovery doubles.
+const MAX_RECOVERY_DOUBLINGS: u32 = 10;
+
 /// State of one task. Only [`JobEntry`] changes its runs and its completion, since it
 /// counts both.
 #[derive(Clone, Debug, Default)]
@@ -34,6 +37,8 @@
     runs: Vec<(VmName, u64)>,
     /// Newest checkpoint that a run of the task has saved.
     pub(super) checkpoint: Option<Arc<str>>,
+    /// Number of runs that were stopped as they were stuck or too slow.
+    pub(super) recoveries: u32,
     /// VMs on which the task failed, was stuck or ran too slowly.
     pub(super) avoid: BTreeSet<VmName>,
     /// When the last run of the task ended or was lost; `None` if there was none in this
@@ -54,6 +59,12 @@
     pub(super) const fn is_waiting(&self) -> bool {
         !self.done && self.runs.is_empty()
     }
+
+    /// Factor by which a run may take longer before it is stopped: a task that is stuck or slow
+    /// on several workers is hardly so because of them.
+    pub(super) fn recovery_backoff(&self) -> u32 {
+        1 << self.recoveries.min(MAX_RECOVERY_DOUBLINGS)
+    }
 }
 
 /// What holds back the start of a task whose step is ready.
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Owner,
-    entry::task_key,
+    entry::{Task, task_key},
     place::{PlacementRequest, Trial},
     schedule::count_tasks_per_vm,
     vm::{AssignedRun, Phase, VmStatus},
@@ -17,13 +17,15 @@
 /// Interval between two checks of all runs.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without CPU use after which a task counts as stuck: measurements cover half a
-/// second, and a task that resumes from a checkpoint may be idle for 600 ms.
+/// second, and a task that resumes from a checkpoint may be idle for 600 ms. It doubles with each
+/// run of the task that was stopped.
 const STUCK_AFTER: Duration = Duration::from_millis(1800);
 /// Number of tasks of a step that must have completed before another one can be late.
 const MIN_ENDED_TASKS: usize = 2;
 /// Multiple of the step's median duration at which a second run of a task starts.
 const COPY_AT_MULTIPLE: f64 = 1.5;
-/// Multiple at which a task without copies is restarted; the restart loses its work.
+/// Multiple at which a task without copies is restarted; the restart loses its work. It doubles
+/// with each run of the task that was stopped.
 const RESTART_AT_MULTIPLE: f64 = 3.0;
 /// Time that a task may run beyond a multiple before it is late.
 const LATE_MARGIN: Duration = Duration::from_millis(150);
@@ -92,22 +94,31 @@
         for (name, vm) in &self.vms {
             for (key, assigned) in &vm.runs {
                 let is_present = matches!(assigned.phase(), Phase::Present { .. });
-                let is_idle = assigned
-                    .idle_since
-                    .is_some_and(|since| (since + STUCK_AFTER).passed(now));
+                let Some(idle_since) = assigned.idle_since.filter(|_| is_present) else {
+                    continue;
+                };
+                let backoff = self.recovery_backoff(key);
                 // Long-running tasks may be idle, and a stop would interrupt service
                 // to users.
-                if is_present && is_idle && !self.is_long_running(key) {
-                    stuck.push((name.clone(), key.clone()));
+                if (idle_since + STUCK_AFTER * backoff).passed(now) && !self.is_long_running(key) {
+                    stuck.push((name.clone(), key.clone(), backoff));
                 }
             }
         }
-        for (name, key) in stuck {
-            self.quarantine(now, &name, "a task used no CPU time");
+        for (name, key, backoff) in stuck {
+            if backoff == 1 {
+                self.quarantine(now, &name, "a task used no CPU time");
+            }
             self.stop_and_avoid(now, &name, &key, "uses no CPU time");
         }
     }
 
+    fn recovery_backoff(&self, key: &RunKey) -> u32 {
+        let entry = self.jobs.get(&key.task.job);
+        let task = entry.and_then(|entry| entry.task(&key.task));
+        task.map_or(1, Task::recovery_backoff)
+    }
+
     pub(super) fn is_long_running(&self, key: &RunKey) -> bool {
         let entry = self.jobs.get(&key.task.job);
         let step = entry.and_then(|entry| entry.job.steps.get(usize::from(key.task.step)));
@@ -122,6 +133,7 @@
             .and_then(|entry| entry.task_mut(&key.task))
         {
             task.avoid.insert(name.clone());
+            task.recoveries += 1;
         }
         self.stop_run(now, name, key, reason);
     }
@@ -185,7 +197,8 @@
             && !task.is_suspect()
             && task.runs().len() == 1
             && multiple >= COPY_AT_MULTIPLE;
-        if !may_copy && (step.copies || multiple < RESTART_AT_MULTIPLE) {
+        let restart_at = RESTART_AT_MULTIPLE * f64::from(task.recovery_backoff());
+        if !may_copy && (step.copies || multiple < restart_at) {
             return;
         }
         let mut avoid = task.avoid.clone();
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -460,7 +460,8 @@
             return;
         };
         if let Some(assigned) = vm.runs.get_mut(&row.key) {
-            let is_idle = row.measurement == 0 && assigned.role == Role::Plain;
+            let may_use_cpu = assigned.role == Role::Plain && assigned.reserved.cpu_milli > 0;
+            let is_idle = row.measurement == 0 && may_use_cpu;
             assigned.idle_since = match is_idle {
                 true => assigned.idle_since.or(Some(now)),
                 false => None,
