The members of a gang resume from one checkpoint

What callers saw: after the crash of one worker the members of a gang start with different checkpoints for good, end alone, and the job is never done (review/8, GANG).

Cause: checkpoints were kept by member, and the last report of a lost member is older than what the others save as they end.

Change: the newest checkpoint that a member has reported is kept with the first member and goes to all, as crashes and failures are. One of an earlier run than the newest is ignored.

--- a/components/steps/src/owner/crashes.rs
+++ b/components/steps/src/owner/crashes.rs
@@ -174,13 +174,8 @@
 impl Owner {
     /// Task whose crashes count for a task: the members of a gang count together.
     pub(super) fn crash_key(&self, task: &TaskKey) -> TaskKey {
-        let step = self.jobs.get(&task.job);
-        let step = step.and_then(|entry| entry.job.steps.get(usize::from(task.step)));
-        let mut key = task.clone();
-        if step.is_some_and(|step| step.gang) {
-            key.index = 0;
-        }
-        key
+        let entry = self.jobs.get(&task.job);
+        entry.map_or_else(|| task.clone(), |entry| entry.shared_key(task))
     }
 
     /// The task that holds the crashes under a task.
--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -114,13 +114,11 @@
         if entry.remove_run(now, &end.key) {
             self.waiting_jobs.insert(key.job.clone());
         }
+        entry.record_checkpoint(&end.key, end.checkpoint.as_ref());
         let Some(task) = entry.task_mut(key) else {
             tracing::warn!(task = %key, run = end.key.run, vm = %name, "end of a run of an unknown task");
             return false;
         };
-        if end.checkpoint.is_some() {
-            task.checkpoint.clone_from(&end.checkpoint);
-        }
         if has_ended || task.is_done() {
             return false;
         }
@@ -134,7 +132,7 @@
                 true
             }
             RunEnd::Failed => {
-                self.record_failure(now, name, &end.key, step.gang, step.long_running);
+                self.record_failure(now, name, &end.key, step.long_running);
                 !step.long_running
             }
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => false,
@@ -180,22 +178,12 @@
         }
     }
 
-    fn record_failure(
-        &mut self,
-        now: Time,
-        name: &VmName,
-        run: &RunKey,
-        gang: bool,
-        long_running: bool,
-    ) {
+    fn record_failure(&mut self, now: Time, name: &VmName, run: &RunKey, long_running: bool) {
         let job = run.task.job.clone();
-        let mut counted = run.task.clone();
-        if gang {
-            counted.index = 0;
-        }
         let Some(entry) = self.jobs.get_mut(&job) else {
             return;
         };
+        let counted = entry.shared_key(&run.task);
         let queue = entry.job.queue.clone();
         let is_evidence = entry
             .step_mut(&run.task)
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -35,8 +35,9 @@
     pub(super) trial_awaited_since: Option<Time>,
     /// Runs that exist or may exist, each as VM and run number.
     runs: Vec<(VmName, u64)>,
-    /// Newest checkpoint that a run of the task has saved.
-    pub(super) checkpoint: Option<Arc<str>>,
+    /// Newest checkpoint that a run of the task has saved, with the number of the run. The first
+    /// member of a gang holds that of all members, which must resume from the same one.
+    checkpoint: Option<(u64, Arc<str>)>,
     /// Number of runs that were stopped as they were stuck or too slow.
     pub(super) recoveries: u32,
     /// VMs on which the task failed, was stuck or ran too slowly.
@@ -308,6 +309,36 @@
         self.step_mut(key)?.tasks.get_mut(key.index as usize)
     }
 
+    /// The task that holds what the members of a gang have in common; a task of any other step
+    /// itself.
+    pub(super) fn shared_key(&self, key: &TaskKey) -> TaskKey {
+        let step = self.job.steps.get(usize::from(key.step));
+        let mut key = key.clone();
+        if step.is_some_and(|step| step.gang) {
+            key.index = 0;
+        }
+        key
+    }
+
+    /// Records a checkpoint, unless it is of an earlier run than the newest one.
+    pub(super) fn record_checkpoint(&mut self, run: &RunKey, checkpoint: Option<&Arc<str>>) {
+        let key = self.shared_key(&run.task);
+        let (Some(task), Some(checkpoint)) = (self.task_mut(&key), checkpoint) else {
+            return;
+        };
+        let newest = task.checkpoint.as_ref().map_or(0, |(run, _)| *run);
+        if run.run >= newest {
+            task.checkpoint = Some((run.run, Arc::clone(checkpoint)));
+        }
+    }
+
+    /// Checkpoint from which a task resumes.
+    pub(super) fn checkpoint(&self, key: &TaskKey) -> Option<Arc<str>> {
+        let task = self.task(&self.shared_key(key))?;
+        let (_, checkpoint) = task.checkpoint.as_ref()?;
+        Some(Arc::clone(checkpoint))
+    }
+
     /// Adds a run to its task; returns whether the job has the task.
     pub(super) fn add_run(&mut self, key: &RunKey, vm: &VmName) -> bool {
         let Some(step) = self.step_mut(&key.task) else {
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -448,13 +448,8 @@
     }
 
     fn apply_active_run(&mut self, now: Time, name: &VmName, row: &ActiveRun) {
-        if let Some(task) = self
-            .jobs
-            .get_mut(&row.key.task.job)
-            .and_then(|entry| entry.task_mut(&row.key.task))
-            && row.checkpoint.is_some()
-        {
-            task.checkpoint.clone_from(&row.checkpoint);
+        if let Some(entry) = self.jobs.get_mut(&row.key.task.job) {
+            entry.record_checkpoint(&row.key, row.checkpoint.as_ref());
         }
         let Some(vm) = self.vms.get_mut(name) else {
             return;
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -601,11 +601,10 @@
             return;
         }
         self.work.starts_ordered += 1;
-        let task = entry.task_mut(&key.task);
-        let checkpoint = task.and_then(|task| {
+        if let Some(task) = entry.task_mut(&key.task) {
             task.trial_awaited_since = None;
-            task.checkpoint.clone().filter(|_| step.checkpoints)
-        });
+        }
+        let checkpoint = entry.checkpoint(&key.task).filter(|_| step.checkpoints);
         tracing::info!(
             task = %key.task,
             run = key.run,
