--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -215,6 +215,8 @@
 enum LastResort {
     /// The task is to avoid the worker.
     Avoided,
+    /// The worker is kept for an overdue long-running task.
+    Kept,
     /// The worker is held for a trial.
     Held,
     /// The worker tests suspects.
@@ -269,8 +271,13 @@
         if found.scored.is_empty() && is_trial && self.has_other_worker(request) {
             return Err(HeldBackBy::Capacity);
         }
-        let is_quarantined = matches!(found.fallback, Some((LastResort::Quarantined, ..)));
-        if found.scored.is_empty() && is_quarantined && self.has_sound_worker(request) {
+        let fallback = found.fallback.as_ref().map(|(reason, ..)| *reason);
+        let is_other_left = match fallback.filter(|_| found.scored.is_empty()) {
+            Some(LastResort::Quarantined) => self.has_sound_worker(request),
+            Some(LastResort::Kept) => self.has_unkept_worker(now, request),
+            _ => false,
+        };
+        if is_other_left {
             return Err(HeldBackBy::Capacity);
         }
         let held_back_by = found.held_back_by();
@@ -392,7 +399,11 @@
             return;
         };
         let mut withheld = withheld_by(vm, now, request);
-        let mut is_withheld = withheld.is_some() && !request.may_use_withheld;
+        let mut is_withheld = match withheld {
+            Some(LastResort::Kept) => !request.is_urgent,
+            Some(_) => !request.may_use_withheld,
+            None => false,
+        };
         if !vm.health.may_take_task(now) {
             withheld = Some(LastResort::Quarantined);
             is_withheld |= !request.is_urgent || !vm.health.may_begin_trial();
@@ -453,6 +464,12 @@
         }
     }
 
+    /// Whether a worker that is not kept could take the task now or later.
+    fn has_unkept_worker(&self, now: Time, request: &PlacementRequest<'_>) -> bool {
+        let mut vms = self.vms.values();
+        vms.any(|vm| vm.kept_until.passed(now) && suits(vm, request, &self.zones_out))
+    }
+
     /// What the runs on a VM reserve that end by themselves.
     fn passing_reservations(&self, vm: &Vm) -> Resources {
         let mut reserved = Resources::NONE;
@@ -522,6 +539,7 @@
     match request.trial {
         Trial::No if vm.has_open_trial() => Some(LastResort::OnTrial),
         Trial::No if vm.is_held(now) => Some(LastResort::Held),
+        Trial::No if !request.is_overdue && !vm.kept_until.passed(now) => Some(LastResort::Kept),
         Trial::No | Trial::Group(..) | Trial::WithGang(_) => None,
     }
 }
@@ -541,7 +559,7 @@
         return false;
     }
     match request.trial {
-        Trial::No => request.is_overdue || vm.kept_until.passed(now),
+        Trial::No => true,
         Trial::Group(size, room) => room.may_use(name) && vm.may_take_trial(size, None),
         Trial::WithGang(run) => vm.may_take_trial(1, Some(run)),
     }
--- a/components/steps/tests/common/simulation.rs
+++ b/components/steps/tests/common/simulation.rs
@@ -497,7 +497,7 @@
     }
 
     /// Replaces the worker of a VM by one that answers after `down`.
-    fn crash_worker(&mut self, name: &VmName, down: Duration, rate: f64) {
+    pub(crate) fn crash_worker(&mut self, name: &VmName, down: Duration, rate: f64) {
         let now = self.now;
         let machine = self.machines.get_mut(name).unwrap();
         machine.incarnations += 1;
--- a/components/steps/tests/crashes.rs
+++ b/components/steps/tests/crashes.rs
@@ -8,6 +8,7 @@
 
 use common::{
     config, entry, job, job_name, run,
+    session::ended,
     simulation::{Faults, LostProcess, Simulation},
     step, vm, worker_info,
 };
@@ -16,7 +17,7 @@
 use steps::{
     Event, Outcome, Owner, Progress, Step, Timing,
     crash::{SuspectRun, WorkerCrash},
-    message::{AgentReport, ClockReading, OrderResult, OrdersReply, RunKey},
+    message::{AgentReport, ClockReading, OrderResult, OrdersReply, RunEnd, RunKey},
 };
 
 const MACHINE_COUNT: usize = 6;
@@ -168,6 +169,27 @@
 /// the time after which they count a job that does not run as lost.
 const RUNS_WITHIN: Duration = Duration::from_secs(4 + 3);
 
+fn no_faults() -> Faults {
+    Faults {
+        fencing: true,
+        per_second: 0.0,
+        until: START,
+    }
+}
+
+/// Submits jobs of 15 small tasks within as many times 10 ms.
+fn submit_small_jobs(simulation: &mut Simulation, jobs: u64) {
+    let start = simulation.now;
+    for number in 0..jobs {
+        let small = Step {
+            need: Resources::new(20, 20, 0),
+            ..step(15, &[])
+        };
+        simulation.submit(job(&id(number), "quick", vec![small]), false);
+        simulation.run_until(start + Duration::from_millis(10 * number));
+    }
+}
+
 /// Submits small jobs, then crashes all workers several times within seconds. Returns the time of
 /// the last crash.
 fn crash_all_workers_repeatedly(
@@ -177,14 +199,7 @@
     are_agents_lost: bool,
 ) -> Time {
     simulation.run_until(START + Duration::from_secs(2));
-    for number in 0..jobs {
-        let small = Step {
-            need: Resources::new(20, 20, 0),
-            ..step(15, &[])
-        };
-        simulation.submit(job(&id(number), "quick", vec![small]), false);
-        simulation.run_until(START + Duration::from_millis(2_000 + 10 * number));
-    }
+    submit_small_jobs(simulation, jobs);
     for _ in 0..crashes {
         simulation.crash_all_workers(POWER_LOSS, are_agents_lost);
         let now = simulation.now;
@@ -203,12 +218,7 @@
     #[values(true, false)] are_agents_lost: bool,
     #[values(true, false)] is_owner_lost: bool,
 ) {
-    let faults = Faults {
-        fencing: true,
-        per_second: 0.0,
-        until: START,
-    };
-    let mut simulation = Simulation::new(31, machines, faults);
+    let mut simulation = Simulation::new(31, machines, no_faults());
     let crashed_at = crash_all_workers_repeatedly(&mut simulation, jobs, crashes, are_agents_lost);
     if is_owner_lost {
         simulation.crash_owner();
@@ -221,6 +231,74 @@
     }
 }
 
+/// All workers tested suspects at the same time and took nothing else.
+#[rstest]
+fn suspects_start_on_half_of_the_workers_at_most(#[values(2, 5, 6, 12)] workers: usize) {
+    let mut session = common::session::Session::loaded();
+    let now = START + Duration::from_secs(1);
+    for number in 0..workers {
+        session.handle(now, Event::Vm(vm(number)));
+        session.report(now, number, |report| report.in_doubt = Some(Vec::new()));
+    }
+    let tasks = step(24, &[]);
+    let need = Resources::new(100, 100, 0);
+    let (job, progress) = (job(&id(1), "quick", vec![Step { need, ..tasks }]), None);
+    session.handle(now, Event::Job { job, progress });
+    let started = take_starts(&mut session, now, workers);
+    let now = now + Duration::from_millis(100);
+    for (number, suspects) in started {
+        // More crashes would be a mass loss.
+        if number >= workers / 2 {
+            let ends = (1..).zip(&suspects);
+            let ends = ends.map(|(end, run)| ended(end, &run.key, RunEnd::Done));
+            session.report(now, number, |report| report.ended = ends.collect());
+            continue;
+        }
+        let crash = WorkerCrash {
+            number: 1,
+            incarnation: worker_info(&format!("w-{number}"), 1).incarnation,
+            suspects,
+        };
+        session.report(now, number, |report| {
+            let worker = worker_info(&format!("w-{number}-later"), 2);
+            report.clock_reading.as_mut().unwrap().incarnation = worker.incarnation.clone();
+            report.worker = Some(worker);
+            report.crashes = vec![crash];
+        });
+    }
+    let last_change = session.owner.last_change();
+    drop(session.owner.take_changes());
+    session.owner.confirm_durable(last_change);
+    let now = now + Duration::from_millis(300);
+    session.handle(now, Event::Tick);
+    let used = take_starts(&mut session, now, workers).len();
+    assert!((1..=workers / 2).contains(&used), "{used} workers");
+}
+
+/// Takes and confirms the starts of all workers; returns them by worker.
+fn take_starts(
+    session: &mut common::session::Session,
+    now: Time,
+    workers: usize,
+) -> Vec<(usize, Vec<SuspectRun>)> {
+    let mut started = Vec::new();
+    for number in 0..workers {
+        let Some(orders) = session.owner.take_orders(now, &vm(number)) else {
+            continue;
+        };
+        if orders.starts.is_empty() {
+            continue;
+        }
+        let starts = orders.starts.iter().map(|start| SuspectRun {
+            key: start.key.clone(),
+            is_confirmed: true,
+        });
+        started.push((number, starts.collect()));
+        session.answer(now, number, orders);
+    }
+    started
+}
+
 /// The crash of a worker under such a task counts also if its machine loses power before anyone
 /// has told of it.
 #[rstest]
--- a/components/steps/tests/owner.rs
+++ b/components/steps/tests/owner.rs
@@ -1366,6 +1366,49 @@
     assert_eq!(session.take_starts(at(800), 1), []);
 }
 
+/// The only worker that suits was kept for a long-running task that did not fit, and a job that
+/// fitted had nothing running.
+#[test]
+fn the_only_worker_that_suits_is_not_kept_from_a_job_that_has_nothing_running() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    session.submit(at(0), "00000000000000b1", 2);
+    assert_eq!(session.take_starts(at(0), 0).len(), 2);
+    let watch = steps::Step {
+        need: Resources::new(3_000, 1_000, 0),
+        ..long_running_step(1)
+    };
+    let (watch, progress) = (job("00000000000000b2", "quick", vec![watch]), None);
+    session.handle(
+        at(0),
+        Event::Job {
+            job: watch,
+            progress,
+        },
+    );
+    session.handle(at(1_600), Event::Tick);
+    session.submit(at(1_700), JOB, 1);
+    for millis in (1_700..3_100).step_by(100) {
+        session.handle(at(millis), Event::Tick);
+        assert_eq!(session.take_starts(at(millis), 0), [], "kept at {millis}");
+    }
+    session.handle(at(3_300), Event::Tick);
+    assert_eq!(session.take_starts(at(3_300), 0).len(), 1);
+}
+
+/// A task that has failed on each worker starts again on one of them.
+#[test]
+fn a_task_that_avoids_all_workers_starts_on_one_of_them() {
+    let mut session = Session::new(1);
+    session.report(at(0), 0, |_| ());
+    session.submit(at(0), JOB, 1);
+    let orders = session.owner.take_orders(at(0), &vm(0)).unwrap();
+    let end = ended(1, &orders.starts[0].key, RunEnd::Failed);
+    session.answer(at(10), 0, orders, true);
+    session.report(at(100), 0, |report| report.ended = vec![end]);
+    assert_eq!(session.take_starts(at(100), 0).len(), 1);
+}
+
 /// Guards against a long-running task that waits while smaller tasks take each core that
 /// becomes free.
 #[test]
