Tasks that crash their workers are singled out again among many suspects

Cause, from the owner's log: after 1.5 s suspects started beside others, so no crash singled them out; several such tasks at a time looked like a mass loss; a crash that an agent reported soon after a loss of power was taken for part of it.

Change: suspects wait for 4 s at most, which users bear (3 s after 4 s of calm). Groups of eight, then three, then alone, and lone suspects first. A mass loss needs most machines lost, or all workers crashed; the two are counted apart. A crash of a silent worker is recorded before its runs are dropped.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -177,7 +177,7 @@
     round: BTreeSet<JobName>,
     /// Tasks that may crash each worker that starts them.
     suspects: BTreeSet<TaskKey>,
-    recent_crashes: crashes::RecentCrashes,
+    crash_history: crashes::CrashHistory,
     /// Workers that have been quarantined, some of them not any more.
     quarantined: BTreeSet<VmName>,
     /// VMs that may have orders to send.
@@ -240,7 +240,7 @@
             waiting_jobs: BTreeSet::new(),
             round: BTreeSet::new(),
             suspects: BTreeSet::new(),
-            recent_crashes: crashes::RecentCrashes::default(),
+            crash_history: crashes::CrashHistory::default(),
             quarantined: BTreeSet::new(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
--- a/components/steps/src/owner/crashes.rs
+++ b/components/steps/src/owner/crashes.rs
@@ -37,13 +37,14 @@
 const SUSPECTED_TO_GIVE_UP: usize = 3;
 /// The same if more of them are mass losses.
 const CRASHES_WITH_MASS_LOSSES_TO_GIVE_UP: usize = 5;
-/// Number of tasks that are tested together after their first crash.
-const TRIAL_GROUP_SIZE: usize = 8;
+/// Number of tasks that are tested together after their first and second crash; later ones are
+/// tested alone.
+const TRIAL_GROUP_SIZES: [usize; 2] = [8, 3];
 /// Time for which a worker gets no other task, so that one can start there on trial.
 const HOLD: Duration = Duration::from_millis(500);
-/// Time after a crash from which on a suspect takes any worker: users consider a job that has
-/// nothing running lost after 3 s.
-const MAX_TRIAL_WAIT: Duration = Duration::from_millis(1_500);
+/// Time after which a suspect takes any worker: users consider a job lost that has nothing running
+/// for 3 s, once all has been calm for 4 s.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(4);
 /// Number of suspects that go on waiting after which a pass examines no further ones.
 const MAX_WAITING_EXAMINED: usize = 16;
 /// Age of a run at the last report of a lost agent from which on the worker had survived it:
@@ -54,7 +55,7 @@
 /// Time within which an owner learns of workers that were lost together: machines come back
 /// within 1.5 s of each other.
 const LOSS_WINDOW: Duration = Duration::from_secs(2);
-/// Share of the workers above which a loss is one of many, as a divisor.
+/// Share of the workers that must be lost with their agents for a mass loss, as a divisor.
 const MASS_LOSS_DIVISOR: usize = 2;
 /// Number of such losses in a row under a task from which on it is tested all the same.
 const MASS_LOSSES_TO_TEST: usize = 3;
@@ -72,27 +73,28 @@
 
 /// Number of suspects with which a task may be tested together; `None` if it is not suspect.
 fn trial_size(crashes: &[TaskCrash]) -> Option<usize> {
-    let mut suspected = crashes.iter().filter(|crash| !crash.is_mass_loss);
-    let Some(first) = suspected.next() else {
-        return (crashes.len() >= MASS_LOSSES_TO_TEST).then_some(TRIAL_GROUP_SIZE);
-    };
-    let is_last_chance = crashes.len() >= CRASHES_TO_GIVE_UP;
-    let is_alone = first.is_sole_suspect || suspected.next().is_some() || is_last_chance;
-    Some(if is_alone { 1 } else { TRIAL_GROUP_SIZE })
+    if crashes.iter().all(|crash| crash.is_mass_loss) {
+        return (crashes.len() >= MASS_LOSSES_TO_TEST).then_some(TRIAL_GROUP_SIZES[0]);
+    }
+    if crashes.iter().any(|crash| crash.is_sole_suspect) {
+        return Some(1);
+    }
+    let size = TRIAL_GROUP_SIZES.get(crashes.len() - 1);
+    Some(size.copied().unwrap_or(1))
 }
 
 /// Workers of whose crashes an owner learned at about the same time.
 #[derive(Debug, Default)]
-pub(super) struct RecentCrashes {
+struct RecentCrashes {
     since: Time,
     vms: BTreeSet<VmName>,
-    /// Runs that are suspect as long as most of the workers are not among them.
+    /// Runs that are suspect as long as this is no mass loss.
     suspects: Vec<(VmName, RunKey)>,
 }
 
 impl RecentCrashes {
-    /// Adds a worker; returns whether most of all `workers` have crashed.
-    fn add(&mut self, now: Time, vm: &VmName, workers: usize) -> bool {
+    /// Adds a worker; returns how many there are.
+    fn add(&mut self, now: Time, vm: &VmName) -> usize {
         if (self.since + LOSS_WINDOW).passed(now) {
             *self = Self {
                 since: now,
@@ -100,10 +102,38 @@
             };
         }
         self.vms.insert(vm.clone());
-        self.vms.len() > 1 && self.vms.len() > workers / MASS_LOSS_DIVISOR
+        self.vms.len()
     }
 }
 
+/// Crashes that may be a mass loss, which no task causes by itself.
+#[derive(Debug, Default)]
+pub(super) struct CrashHistory {
+    /// Workers that were lost with their agents.
+    machines: RecentCrashes,
+    /// Workers that crashed beside their agents. Several tasks may do that at the same time.
+    workers: RecentCrashes,
+}
+
+impl CrashHistory {
+    fn of_kind(&mut self, is_machine_lost: bool) -> &mut RecentCrashes {
+        match is_machine_lost {
+            true => &mut self.machines,
+            false => &mut self.workers,
+        }
+    }
+}
+
+/// Whether the crashes of as many of all known workers are a mass loss: most of the machines were
+/// lost, or all of the workers have crashed.
+const fn is_mass_loss(crashes: usize, known: usize, is_machine_lost: bool) -> bool {
+    let least = match is_machine_lost {
+        true => known / MASS_LOSS_DIVISOR + 1,
+        false => known,
+    };
+    crashes > 1 && crashes >= least
+}
+
 /// Workers that one kind of suspects may use, and those that trials withhold from other tasks.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TrialRoom {
@@ -141,6 +171,11 @@
         self.waiting >= MAX_WAITING_EXAMINED
     }
 
+    /// Examines as many further suspects.
+    pub(super) const fn renew(&mut self) {
+        self.waiting = 0;
+    }
+
     pub(super) fn record_start(&mut self, request: &PlacementRequest<'_>, vm: &VmName) {
         if let Some(room) = self.rooms.get_mut(&room_key(request)) {
             room.withheld.insert(vm.clone());
@@ -251,7 +286,7 @@
             if crash.number <= processed {
                 continue;
             }
-            let unknown = self.record_crash(now, name, &crash.suspects);
+            let unknown = self.record_crash(now, name, false, &crash.suspects);
             let release = match unknown.is_empty() {
                 true => Release::AfterChange(self.last_change),
                 false => Release::AfterJobs(unknown),
@@ -267,11 +302,18 @@
 
     /// Records the crash of a worker with the runs that may have caused it. Returns their
     /// unknown jobs.
-    fn record_crash(&mut self, now: Time, name: &VmName, suspects: &[SuspectRun]) -> Vec<JobName> {
-        let workers = self.vms.len();
-        let is_mass_loss = self.recent_crashes.add(now, name, workers);
+    fn record_crash(
+        &mut self,
+        now: Time,
+        name: &VmName,
+        is_machine_lost: bool,
+        suspects: &[SuspectRun],
+    ) -> Vec<JobName> {
+        let known = self.vms.len();
+        let crashes = self.crash_history.of_kind(is_machine_lost);
+        let is_mass_loss = is_mass_loss(crashes.add(now, name), known, is_machine_lost);
         if is_mass_loss {
-            self.withdraw_suspicions(name);
+            self.withdraw_suspicions(name, is_machine_lost);
         }
         let tasks = suspects.iter().map(|run| self.crash_key(&run.key.task));
         let tasks: BTreeSet<TaskKey> = tasks.collect();
@@ -280,7 +322,8 @@
             let is_sole_suspect = tasks.len() == 1 && run.is_confirmed && !is_mass_loss;
             if !is_mass_loss {
                 let suspect = (name.clone(), run.key.clone());
-                self.recent_crashes.suspects.push(suspect);
+                let crashes = self.crash_history.of_kind(is_machine_lost);
+                crashes.suspects.push(suspect);
             }
             if self.keep_unknown_suspect(name, &run.key, is_sole_suspect) {
                 unknown.push(run.key.task.job.clone());
@@ -297,19 +340,20 @@
         unknown
     }
 
-    /// Takes back that runs are suspect of recent crashes, as most of the workers have crashed
-    /// with theirs.
-    fn withdraw_suspicions(&mut self, name: &VmName) {
-        let suspects = std::mem::take(&mut self.recent_crashes.suspects);
+    /// Takes back that runs are suspect of recent crashes, as these are a mass loss.
+    fn withdraw_suspicions(&mut self, name: &VmName, is_machine_lost: bool) {
+        let crashes = self.crash_history.of_kind(is_machine_lost);
+        let suspects = std::mem::take(&mut crashes.suspects);
         if suspects.is_empty() {
             return;
         }
         tracing::warn!(
             vm = %name,
-            crashed = self.recent_crashes.vms.len(),
+            crashed = crashes.vms.len(),
+            is_machine_lost,
             known = self.vms.len(),
             withdrawn = suspects.len(),
-            "most workers have crashed at the same time; no task is suspected of it"
+            "most machines were lost or all workers have crashed at the same time; no task is suspected of it"
         );
         for (vm, run) in &suspects {
             self.withdraw_suspicion(run, vm);
@@ -415,7 +459,7 @@
         }
         let is_machine_lost = vm.info.is_some() && vm.worker_reported_by != vm.agent_incarnation;
         if is_machine_lost || !suspects.is_empty() {
-            self.record_crash(now, name, &suspects);
+            self.record_crash(now, name, is_machine_lost, &suspects);
         }
     }
 
@@ -489,6 +533,19 @@
         !self.suspects.is_empty()
     }
 
+    /// Jobs with suspects that are tested alone.
+    pub(super) fn jobs_with_lone_suspects(&self) -> BTreeSet<JobName> {
+        let mut jobs = BTreeSet::new();
+        for key in &self.suspects {
+            let entry = self.jobs.get(&key.job);
+            let task = entry.and_then(|entry| entry.task(key));
+            if task.and_then(Task::trial_size) == Some(1) {
+                jobs.insert(key.job.clone());
+            }
+        }
+        jobs
+    }
+
     /// The workers that suspects with the same needs may use.
     pub(super) fn trial_room(
         &self,
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -111,6 +111,8 @@
             self.take_back_starts(now, name);
         }
         if report.leases_expired {
+            // The present agent tells of the runs that it knew.
+            self.record_unreported_crash(now, name);
             self.drop_lost_runs(now, name, LossReason::LeasesExpired);
         }
         if !self.is_loading {
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -67,6 +67,8 @@
     failed: FailedPlacements,
     /// Whether there are tasks that may crash each worker that starts them.
     has_suspects: bool,
+    /// Whether only suspects start that are tested alone.
+    is_for_lone_suspects: bool,
     trials: Trials,
 }
 
@@ -252,8 +254,16 @@
             unlisted_vms: self.unlisted_vms(),
             failed: FailedPlacements::default(),
             has_suspects: self.review_suspects(),
+            is_for_lone_suspects: true,
             trials: Trials::default(),
         };
+        if pass.has_suspects {
+            for name in self.jobs_with_lone_suspects() {
+                self.visit_job(now, wall, &name, &mut pass);
+            }
+        }
+        pass.is_for_lone_suspects = false;
+        pass.trials.renew();
         for rank in self.ranked_jobs(now) {
             if Some(rank.priority) != first_priority {
                 if !self.round.contains(&rank.job) {
@@ -265,30 +275,34 @@
                 }
             }
             self.round.remove(&rank.job);
-            let Some(entry) = self.jobs.get(&rank.job) else {
-                continue;
-            };
-            if pass.is_recovering_job(entry) && !entry.job.is_long_running() {
-                continue;
-            }
-            let may_use_reserve = entry.job.is_long_running();
-            if !pass.room.admits(may_use_reserve) {
-                self.window.hold_back();
-                continue;
-            }
-            let Some(queue) = self.queues.get(&entry.job.queue).cloned() else {
-                continue;
-            };
-            self.work.jobs_visited += 1;
-            self.schedule_job(now, wall, &rank.job, &queue, &mut pass);
-            if !self.may_have_ready_tasks(&rank.job) {
-                self.waiting_jobs.remove(&rank.job);
-            }
+            self.visit_job(now, wall, &rank.job, &mut pass);
         }
         // What is left has no queue or does not wait any more.
         self.round.clear();
     }
 
+    fn visit_job(&mut self, now: Time, wall: Time, name: &JobName, pass: &mut Pass) {
+        let Some(entry) = self.jobs.get(name) else {
+            return;
+        };
+        if pass.is_recovering_job(entry) && !entry.job.is_long_running() {
+            return;
+        }
+        let may_use_reserve = entry.job.is_long_running();
+        if !pass.room.admits(may_use_reserve) {
+            self.window.hold_back();
+            return;
+        }
+        let Some(queue) = self.queues.get(&entry.job.queue).cloned() else {
+            return;
+        };
+        self.work.jobs_visited += 1;
+        self.schedule_job(now, wall, name, &queue, pass);
+        if !self.may_have_ready_tasks(name) {
+            self.waiting_jobs.remove(name);
+        }
+    }
+
     /// Work of all passes so far, in examinations of a worker.
     const fn pass_work(&self) -> u64 {
         self.work.workers_examined + self.work.starts_ordered * START_WORK
@@ -365,6 +379,9 @@
                     service: &queue.service,
                     has_suspects: pass.has_suspects && entry.has_suspects(occurrence, number),
                 };
+                if pass.is_for_lone_suspects && (step.gang || !ready.has_suspects) {
+                    continue;
+                }
                 // Suspect tasks start one by one, whichever rack can take them.
                 match step.gang || (step.same_rack && !ready.has_suspects) {
                     true => self.schedule_all_or_none(now, &ready, pass),
@@ -412,6 +429,9 @@
             tasks.retain(|task| !self.may_run_on(&ready.task(task.index), &pass.unlisted_vms));
         }
         let is_cut_off = !is_held_back && tasks.len() < state.waiting();
+        if pass.is_for_lone_suspects {
+            tasks.retain(|task| task.trial_size == Some(1));
+        }
         let mut tasks_per_vm = count_tasks_per_vm(ready.step, state);
         let mut shortlist = Shortlist::default();
         let count = tasks.len();
