--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -32,6 +32,7 @@
 mod recovery;
 mod report;
 mod schedule;
+mod trials;
 mod unknown;
 mod vm;
 mod window;
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -11,8 +11,8 @@
 
 use super::{
     Owner,
-    crashes::TrialRoom,
     entry::HeldBackBy,
+    trials::TrialRoom,
     vm::{Vm, VmStatus},
 };
 use crate::{Step, interference::Weights, message::RunKey};
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -10,9 +10,9 @@
 
 use super::{
     Owner,
-    crashes::Trials,
     entry::{HeldBackBy, JobEntry, StepState, Task, task_key},
     place::{FailedPlacements, PlacementRequest, Shortlist, Trial},
+    trials::Trials,
     vm::{AssignedRun, Phase, Vm},
     window::StartRoom,
 };
@@ -608,7 +608,7 @@
 
     /// Reserves capacity for a run and queues its start order.
     pub(super) fn order_start(&mut self, now: Time, name: &VmName, key: RunKey, step: &Step) {
-        let trial_size = self.trial_size(now, &key.task);
+        let trial_size = self.trial_size_at_start(now, &key.task);
         let Some(entry) = self.jobs.get_mut(&key.task.job) else {
             return;
         };
