All best-effort tasks are paused after 2.4 s, not after four decisions

Decisions need a measurement and 0.6 s since the last one; polls come every 0.5 s, so there is one decision a second. The first comes up to a second after the start, as a poll may be waiting. The pause came 4.0 s after the starts.

Change: the time since a task was first found over its target counts.

--- a/components/steps/src/pace.rs
+++ b/components/steps/src/pace.rs
@@ -31,15 +31,16 @@
 /// Smallest change of a pace, in percentage points, that justifies a call to the
 /// worker.
 const MIN_CHANGE: u32 = 6;
-/// After this many decisions in a row with a serving task over its target, the weights
-/// are considered too low and the limit on the paces of interfering tasks is halved with
-/// each decision.
+/// From this many decision intervals with a serving task over its target on, the weights are
+/// considered too low and the limit on the paces of interfering tasks is halved with each
+/// interval.
 const LIMIT_AFTER: u32 = 2;
 /// Highest logarithm of the factor on a serving task's latency up to which a best-effort task
 /// hardly interferes. Agents know weights with an error of about this effect.
 const MINOR_EFFECT: f64 = 0.05;
-/// Number of decisions in a row with a serving task over its target after which all
-/// best-effort tasks are paused: 2.4 s, while users tolerate 4 s.
+/// Number of decision intervals with a serving task over its target after which all best-effort
+/// tasks are paused: 2.4 s, while users tolerate 4 s. The first measurement may come a second after
+/// the start of a task, since a poll may be waiting then.
 const STOP_ALL_AFTER: u32 = 4;
 
 /// Latency headroom of a serving task.
@@ -57,8 +58,8 @@
     next_decision: Time,
     /// Headrooms that remain after the last decision and the starts since then.
     headrooms: Vec<ServingHeadroom>,
-    /// Number of decisions in a row with the serving task over its target.
-    over_target: BTreeMap<RunKey, u32>,
+    /// When each serving task that is over its target was first found to be.
+    over_target: BTreeMap<RunKey, Time>,
     /// Paces in force in percent; a run that is not listed works at full speed.
     paces: BTreeMap<RunKey, u32>,
     /// Progress of the best-effort tasks against full speed.
@@ -101,7 +102,7 @@
         }
         self.next_decision = now + DECISION_INTERVAL;
         self.headrooms = headrooms(capacity_milli, running, roles, weights);
-        let longest_over = self.count_over(running, roles);
+        let longest_over = self.intervals_over(now, running, roles);
         if longest_over >= STOP_ALL_AFTER {
             return self.all_at(running, roles, 0);
         }
@@ -247,9 +248,14 @@
         percent
     }
 
-    /// Counts the decisions in a row with each serving task over its target. Returns
-    /// the highest count.
-    fn count_over(&mut self, running: &[ActiveRun], roles: &BTreeMap<RunKey, Role>) -> u32 {
+    /// Returns for how many decision intervals, begun ones included, a serving task has been over
+    /// its target. Measurements may come less often than decisions may be made.
+    fn intervals_over(
+        &mut self,
+        now: Time,
+        running: &[ActiveRun],
+        roles: &BTreeMap<RunKey, Role>,
+    ) -> u32 {
         let mut longest = 0;
         for row in running {
             let Some(Role::Serving { target_millis, .. }) = roles.get(&row.key) else {
@@ -259,9 +265,9 @@
                 self.over_target.remove(&row.key);
                 continue;
             }
-            let count = self.over_target.entry(row.key.clone()).or_default();
-            *count += 1;
-            longest = longest.max(*count);
+            let since = *self.over_target.entry(row.key.clone()).or_insert(now);
+            let intervals = now.since(since).as_millis() / DECISION_INTERVAL.as_millis() + 1;
+            longest = longest.max(u32::try_from(intervals).unwrap_or(u32::MAX));
         }
         longest
     }
--- a/components/steps/tests/pace.rs
+++ b/components/steps/tests/pace.rs
@@ -25,6 +25,8 @@
     roles: BTreeMap<RunKey, Role>,
     weights: Weights,
     now: Time,
+    /// Time between two measurements.
+    interval: Duration,
 }
 
 fn best_effort_role(image: &str) -> Role {
@@ -63,6 +65,7 @@
             roles,
             weights,
             now: Time::from_secs(1_000),
+            interval: Duration::from_millis(600),
         }
     }
 
@@ -72,7 +75,7 @@
 
     /// Decides on measurements of half a second with this latency of the serving task.
     fn measure(&mut self, latency: u64) {
-        self.now = self.now + Duration::from_millis(600);
+        self.now = self.now + self.interval;
         let mut running = Vec::new();
         for (key, role) in &self.roles {
             let measurement = match role {
@@ -111,6 +114,17 @@
     assert_eq!(worker.pace(1), 0, "the weight may be wrong");
 }
 
+/// A poll that waited a second and polls more often than decisions left four decisions four seconds.
+#[test]
+fn all_best_effort_tasks_pause_within_3_s_though_measurements_come_once_a_second() {
+    let mut worker = PacedWorker::new(&["light"]);
+    worker.interval = Duration::from_secs(1);
+    for _ in 0..3 {
+        worker.measure(10 * TARGET_MILLIS);
+    }
+    assert_eq!(worker.pace(0), 0, "3 s over the target");
+}
+
 #[test]
 fn only_interfering_images_are_slowed() {
     let mut worker = PacedWorker::new(&["heavy", "light"]);
