Serving tasks of one image share workers

Cause: packed by size alone, serving tasks of several images share each worker. Most pairs of images don't interfere, but a best-effort task suits a worker only if it suits each of the images there, so few workers were left, and the serving tasks paid for those chosen all the same.

Change: a worker whose serving tasks have other images costs more for a serving task, in proportion to their number. It is still used if no other has room.

serving_tasks_of_one_image_share_workers fails without the change.

--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -29,6 +29,10 @@
 /// Cost of a worker on which tasks take twice as long as elsewhere.
 const SLOW_WORKER_COST: f64 = 1.5;
 
+/// Cost of a serving task among serving tasks of other images only. Tasks of one image suffer
+/// from the same best-effort images, so a worker with few images suits more best-effort tasks.
+const MIXED_IMAGES_COST: f64 = 2.0;
+
 /// Time for which a worker is kept after the last pass in which the task did not fit.
 const KEPT_FOR: Duration = Duration::from_secs(1);
 /// The most workers that are scored for one task. The index names the most promising first;
@@ -603,6 +607,7 @@
     } else if step.target_millis.is_some() {
         // Packs serving tasks together to leave other workers to best-effort tasks.
         cost = 1.0 - cost;
+        cost += vm.other_serving_share(step.image.as_ref()) * MIXED_IMAGES_COST;
     }
     cost += (vm.health.slowdown(now) - 1.0) * SLOW_WORKER_COST;
     let is_remote = step
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -469,6 +469,20 @@
         !self.serving.is_empty()
     }
 
+    /// Share of the serving tasks that have another image than this one.
+    pub(super) fn other_serving_share(&self, image: Option<&Arc<str>>) -> f64 {
+        let mut others = 0;
+        for key in &self.serving {
+            let role = self.runs.get(key).map(|run| &run.role);
+            if let Some(Role::Serving { image: known, .. }) = role
+                && known.as_ref() != image
+            {
+                others += 1;
+            }
+        }
+        others as f64 / self.serving.len().max(1) as f64
+    }
+
     /// CPU capacity of the worker in thousandths of a core.
     pub(super) fn capacity_milli(&self) -> u64 {
         let capacity = self.info.as_ref().map(|info| info.capacity);
--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -11,7 +11,7 @@
 use steps::{
     Event, Owner, Step, Timing,
     interference::{PRIOR_WEIGHT, Weight},
-    message::{ActiveRun, AgentReport, ClockReading, EndedRun, RunEnd, RunKey},
+    message::{ActiveRun, AgentReport, ClockReading, EndedRun, Role, RunEnd, RunKey},
     owner::PollFailure,
 };
 
@@ -261,6 +261,63 @@
     );
 }
 
+/// Images of the serving tasks that each of the VMs is ordered to start.
+fn serving_images(session: &mut Session, vms: usize) -> Vec<Vec<Arc<str>>> {
+    let mut images = Vec::new();
+    for number in 0..vms {
+        let orders = session.owner.take_orders(session.now, &vm(number));
+        let starts = orders.map(|orders| orders.starts).unwrap_or_default();
+        let of_vm = starts.into_iter().filter_map(|start| match start.role {
+            Role::Serving { image, .. } => image,
+            _ => None,
+        });
+        images.push(of_vm.collect());
+    }
+    images
+}
+
+/// Packed by size alone, serving tasks of several images shared each worker, so that hardly any
+/// worker was left that suited a best-effort image that interferes with one of them.
+#[test]
+fn serving_tasks_of_one_image_share_workers() {
+    let mut session = Session::empty();
+    for number in 0..2 {
+        session.handle(Event::Vm(vm(number)));
+        session.report_rows(number, Vec::new());
+    }
+    for (id, image) in [(SERVING, "catalogue"), (HEAVY, "search"), (LIGHT, "search")] {
+        let serving = Step {
+            count: 1,
+            image: Some(image.into()),
+            ..serving_step()
+        };
+        let job = job(id, "quick", vec![serving]);
+        let progress = None;
+        session.handle(Event::Job { job, progress });
+    }
+    let mut images = serving_images(&mut session, 2);
+    images.sort();
+    assert_eq!(images, [vec!["catalogue".into()], vec!["search".into(); 2]]);
+}
+
+/// Guards against serving tasks that wait for a worker of their image while another has room.
+#[test]
+fn serving_tasks_of_several_images_share_the_only_worker() {
+    let mut session = Session::empty();
+    session.handle(Event::Vm(vm(0)));
+    session.report_rows(0, Vec::new());
+    for (id, image) in [(SERVING, "catalogue"), (HEAVY, "search")] {
+        let serving = Step {
+            image: Some(image.into()),
+            ..serving_step()
+        };
+        let job = job(id, "quick", vec![serving]);
+        let progress = None;
+        session.handle(Event::Job { job, progress });
+    }
+    assert_eq!(serving_images(&mut session, 1)[0].len(), 4);
+}
+
 /// Two VMs, the second of which is idle; a best-effort task on the first one gets a tenth of
 /// the CPU time that it needs.
 fn slowed_session(step: Step) -> (Session, RunKey) {
