Limit what misbehaving clients can use of a process

Cause: bodies were limited one by one, not together; parts of a body were kept as they had arrived; a full listener refused everyone until the deadlines of a crowd; pipelined reads of unknown jobs waited for the rate limit of the store on all connections.

--- a/components/stepd/src/agent.rs
+++ b/components/stepd/src/agent.rs
@@ -17,6 +17,7 @@
 use steps::{
     AgentState, Registration, Timing,
     agent::Heartbeat,
+    config::ConnectionLimits,
     message::{
         AgentReport, OrderResult, Orders, OrdersCall, OrdersReply, Refusal, ReportPoll,
         ReportPollCall, RunKey, WorkerIncarnation,
@@ -27,7 +28,7 @@
 use crate::{
     SteadyClock,
     edge::{Codec, HttpResponse, WorkerApi, WorkerCall},
-    http1::{self, DEFAULT_LIMITS, ReceivedRequest, ServerSetup},
+    http1::{self, DEFAULT_LIMITS, Guard, ReceivedRequest, ServerSetup},
     keys,
     metrics::{self, AgentMetrics},
     secret, time,
@@ -38,6 +39,8 @@
 
 /// The maximum number of open connections from the worker, which uses one or two.
 const MAX_WORKER_CONNECTIONS: usize = 64;
+/// The largest heartbeat that a worker may send, in bytes.
+const MAX_HEARTBEAT_BYTES: usize = 4 << 20;
 
 /// The settings of an agent.
 #[derive(Clone, Debug)]
@@ -56,6 +59,8 @@
     pub stop_timeout: Duration,
     /// The address of the metrics; `None` if none are served.
     pub metrics_address: Option<SocketAddr>,
+    /// The memory of the machine in bytes; `None` if it is unknown.
+    pub memory_bytes: Option<u64>,
 }
 
 /// The longest delay between attempts to read the epoch, before which no owner is served.
@@ -151,9 +156,10 @@
         registration_changed: Event::new(),
         metrics: AgentMetrics::default(),
     });
+    let guard = Guard::new(shared.settings.memory_bytes);
     let report_server = http1::serve(
         worker_reports,
-        worker_report_setup(&shared),
+        worker_report_setup(&shared, guard.clone()),
         smol::future::pending(),
     );
     let for_owners = Arc::clone(&shared);
@@ -178,6 +184,7 @@
         smol::spawn(metrics::serve(
             shared.settings.metrics_address,
             shared.metrics.registry(),
+            guard,
         )),
     ];
     Ok(Agent { shared, running })
@@ -244,15 +251,20 @@
 
 fn worker_report_setup(
     shared: &Arc<Shared>,
+    guard: Guard,
 ) -> ServerSetup<
-    impl Fn() -> steps::config::ConnectionLimits + Send + Sync + 'static,
+    impl Fn() -> ConnectionLimits + Send + Sync + 'static,
     impl Fn(ReceivedRequest) -> smol::future::Ready<HttpResponse> + Send + Sync + 'static,
 > {
     let shared = Arc::clone(shared);
     ServerSetup {
-        limits: || DEFAULT_LIMITS,
+        limits: || ConnectionLimits {
+            max_body_bytes: MAX_HEARTBEAT_BYTES,
+            ..DEFAULT_LIMITS
+        },
         handler: move |arrived| smol::future::ready(handle_worker_call(&shared, arrived)),
         max_connections: MAX_WORKER_CONNECTIONS,
+        guard,
     }
 }
 
@@ -261,6 +273,7 @@
         ReceivedRequest::Complete(head, body) => (head, body),
         ReceivedRequest::TooLarge => return status(StatusCode::PAYLOAD_TOO_LARGE),
         ReceivedRequest::Incomplete => return status(StatusCode::BAD_REQUEST),
+        ReceivedRequest::Overloaded => return status(StatusCode::SERVICE_UNAVAILABLE),
     };
     match shared.codec.decode_worker_call(&head, &body) {
         Ok(WorkerCall::Heartbeat(heartbeat)) => {
--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -11,14 +11,14 @@
 use futures_lite::{FutureExt, future::zip};
 use kernel::{BootInstant, EntryName, Time, secret::Secrets};
 use observe::{ListenError, listen};
-use smol::Task;
+use smol::{Task, lock::Semaphore};
 use steps::{Candidacy, Config, Timing, contact::StoreContact};
 use store::Store;
 
 use crate::{
     SteadyClock,
     edge::Codec,
-    http1::{self, DEFAULT_LIMITS, ServerSetup},
+    http1::{self, DEFAULT_LIMITS, Guard, Refusals, SMALL_BODY_LIMITS, ServerSetup},
 };
 
 mod calls;
@@ -60,6 +60,8 @@
     pub timing: Timing,
     /// The address of the metrics; `None` if none are served.
     pub metrics_address: Option<SocketAddr>,
+    /// The memory of the machine in bytes; `None` if it is unknown.
+    pub memory_bytes: Option<u64>,
 }
 
 /// How long the load balancer may take to notice that an entry is not ready: it checks
@@ -71,6 +73,10 @@
 /// The maximum number of open connections from the load balancer.
 const MAX_READINESS_CONNECTIONS: usize = 64;
 
+/// The maximum number of clients' calls that read a job from the store at a time. Reads beyond
+/// the rate limit of the store wait, so that unlimited ones would occupy all connections.
+const MAX_JOB_READS: usize = 32;
+
 /// An entry that runs in this process.
 pub struct Entry {
     shared: Arc<Shared>,
@@ -109,6 +115,9 @@
     /// Notified when the owner may have changed or the entry stops.
     owner_changed: Event,
     metrics: EntryMetrics,
+    refusals: Refusals,
+    /// Permits for reads of jobs that this entry does not know.
+    job_reads: Semaphore,
 }
 
 impl Shared {
@@ -223,6 +232,7 @@
     let (clients, _) = listen("clients", settings.client_address).await?;
     let (readiness, _) = listen("readiness", settings.readiness_address).await?;
     let max_connections = settings.max_connections;
+    let guard = Guard::new(settings.memory_bytes);
     let candidacy = Candidacy::new(settings.name.clone(), settings.cpu_milli);
     let shared = Arc::new(Shared {
         settings,
@@ -239,6 +249,8 @@
         secrets: Mutex::new(None),
         owner_changed: Event::new(),
         metrics: EntryMetrics::default(),
+        refusals: guard.refusals.clone(),
+        job_reads: Semaphore::new(MAX_JOB_READS),
     });
     let (stop_clients, stop) = async_channel::bounded::<()>(1);
     let for_clients = Arc::clone(&shared);
@@ -254,6 +266,7 @@
             },
             handler: move |arrived| calls::answer(Arc::clone(&for_clients), arrived),
             max_connections,
+            guard: guard.clone(),
         },
         async move {
             let _ = stop.recv().await;
@@ -263,9 +276,10 @@
     let balancer = http1::serve(
         readiness,
         ServerSetup {
-            limits: || DEFAULT_LIMITS,
+            limits: || SMALL_BODY_LIMITS,
             handler: move |arrived| smol::future::ready(calls::readiness(&for_balancer, &arrived)),
             max_connections: MAX_READINESS_CONNECTIONS,
+            guard: guard.clone(),
         },
         smol::future::pending(),
     );
@@ -278,6 +292,7 @@
         smol::spawn(metrics::serve(
             shared.settings.metrics_address,
             shared.metrics.registry(),
+            guard,
         )),
     ];
     Ok(Entry {
--- a/components/stepd/src/entry/calls.rs
+++ b/components/stepd/src/entry/calls.rs
@@ -9,7 +9,7 @@
 use super::{Shared, pending, submit};
 use crate::{
     edge::{ClientCall, ClientReply, HttpResponse},
-    http1::ReceivedRequest,
+    http1::{Limit, ReceivedRequest},
 };
 
 /// How long a client should wait before it retries a call that the entry can't serve:
@@ -29,6 +29,7 @@
         }
         ReceivedRequest::TooLarge => ClientReply::TooLarge,
         ReceivedRequest::Incomplete => ClientReply::Malformed("the body did not arrive".to_owned()),
+        ReceivedRequest::Overloaded => unavailable("there is no memory for the body"),
     };
     let resp = shared.codec.encode_client_reply(&reply);
     let took = shared.clock.now().since(arrived_at);
@@ -126,6 +127,10 @@
     if let Some(state) = known_state(shared, name) {
         return ClientReply::State(state);
     }
+    let Some(_permit) = shared.job_reads.try_acquire() else {
+        shared.refusals.record(Limit::JobReads);
+        return unavailable("too many jobs are being read from the store");
+    };
     match submit::read_job(shared, name).await {
         Ok(Some(state)) => ClientReply::State(state),
         Ok(None) => ClientReply::NoSuchJob,
--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     edge::HttpResponse,
-    http1::{self, DEFAULT_LIMITS, ReceivedRequest, ServerSetup},
+    http1::{self, Guard, ReceivedRequest, SMALL_BODY_LIMITS, ServerSetup},
 };
 
 /// Path of the metrics.
@@ -331,7 +331,7 @@
 
 /// Serves the metrics until the future is dropped. A daemon whose port is taken goes on
 /// without them: they are of less use than the work.
-pub(crate) async fn serve(address: Option<SocketAddr>, registry: Registry) {
+pub(crate) async fn serve(address: Option<SocketAddr>, mut registry: Registry, guard: Guard) {
     let Some(address) = address else {
         return;
     };
@@ -342,11 +342,17 @@
             return;
         }
     };
+    registry.register(
+        "limit_refusals",
+        "Requests and connections that a limit on clients has refused or closed",
+        guard.refusals.counters(),
+    );
     let registry = Arc::new(registry);
     let setup = ServerSetup {
-        limits: || DEFAULT_LIMITS,
+        limits: || SMALL_BODY_LIMITS,
         handler: move |arrived| smol::future::ready(answer(&registry, &arrived)),
         max_connections: MAX_CONNECTIONS,
+        guard,
     };
     http1::serve(listener, setup, smol::future::pending()).await;
 }
