--- a/tests/misbehaving_clients/store.rs
+++ b/tests/misbehaving_clients/store.rs
@@ -96,11 +96,9 @@
     fn answer(&self, method: &str, target: &str, body: &Value) -> (u16, Value) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let param = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let value = pairs
-                .filter(|(known, _)| *known == name)
-                .map(|(_, value)| value);
-            value.last().unwrap_or_default().replace("%2F", "/")
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let pair = pairs.find(|(known, _)| *known == name);
+            pair.map_or("", |(_, value)| value).replace("%2F", "/")
         };
         match (method, path) {
             ("GET", "/kv-key") => self.key(&param("key")),
