steps: decide whether a wait for a near place pays

Cause: a task takes a far worker at once if no near one is free, and runs far_factor times as long there, although near places become free soon.

Change: the pure module steps::locality learns by rack and size how soon places become free, counts the tasks that wait for each rack as they change, and decides whether the tasks of a step wait: as long as the places are expected before the wait has cost what they save, and the job keeps the outcome that it can still have. Nothing is reserved. The owner does not use it yet.

--- a/components/steps/src/job.rs
+++ b/components/steps/src/job.rs
@@ -1,6 +1,6 @@
 //! A job as described by its submitter.
 
-use std::{fmt, str::FromStr, sync::Arc};
+use std::{fmt, str::FromStr, sync::Arc, time::Duration};
 
 use kernel::{JobName, Resources, Time};
 use serde::{Deserialize, Serialize};
@@ -126,7 +126,7 @@
     #[must_use]
     pub fn due(&self, occurrence: u32) -> Time {
         let after = self.interval_millis.saturating_mul(u64::from(occurrence));
-        self.first + std::time::Duration::from_millis(after)
+        self.first + Duration::from_millis(after)
     }
 }
 
@@ -198,6 +198,26 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// Longest chain of estimated durations through the steps after this one, where those that
+    /// depend on a rack take `far_factor` times as long.
+    #[must_use]
+    pub fn chain_after(&self, step: usize, far_factor: f64) -> Duration {
+        let mut ends: Vec<Option<Duration>> = vec![None; step];
+        ends.push(Some(Duration::ZERO));
+        for later in self.steps.iter().skip(step + 1) {
+            let after = later.after.iter();
+            let before = after.filter_map(|&n| ends.get(usize::from(n)).copied().flatten());
+            let begin = before.max();
+            let factor = match later.same_rack || later.data_rack.is_some() {
+                true => far_factor,
+                false => 1.0,
+            };
+            let duration = Duration::from_millis(later.estimate_millis).mul_f64(factor);
+            ends.push(begin.map(|begin| begin.saturating_add(duration)));
+        }
+        ends.into_iter().flatten().max().unwrap_or_default()
+    }
+
     /// Longest chain of estimated durations through the steps, in milliseconds.
     #[must_use]
     pub fn longest_chain_millis(&self) -> u64 {
--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod interference;
 pub mod job;
 pub mod listing;
+pub mod locality;
 pub mod message;
 pub mod owner;
 pub mod pace;
