steps: let tasks wait for a place near their data

Cause: waves in which most quick jobs name one rack fill it, and the jobs that go far are late and hold workers for longer.

Change: a step whose tasks could start on far workers only asks steps::locality first, in the pass that would start them. Gangs and steps that belong on one rack wait as a whole. A far worker that is declined is not recorded as a failed placement, so it is open to others in the same pass; racks found full are remembered apart. The next end of a wait is part of Owner::next_pass. Timing::wait_for_near switches it off.

--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     Config, Job, Outcome, Progress, Queue, TaskKey, Timing,
+    locality::Locality,
     message::{AgentReport, Orders, OrdersReply, RunKey},
 };
 
@@ -27,6 +28,7 @@
 mod health;
 mod interference;
 mod journal;
+mod near;
 mod orders;
 mod place;
 mod recovery;
@@ -195,6 +197,8 @@
     /// from the store.
     forgotten: Vec<JobName>,
     interference: interference::InterferenceModel,
+    /// Steps that wait for near places, and how soon such places become free.
+    locality: Locality,
     schedule_due: bool,
     /// Earliest time of the next scheduling pass.
     next_pass: Time,
@@ -250,6 +254,7 @@
             deposed_by: None,
             forgotten: Vec::new(),
             interference: interference::InterferenceModel::default(),
+            locality: Locality::default(),
             schedule_due: true,
             next_pass: now,
             next_recovery: now,
@@ -309,6 +314,7 @@
             Event::Tick => self.on_tick(now),
         }
         self.track_operator_items(now);
+        self.schedule_due |= self.locality.take_due(now);
         self.ran_pass = self.is_pass_due() && self.next_pass.passed(now);
         if self.ran_pass {
             self.schedule(now, wall);
@@ -350,10 +356,16 @@
         }
     }
 
-    /// Time at which the next event starts a scheduling pass; `None` if none is due.
+    /// Time at which the next event starts a scheduling pass; `None` if none is due. The end of a
+    /// wait for a near place is a reason for one.
     #[must_use]
     pub fn next_pass(&self) -> Option<Time> {
-        self.is_pass_due().then_some(self.next_pass)
+        if self.is_pass_due() {
+            return Some(self.next_pass);
+        }
+        let wait_end = self.locality.next_deadline();
+        let wait_end = wait_end.filter(|_| self.starts_withheld_since.is_none());
+        wait_end.map(|at| at.max(self.next_pass))
     }
 
     fn on_config(&mut self, config: Arc<Config>) {
@@ -403,6 +415,7 @@
             entry.outcome = Some(outcome);
             entry.ended_at = entry.ended_at.or(Some(now));
             self.waiting_jobs.remove(name);
+            self.locality.forget_job(name);
             for (vm, key) in entry.runs() {
                 self.stop_run(now, &vm, &key, "job ended");
             }
@@ -431,6 +444,7 @@
         entry.outcome = Some(outcome);
         entry.ended_at = Some(now);
         self.waiting_jobs.remove(name);
+        self.locality.forget_job(name);
         let runs = entry.runs();
         tracing::info!(
             job = %name,
--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -25,7 +25,7 @@
         let assigned = vm.remove_run(&end.key);
         vm.unknown_runs.remove(&end.key);
         let age_ms = |at: Time| now.since(at).as_millis() as u64;
-        let span_ms = assigned.map(|assigned| age_ms(assigned.since));
+        let span_ms = assigned.as_ref().map(|assigned| age_ms(assigned.since));
         if end.how == RunEnd::Lapsed {
             tracing::warn!(
                 task = %end.key.task,
@@ -50,6 +50,9 @@
                 "run ended"
             );
         }
+        if let Some(run) = &assigned {
+            self.record_freed_room(now, name, run);
+        }
         let release = match self.keep_unknown_end(name, end) {
             true => Release::AfterJobs(vec![end.key.task.job.clone()]),
             false => Release::AfterChange(self.apply_end(now, name, end, span_ms)),
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -77,6 +77,8 @@
     Capacity,
     /// Every worker with enough free capacity would run the best-effort task too slowly.
     Speed,
+    /// The task waits for a near place.
+    NearPlace,
 }
 
 /// State of one step in one occurrence of the job.
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -15,7 +15,7 @@
     trials::TrialRoom,
     vm::{Vm, VmStatus},
 };
-use crate::{Step, interference::Weights, message::RunKey};
+use crate::{Step, interference::Weights, locality::Rack, message::RunKey};
 
 /// Cost of running far from the data, relative to a full worker at 1.
 const REMOTE_DATA_COST: f64 = 2.0;
@@ -25,7 +25,7 @@
 /// A best-effort task waits for a better worker below this fraction of full speed. Its
 /// job is on time at twice its shortest duration, and part of that time is spent
 /// waiting.
-const MIN_BEST_EFFORT_SPEED: f64 = 0.8;
+pub(super) const MIN_BEST_EFFORT_SPEED: f64 = 0.8;
 /// Cost of a worker on which tasks take twice as long as elsewhere.
 const SLOW_WORKER_COST: f64 = 1.5;
 
@@ -155,6 +155,27 @@
     }
 }
 
+/// Racks in which no worker could take a request in this scheduling pass.
+#[derive(Debug, Default)]
+pub(super) struct FullRacks(BTreeMap<Arc<str>, FailedPlacements>);
+
+impl FullRacks {
+    pub(super) fn record(&mut self, request: &PlacementRequest<'_>, rack: &Arc<str>) {
+        // Another request may not have to avoid these workers.
+        if request.avoid.is_empty() {
+            let failed = self.0.entry(Arc::clone(rack)).or_default();
+            failed.record(request, HeldBackBy::NearPlace);
+        }
+    }
+
+    /// Whether no worker in the rack of the data has room for the request.
+    pub(super) fn cover(&self, request: &PlacementRequest<'_>) -> bool {
+        let rack = request.step.data_rack.as_ref();
+        let failed = rack.and_then(|rack| self.0.get(rack));
+        failed.is_some_and(|failed| failed.cover(request).is_some())
+    }
+}
+
 /// Workers among which a task may have to choose: those of a service, in one rack if
 /// one is named.
 type Group = (ServiceName, Option<Arc<str>>);
@@ -349,9 +370,7 @@
 
     /// Returns the most promising workers that can take at least one of `wanted` tasks.
     fn find_workers(&mut self, now: Time, request: &PlacementRequest<'_>, wanted: usize) -> Found {
-        for name in std::mem::take(&mut self.index_vms) {
-            self.index.update(&name, self.vms.get(&name));
-        }
+        self.refresh_index();
         let mut found = Found::default();
         let most = MAX_SCORED_WORKERS + wanted - 1;
         let required_rack = request.required_rack.map(Arc::from);
@@ -367,6 +386,63 @@
         found
     }
 
+    fn refresh_index(&mut self) {
+        for name in std::mem::take(&mut self.index_vms) {
+            self.index.update(&name, self.vms.get(&name));
+        }
+    }
+
+    /// Whether the VM is not in the rack of the step's data.
+    pub(super) fn is_far(&self, name: &VmName, step: &Step) -> bool {
+        let info = self.vms.get(name).and_then(|vm| vm.info.as_ref());
+        info.is_some_and(|info| is_remote(&info.labels, step))
+    }
+
+    /// Whether a worker in the rack could take the task now.
+    pub(super) fn has_room_in_rack(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest<'_>,
+        rack: &Arc<str>,
+    ) -> bool {
+        self.refresh_index();
+        let group = (request.service.clone(), Some(Arc::clone(rack)));
+        let mut found = Found::default();
+        self.examine(now, request, &group, 1, &mut found);
+        !found.scored.is_empty()
+    }
+
+    /// Whether the rack has a worker that the task may use once there is room.
+    pub(super) fn has_worker_in_rack(
+        &mut self,
+        (service, rack): &Rack,
+        request: &PlacementRequest<'_>,
+    ) -> bool {
+        self.refresh_index();
+        let group = (service.clone(), Some(Arc::clone(rack)));
+        let names = self.index.by_free_cpu.most_first(&group, i64::MIN);
+        let mut vms = names.filter_map(|name| self.vms.get(name));
+        vms.any(|vm| {
+            let capacity = vm.info.as_ref().map(|info| info.capacity);
+            let may_fit = request.step.reserved().fits(capacity.unwrap_or_default());
+            may_fit && suits(vm, request, &self.zones_out)
+        })
+    }
+
+    /// Workers in the rack that the task may use once there is room.
+    pub(super) fn workers_in_rack(
+        &mut self,
+        (service, rack): &Rack,
+        request: &PlacementRequest<'_>,
+    ) -> Vec<&Vm> {
+        self.refresh_index();
+        let group = (service.clone(), Some(Arc::clone(rack)));
+        let names = self.index.by_free_cpu.most_first(&group, i64::MIN);
+        let vms = names.filter_map(|name| self.vms.get(name));
+        vms.filter(|vm| suits(vm, request, &self.zones_out))
+            .collect()
+    }
+
     /// Whether a worker that is not to be avoided could take the task later.
     fn has_other_worker(&self, request: &PlacementRequest<'_>) -> bool {
         let mut vms = self.vms.iter();
@@ -511,6 +587,12 @@
     least.map(|(index, _)| index)
 }
 
+/// Whether a worker with these labels is away from the step's data.
+fn is_remote(labels: &[Arc<str>], step: &Step) -> bool {
+    let rack = step.data_rack.as_ref();
+    rack.is_some_and(|rack| !labels.contains(rack))
+}
+
 /// Whether the worker is one that the task may use once there is room.
 pub(super) fn suits(
     vm: &Vm,
@@ -605,11 +687,7 @@
         cost = 1.0 - cost;
     }
     cost += (vm.health.slowdown(now) - 1.0) * SLOW_WORKER_COST;
-    let is_remote = step
-        .data_rack
-        .as_ref()
-        .is_some_and(|rack| !info.labels.contains(rack));
-    if is_remote {
+    if is_remote(&info.labels, step) {
         cost += REMOTE_DATA_COST;
     }
     Some(cost)
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -11,7 +11,8 @@
 use super::{
     Owner,
     entry::{HeldBackBy, JobEntry, StepState, Task, task_key},
-    place::{FailedPlacements, PlacementRequest, Shortlist, Trial},
+    near::FarTasks,
+    place::{FailedPlacements, FullRacks, PlacementRequest, Shortlist, Trial},
     trials::Trials,
     vm::{AssignedRun, Phase, Vm},
     window::StartRoom,
@@ -28,7 +29,7 @@
 const CLOCK_MARGIN: Duration = Duration::from_millis(40);
 /// Time after which a job without runs takes any worker for a ready task, and a long-running
 /// step for each task that is down. Users consider a job or such a task lost after 3 s.
-const MAX_IDLE: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_IDLE: Duration = Duration::from_millis(1_500);
 /// Work for jobs that are not of the first priority after which a pass ends: workers examined,
 /// and starts at [`START_WORK`] each.
 const MAX_PASS_WORK: u64 = 1_024;
@@ -65,6 +66,7 @@
     /// VMs on which such runs may exist.
     unlisted_vms: BTreeSet<VmName>,
     failed: FailedPlacements,
+    full_racks: FullRacks,
     /// Whether there are tasks that may crash each worker that starts them.
     has_suspects: bool,
     /// Whether only suspects start that are tested alone.
@@ -113,6 +115,22 @@
         task_key(self.job, self.occurrence, self.number, index)
     }
 
+    const fn far_tasks<'a>(
+        &'a self,
+        count: usize,
+        racks: &'a [Arc<str>],
+        together: bool,
+    ) -> FarTasks<'a> {
+        FarTasks {
+            job: self.job,
+            occurrence: self.occurrence,
+            number: self.number,
+            count,
+            racks,
+            together,
+        }
+    }
+
     fn placement_request<'a>(
         &'a self,
         task: &'a ReadyTask,
@@ -253,6 +271,7 @@
             is_recovering: self.is_recovering(),
             unlisted_vms: self.unlisted_vms(),
             failed: FailedPlacements::default(),
+            full_racks: FullRacks::default(),
             has_suspects: self.review_suspects(),
             is_for_lone_suspects: true,
             trials: Trials::default(),
@@ -436,6 +455,12 @@
         let mut tasks_per_vm = count_tasks_per_vm(ready.step, state);
         let mut shortlist = Shortlist::default();
         let count = tasks.len();
+        // A step whose tasks belong on one rack waits for it as a whole.
+        let is_single = !ready.step.gang && !ready.step.same_rack;
+        let near_rack = ready.step.data_rack.as_ref();
+        let near_rack = near_rack.filter(|_| is_single && self.may_wait_for_near(ready.step));
+        // How many tasks wait for a near place, once there is none left.
+        let mut to_wait = None;
         for (started, task) in tasks.into_iter().enumerate() {
             if !pass.room.admits(task.is_overdue) {
                 self.window.hold_back();
@@ -445,6 +470,18 @@
             let is_urgent = is_idle || task.is_overdue;
             let request = ready.placement_request(&task, &tasks_per_vm, None, is_urgent, Trial::No);
             let key = ready.task(task.index);
+            let left = count - started;
+            let near_rack = near_rack.filter(|_| !is_urgent && task.trial_size.is_none());
+            if let Some(rack) = near_rack {
+                if to_wait.is_none() && pass.full_racks.cover(&request) {
+                    let far = ready.far_tasks(left, std::slice::from_ref(rack), false);
+                    to_wait = Some(self.tasks_to_wait(now, &far, &request));
+                }
+                if to_wait.is_some_and(|tasks| tasks >= left) {
+                    self.hold_back_step(ready, HeldBackBy::NearPlace);
+                    return;
+                }
+            }
             let chosen = match task.trial_size {
                 Some(size) => {
                     let trials = &mut pass.trials;
@@ -472,10 +509,30 @@
                     return;
                 }
             };
+            if let Some(rack) = near_rack
+                && to_wait.is_none()
+                && self.is_far(&vm, ready.step)
+            {
+                // A near worker may have room and be so slow that a far one is better.
+                let tasks = match self.has_room_in_rack(now, &request, rack) {
+                    true => 0,
+                    false => {
+                        pass.full_racks.record(&request, rack);
+                        let far = ready.far_tasks(left, std::slice::from_ref(rack), false);
+                        self.tasks_to_wait(now, &far, &request)
+                    }
+                };
+                to_wait = Some(tasks);
+                if tasks >= left {
+                    self.hold_back_step(ready, HeldBackBy::NearPlace);
+                    return;
+                }
+            }
             *tasks_per_vm.entry(vm.clone()).or_default() += 1;
             let run = self.next_run();
             let key = RunKey { task: key, run };
             self.order_start(now, &vm, key.clone(), ready.step);
+            self.record_near_start(now, &vm, &key.task, ready.step);
             if pass.room.is_full() {
                 self.reserve_starts.push((vm, key));
             }
@@ -485,6 +542,10 @@
         if is_cut_off {
             self.window.hold_back();
             self.hold_back_step(ready, HeldBackBy::Window);
+            return;
+        }
+        if near_rack.is_some() && count > 0 {
+            self.end_near_wait(now, &ready.task(0));
         }
     }
 
@@ -527,8 +588,44 @@
             // Running on several racks is slower but better than not running.
             racks.push(None);
         }
+        let is_idle = entry
+            .idle_since()
+            .is_some_and(|since| (since + MAX_IDLE).passed(now));
+        let is_tested = tasks.iter().any(|task| task.trial_size.is_some());
+        let mut near_racks: Vec<Arc<str>> = Vec::new();
+        if are_all_ready && !is_idle && !is_tested && self.may_wait_for_near(ready.step) {
+            match &ready.step.data_rack {
+                Some(near) => {
+                    near_racks.push(Arc::clone(near));
+                    racks.retain(|rack| rack.as_deref() != Some(near));
+                    racks.insert(0, Some(near.to_string()));
+                }
+                None => {
+                    let racks = racks.iter().flatten();
+                    near_racks.extend(racks.map(|rack| Arc::from(rack.as_str())));
+                }
+            }
+        }
+        let mut has_decided = near_racks.is_empty();
         for rack in racks {
+            let is_near = rack
+                .as_deref()
+                .is_some_and(|rack| near_racks.iter().any(|near| **near == *rack));
+            if !is_near && !has_decided {
+                has_decided = true;
+                let request =
+                    ready.placement_request(&tasks[0], &tasks_per_vm, None, true, Trial::No);
+                let far = ready.far_tasks(tasks.len(), &near_racks, true);
+                if self.tasks_to_wait(now, &far, &request) > 0 {
+                    self.hold_back_step(ready, HeldBackBy::NearPlace);
+                    return;
+                }
+            }
             if self.try_start_all(now, ready, &tasks, &tasks_per_vm, rack.as_deref()) {
+                if is_near {
+                    self.record_near_found(now, &ready.task(0), tasks.len());
+                }
+                self.end_near_wait(now, &ready.task(0));
                 pass.room.take(tasks.len());
                 return;
             }
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -10,11 +10,13 @@
 
 use super::{
     health::Health,
+    place::MIN_BEST_EFFORT_SPEED,
     unknown::{Release, release},
 };
 use crate::{
     interference::{Weights, cpu_share, image_name},
     listing::Listing,
+    locality::Room,
     message::{ClockReading, OwnerHeader, Role, RunKey, StartOrder, WorkerIncarnation, WorkerInfo},
 };
 
@@ -483,6 +485,14 @@
         (free / min_speed) as i64 - self.best_effort_demand_milli() as i64
     }
 
+    /// What is free on the worker.
+    pub(super) fn room(&self) -> Room {
+        Room {
+            available: self.available(),
+            headroom_milli: self.best_effort_headroom_milli(MIN_BEST_EFFORT_SPEED),
+        }
+    }
+
     /// Expected speed of a best-effort task on this VM.
     pub(super) fn forecast(
         &self,
--- a/components/steps/src/owner/work.rs
+++ b/components/steps/src/owner/work.rs
@@ -35,6 +35,12 @@
     pub samples_compared: u64,
     /// Updates of the weights of the interference model.
     pub weights_solved: u64,
+    /// Tasks that waited for a near place while a far one was free.
+    pub near_waits: u64,
+    /// Those of them that found a near place.
+    pub near_found: u64,
+    /// Those of them that gave up.
+    pub near_given_up: u64,
     /// Start orders given.
     pub starts_ordered: u64,
     /// Start orders that reached an agent after their deadline.
--- a/components/steps/src/timing.rs
+++ b/components/steps/src/timing.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-/// Durations of leases and timeouts. A deployment's settings publish their bounds; the
-/// other values are derived here.
+/// Durations of leases and timeouts, and how placement weighs time. A deployment's settings
+/// publish their bounds; the other values are derived here.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Timing {
     /// Duration of a task lease: time for which a worker runs a task without a
@@ -30,6 +30,9 @@
     pub gang_wait: Duration,
     /// Factor by which a step takes longer on a rack away from its data.
     pub far_factor: f64,
+    /// Whether tasks may wait for a place near their data, or near each other, while a far one
+    /// is free.
+    pub wait_for_near: bool,
     /// Time that a worker takes to stop a task.
     pub stop: Duration,
     /// Time for which an ended job is remembered.
@@ -75,6 +78,7 @@
             start_within: START_WITHIN,
             gang_wait: Duration::from_secs(3),
             far_factor: 1.5,
+            wait_for_near: true,
             stop: Duration::from_secs(1),
             ended_job_retention: Duration::from_secs(150),
         }
