--- a/components/stepd/tests/passes.rs
+++ b/components/stepd/tests/passes.rs
@@ -53,3 +53,26 @@
         passes.or(other_task).await;
     });
 }
+
+/// The end of a wait for a near place may be seconds away when a pass becomes due.
+#[test]
+fn a_pass_that_becomes_due_earlier_waits_for_a_later_one() {
+    assert_returns(async {
+        let changed = Event::new();
+        let is_due = AtomicU32::new(0);
+        let next = || match is_due.load(Ordering::Relaxed) {
+            0 => NextPass::In(Duration::from_secs(3_600)),
+            1 => NextPass::In(Duration::ZERO),
+            _ => NextPass::Never,
+        };
+        let run = || {
+            is_due.fetch_add(1, Ordering::Relaxed);
+        };
+        let other_task = async {
+            smol::future::yield_now().await;
+            is_due.store(1, Ordering::Relaxed);
+            changed.notify(1);
+        };
+        smol::future::zip(run_delayed(&changed, next, run), other_task).await;
+    });
+}
