steps: weigh estimates of any length

Cause: submitters give the estimates, and sums of durations could overflow while the slack of a job is determined.

Change: the sums are those of times, which saturate.

Result: any_estimate_can_be_weighed plays the longest estimates.

--- a/components/steps/src/locality.rs
+++ b/components/steps/src/locality.rs
@@ -292,9 +292,9 @@
 #[must_use]
 pub fn slack_until(now: Time, objective: &Objective, far: Duration) -> Option<Time> {
     for objectives in [1, LAST_OBJECTIVES] {
-        let end = objective.since + objective.span * objectives;
+        let end = objective.since + objective.span.saturating_mul(objectives);
         for rest in [objective.far_rest, objective.rest] {
-            let latest = end - (far + rest + START_MARGIN);
+            let latest = end - far - rest - START_MARGIN;
             if !latest.passed(now) {
                 return Some(latest);
             }
--- a/components/steps/tests/locality.rs
+++ b/components/steps/tests/locality.rs
@@ -605,6 +605,20 @@
     assert_eq!(found, until.map(at));
 }
 
+/// Submitters give the estimates, which have no bound.
+#[test]
+fn any_estimate_can_be_weighed() {
+    let mut fleet = fleet_with_full_rack(300, true);
+    let steps = [0, 1].map(|number: u16| Step {
+        estimate_millis: u64::MAX,
+        after: (0..number).collect(),
+        ..near_step(2)
+    });
+    let job = fleet.submit_steps(at(0), 2, steps.to_vec());
+    fleet.run(0, 310);
+    assert_eq!(fleet.starts_of(&job).len(), 2);
+}
+
 fn rack() -> Rack {
     (ServiceName::new("pool").unwrap(), rack_name(0))
 }
