--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -82,6 +82,9 @@
     jobs_visited: Counter,
     workers_examined: Counter,
     starts: Counter,
+    near_waits: Counter,
+    near_found: Counter,
+    near_given_up: Counter,
     late_starts: Counter,
     lapsed_runs: Counter,
     event_time: Counter<f64, AtomicU64>,
@@ -144,6 +147,13 @@
                 before.workers_examined,
             ),
             (&counters.starts, work.starts_ordered, before.starts_ordered),
+            (&counters.near_waits, work.near_waits, before.near_waits),
+            (&counters.near_found, work.near_found, before.near_found),
+            (
+                &counters.near_given_up,
+                work.near_given_up,
+                before.near_given_up,
+            ),
             (&counters.late_starts, work.starts_late, before.starts_late),
             (&counters.lapsed_runs, work.runs_lapsed, before.runs_lapsed),
         ];
@@ -214,6 +224,21 @@
                 &work.workers_examined,
             ),
             ("owner_starts", "Start orders given", &work.starts),
+            (
+                "owner_near_waits",
+                "Tasks that waited for a near place while a far one was free",
+                &work.near_waits,
+            ),
+            (
+                "owner_near_found",
+                "Tasks that waited for a near place and found one",
+                &work.near_found,
+            ),
+            (
+                "owner_near_given_up",
+                "Tasks that waited for a near place and gave up",
+                &work.near_given_up,
+            ),
             (
                 "owner_late_starts",
                 "Start orders that reached an agent after their deadline",
