steps: decide admission by the work ahead and the drain rate

Cause: under overload every submit was accepted, also of jobs that could only end long after they were worth anything to their callers.

Change: the owner sums up waiting work by queue, label and resource, and the work that drains, at most once in 500 ms after a scheduling pass (owner/demand.rs). steps::admission decides by that summary: a job is refused if its wait and its longest chain exceed three objectives. Work of late jobs counts only ahead of a job that would be late too. A refusal needs a drain rate over at least 3 s in which no worker had room for any task of the job.

--- a/components/steps/src/config.rs
+++ b/components/steps/src/config.rs
@@ -5,6 +5,8 @@
 use kernel::ServiceName;
 use serde::{Deserialize, Serialize};
 
+use crate::Job;
+
 /// A queue of jobs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
@@ -29,6 +31,19 @@
     pub approval: Option<ApprovalPolicy>,
 }
 
+impl Queue {
+    /// Time within which a job should be done from its submission on.
+    #[must_use]
+    pub fn objective(&self, job: &Job) -> Duration {
+        self.objective_of_chain(Duration::from_millis(job.longest_chain_millis()))
+    }
+
+    /// The same for a job with this longest chain of estimates.
+    pub(crate) fn objective_of_chain(&self, longest_chain: Duration) -> Duration {
+        longest_chain.mul_f64(self.slack_factor.max(1.0)) + self.target_latency
+    }
+}
+
 /// Rules for approvals of workers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ApprovalPolicy {
--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -7,6 +7,7 @@
 //! take events with the current time and return the actions to carry out. See
 //! `docs/STEPS.md`.
 
+pub mod admission;
 pub mod agent;
 pub mod candidacy;
 pub mod config;
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -21,6 +21,7 @@
 };
 
 mod crashes;
+mod demand;
 mod ends;
 mod entry;
 mod handover;
@@ -179,6 +180,7 @@
     /// Tasks that may crash each worker that starts them.
     suspects: BTreeSet<TaskKey>,
     crash_history: crashes::CrashHistory,
+    demand: demand::DemandMeter,
     /// Workers that have been quarantined, some of them not any more.
     quarantined: BTreeSet<VmName>,
     /// VMs that may have orders to send.
@@ -242,6 +244,7 @@
             round: BTreeSet::new(),
             suspects: BTreeSet::new(),
             crash_history: crashes::CrashHistory::default(),
+            demand: demand::DemandMeter::default(),
             quarantined: BTreeSet::new(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
@@ -312,6 +315,7 @@
         self.ran_pass = self.is_pass_due() && self.next_pass.passed(now);
         if self.ran_pass {
             self.schedule(now, wall);
+            self.sample_demand(now);
         }
     }
 
--- a/components/steps/src/owner/ends.rs
+++ b/components/steps/src/owner/ends.rs
@@ -157,6 +157,11 @@
             .and_then(|step| step.median_duration_millis(MIN_DURATIONS));
         let others = entry.complete(key, gang, span_ms);
         let is_complete = entry.is_complete();
+        let step = entry.job.steps.get(usize::from(key.step));
+        if let (Some(step), Some(queue)) = (step, self.queues.get(&entry.job.queue)) {
+            let tasks = if gang { step.count as usize } else { 1 };
+            self.demand.record_completed(&queue.service, step, tasks);
+        }
         if let Some(vm) = self.vms.get_mut(name) {
             vm.health.record_end(now, &job, false);
             if let (Some(span), Some(median)) = (span_ms, median) {
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -125,6 +125,11 @@
         self.waiting
     }
 
+    /// Number of tasks that are not done and have a run.
+    pub(super) const fn running(&self) -> usize {
+        self.tasks.len() - self.done - self.waiting
+    }
+
     /// Completes a task; returns whether it was not done before.
     fn complete(&mut self, index: usize) -> bool {
         let Some(task) = self.tasks.get_mut(index).filter(|task| !task.done) else {
@@ -467,7 +472,7 @@
 
     /// Time within which the job should be done from its submission on.
     pub(super) fn objective(&self, queue: &Queue) -> Duration {
-        self.longest_chain.mul_f64(queue.slack_factor.max(1.0)) + queue.target_latency
+        queue.objective_of_chain(self.longest_chain)
     }
 
     /// Adds an occurrence to the finished ones if all of its tasks have completed.
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -25,7 +25,7 @@
 /// A best-effort task waits for a better worker below this fraction of full speed. Its
 /// job is on time at twice its shortest duration, and part of that time is spent
 /// waiting.
-const MIN_BEST_EFFORT_SPEED: f64 = 0.8;
+pub(super) const MIN_BEST_EFFORT_SPEED: f64 = 0.8;
 /// Cost of a worker on which tasks take twice as long as elsewhere.
 const SLOW_WORKER_COST: f64 = 1.5;
 
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -18,11 +18,10 @@
 };
 use crate::{
     Queue, Step, TaskKey,
+    admission::HOPELESS_AFTER_OBJECTIVES,
     message::{Role, RunKey, StartOrder},
 };
 
-/// A job later than this many times its objective ranks last.
-const HOPELESS_AFTER_OBJECTIVES: u32 = 3;
 /// Delay after an occurrence's due time, since the clocks of machines differ and no
 /// occurrence may start early.
 const CLOCK_MARGIN: Duration = Duration::from_millis(40);
--- a/components/steps/src/owner/work.rs
+++ b/components/steps/src/owner/work.rs
@@ -35,6 +35,8 @@
     pub samples_compared: u64,
     /// Updates of the weights of the interference model.
     pub weights_solved: u64,
+    /// Times at which the waiting work and the free capacity were summed up.
+    pub load_samples: u64,
     /// Start orders given.
     pub starts_ordered: u64,
     /// Start orders that reached an agent after their deadline.
--- a/components/steps/tests/common/mod.rs
+++ b/components/steps/tests/common/mod.rs
@@ -41,7 +41,11 @@
     };
     Arc::new(Config {
         version: 1,
-        queues: vec![queue("quick", 0, 3), queue("bulk", 2, 4)],
+        queues: vec![
+            queue("quick", 0, 3),
+            queue("bulk", 2, 4),
+            queue("rival", 0, 3),
+        ],
         services: vec![Service {
             name: ServiceName::new("pool").unwrap(),
             standby: false,
--- a/components/steps/tests/common/processor.rs
+++ b/components/steps/tests/common/processor.rs
@@ -15,6 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use steps::{
     AgentState, Event, Job, Outcome, Owner, Progress, Step, TaskKey, Timing,
+    admission::LoadSummary,
     message::{AgentReport, OrderResult, Orders, OrdersReply, ReportPoll, RunEnd, RunKey},
     owner::{Handover, PollFailure, RecordWrite, WorkCounts},
 };
@@ -308,6 +309,21 @@
         process.is_some_and(|process| process.is_loaded)
     }
 
+    /// What the present owner tells entries of the load, and its age.
+    pub(crate) fn load_summary(&self) -> Option<(Arc<LoadSummary>, Duration)> {
+        self.process.as_ref()?.owner.load_summary(self.now)
+    }
+
+    /// Work of the present owner.
+    pub(crate) fn work(&self) -> Option<WorkCounts> {
+        Some(self.process.as_ref()?.owner.work())
+    }
+
+    /// How a job has ended; `None` while its end is not durable.
+    pub(crate) fn outcome(&self, name: &JobName) -> Option<Outcome> {
+        self.store.get(name)?.outcome
+    }
+
     /// Number of long-running tasks that run.
     pub(crate) fn long_running_up(&self) -> usize {
         let downs = self.long_running.values();
