stepd: refuse submits that can't be served with 503 and Retry-After

Cause: the decision of steps::admission had no caller.

Change: entries ask the owner for its load over /hemlockmoor.Owner/Load, at most once in 500 ms, in the background and only while they take submits. A summary of another epoch, or one of 2 s or more, does not count. Before a refusal the entry reads the job and its end from the store, so that a repeated call for an accepted job is not refused. Refusals are logged 10 times a second at most, with a count, and have two metrics.

Measured: no run of the daemons yet; the crates build.

--- a/components/stepd/src/edge.rs
+++ b/components/stepd/src/edge.rs
@@ -98,6 +98,13 @@
         /// Why the call was refused.
         reason: String,
     },
+    /// The job was refused, since it can't be served in time. It never runs.
+    Overloaded {
+        /// How long the client should wait before it retries, in whole seconds.
+        retry_after: Duration,
+        /// Why the job was refused.
+        reason: String,
+    },
     /// The call may have taken effect; repeating it is safe. The text gives the reason.
     OutcomeUnknown(String),
 }
--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -21,6 +21,7 @@
     http1::{self, DEFAULT_LIMITS, ServerSetup},
 };
 
+mod admission;
 mod calls;
 mod campaign;
 mod candidacy;
@@ -108,6 +109,8 @@
     secrets: Mutex<Option<Secrets>>,
     /// Notified when the owner may have changed or the entry stops.
     owner_changed: Event,
+    /// What this entry knows of the load, from the owner.
+    load: admission::LoadCache,
     metrics: EntryMetrics,
 }
 
@@ -238,6 +241,7 @@
         stopping_since: OnceLock::new(),
         secrets: Mutex::new(None),
         owner_changed: Event::new(),
+        load: admission::LoadCache::default(),
         metrics: EntryMetrics::default(),
     });
     let (stop_clients, stop) = async_channel::bounded::<()>(1);
--- a/components/stepd/src/entry/campaign.rs
+++ b/components/stepd/src/entry/campaign.rs
@@ -47,7 +47,8 @@
 async fn serve_entries(shared: Arc<Shared>, secrets: kernel::secret::Secrets) {
     match observe::listen("internal", shared.settings.internal_address).await {
         Ok((listener, _)) => {
-            let router = candidacy::with_calls(super::pending::router(&shared), &shared);
+            let router = super::admission::add_route(super::pending::router(&shared), &shared);
+            let router = candidacy::with_calls(router, &shared);
             proto::serve(listener, router, secrets, smol::future::pending()).await;
         }
         Err(error) => tracing::error!(%error, "can't listen for calls of other entries"),
--- a/components/stepd/src/entry/submit.rs
+++ b/components/stepd/src/entry/submit.rs
@@ -7,7 +7,7 @@
 use store::{Compare, KeyRange, KeyValue, LeaseId, Op, Store, StoreError, Txn, backoff::Backoff};
 
 use super::{
-    Shared,
+    Shared, admission,
     calls::unavailable,
     index::{Index, KeyUpdate, jobs_first},
 };
@@ -54,6 +54,9 @@
     if shared.index().job(&job.name).is_some() {
         return ClientReply::Accepted;
     }
+    if let Some(refusal) = admission::refuse(shared, &job).await {
+        return refusal;
+    }
     job.accepted = crate::time::wall_time();
     let value = match serde_json::to_vec(&job) {
         Ok(value) => value,
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -20,6 +20,7 @@
 use smol::Task;
 use steps::{
     Event, Owner,
+    admission::LoadSummary,
     message::{Orders, OrdersCall, ReportPollCall},
     owner::{Handover, PollFailure},
 };
@@ -635,6 +636,11 @@
         self.owner().pending_jobs(queue)
     }
 
+    /// Returns the last summary of the load and its age; `None` before the first one.
+    pub(super) fn load_summary(&self) -> Option<(Arc<LoadSummary>, Duration)> {
+        self.owner().load_summary(self.now())
+    }
+
     pub(super) fn has_started(&self, job: &JobName) -> Option<bool> {
         self.owner().has_started(job)
     }
--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -65,6 +65,8 @@
 pub(crate) struct EntryMetrics {
     calls: Family<CallLabels, Counter>,
     call_latency: Family<MethodLabels, Histogram>,
+    refused_submits: Counter,
+    retry_after_seconds: Counter,
     owns_jobs: Gauge,
     owner_work: Arc<OwnerCounters>,
     open_jobs: Gauge,
@@ -93,6 +95,8 @@
         Self {
             calls: Family::default(),
             call_latency: Family::new_with_constructor(latency_histogram),
+            refused_submits: Counter::default(),
+            retry_after_seconds: Counter::default(),
             owns_jobs: Gauge::default(),
             owner_work: Arc::default(),
             open_jobs: Gauge::default(),
@@ -116,6 +120,12 @@
             .observe(took.as_secs_f64());
     }
 
+    /// Records a submit that was refused since the job can't be served in time.
+    pub(crate) fn record_refusal(&self, retry_after: Duration) {
+        self.refused_submits.inc();
+        self.retry_after_seconds.inc_by(retry_after.as_secs());
+    }
+
     /// Records that a term as the owner starts or ends.
     pub(crate) fn set_owner(&self, owns_jobs: bool) {
         self.owns_jobs.set(i64::from(owns_jobs));
@@ -178,6 +188,17 @@
             Unit::Seconds,
             self.call_latency.clone(),
         );
+        registry.register(
+            "admission_refused_submits",
+            "Submits refused since the job can't be served in time",
+            self.refused_submits.clone(),
+        );
+        registry.register_with_unit(
+            "admission_retry_after",
+            "Sum of the times after which clients of refused submits may try again",
+            Unit::Seconds,
+            self.retry_after_seconds.clone(),
+        );
         let gauges = [
             ("owner", "Owns the jobs", &self.owns_jobs),
             ("owner_open_jobs", "Open jobs", &self.open_jobs),
