--- a/components/stepd/src/entry/admission.rs
+++ b/components/stepd/src/entry/admission.rs
@@ -8,11 +8,10 @@
 };
 
 use kernel::Time;
-use proto::{Method, Peer, Router, RpcError};
-use serde::{Deserialize, Serialize};
+use proto::{Peer, Router, RpcError};
 use steps::{
     Job,
-    admission::{self, Decision, Estimate, LineLimit, LoadSummary},
+    admission::{self, Decision, Estimate, LineLimit, LoadCall, LoadQuery, LoadReply, LoadSummary},
 };
 use store::{KeyRange, StoreError};
 
@@ -24,28 +23,6 @@
 /// Timeout of a call to the owner; a summary that is older than 2 s would count no more.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Request for the load of the services.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct LoadQuery {}
-
-/// Reply to a [`LoadQuery`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct LoadReply {
-    /// Age of the summary as the owner replied.
-    age_millis: u64,
-    summary: Arc<LoadSummary>,
-}
-
-/// The RPC method that takes a [`LoadQuery`].
-#[derive(Debug)]
-pub(super) struct LoadCall;
-
-impl Method for LoadCall {
-    const PATH: &'static str = "/hemlockmoor.Owner/Load";
-    type Req = LoadQuery;
-    type Resp = LoadReply;
-}
-
 /// Adds the call of other entries to a router.
 pub(super) fn add_route(router: Router, shared: &Arc<Shared>) -> Router {
     let shared = Arc::clone(shared);
--- a/components/steps/src/admission.rs
+++ b/components/steps/src/admission.rs
@@ -8,6 +8,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use kernel::{Resources, ServiceName, Time};
+use proto::Method;
 use serde::{Deserialize, Serialize};
 
 use crate::{Job, Queue, Step};
@@ -224,6 +225,29 @@
     pub services: Vec<ServiceLoad>,
 }
 
+/// Request of an entry to the owner for its [`LoadSummary`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LoadQuery {}
+
+/// Reply to a [`LoadQuery`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LoadReply {
+    /// Age of the summary as the owner replied.
+    pub age_millis: u64,
+    /// The last summary.
+    pub summary: Arc<LoadSummary>,
+}
+
+/// The RPC method that takes a [`LoadQuery`].
+#[derive(Debug)]
+pub struct LoadCall;
+
+impl Method for LoadCall {
+    const PATH: &'static str = "/hemlockmoor.Owner/Load";
+    type Req = LoadQuery;
+    type Resp = LoadReply;
+}
+
 /// Why a job is accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcceptReason {
