--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -21,6 +21,7 @@
     http1::{self, DEFAULT_LIMITS, Guard, Refusals, SMALL_BODY_LIMITS, ServerSetup},
 };
 
+mod admission;
 mod calls;
 mod campaign;
 mod candidacy;
@@ -114,6 +115,8 @@
     secrets: Mutex<Option<Secrets>>,
     /// Notified when the owner may have changed or the entry stops.
     owner_changed: Event,
+    /// What this entry knows of the load, from the owner.
+    load: admission::LoadCache,
     metrics: EntryMetrics,
     refusals: Refusals,
     /// Permits for reads of jobs that this entry does not know.
@@ -248,6 +251,7 @@
         stopping_since: OnceLock::new(),
         secrets: Mutex::new(None),
         owner_changed: Event::new(),
+        load: admission::LoadCache::default(),
         metrics: EntryMetrics::default(),
         refusals: guard.refusals.clone(),
         job_reads: Semaphore::new(MAX_JOB_READS),
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -22,6 +22,7 @@
 };
 
 mod crashes;
+mod demand;
 mod ends;
 mod entry;
 mod handover;
@@ -31,6 +32,7 @@
 mod near;
 mod orders;
 mod place;
+pub mod rank;
 mod recovery;
 mod report;
 mod schedule;
@@ -181,6 +183,7 @@
     /// Tasks that may crash each worker that starts them.
     suspects: BTreeSet<TaskKey>,
     crash_history: crashes::CrashHistory,
+    demand: demand::DemandMeter,
     /// Workers that have been quarantined, some of them not any more.
     quarantined: BTreeSet<VmName>,
     /// VMs that may have orders to send.
@@ -199,6 +202,12 @@
     interference: interference::InterferenceModel,
     /// Steps that wait for near places, and how soon such places become free.
     locality: Locality,
+    /// Starts owed to late jobs, by priority.
+    aging: BTreeMap<u32, rank::Aging>,
+    /// Until when jobs start in the order of a restart; `None` without a mass loss.
+    restart_until: Option<Time>,
+    /// Whether this owner has compared the long-running tasks that it found with those that run.
+    has_reviewed_takeover: bool,
     schedule_due: bool,
     /// Earliest time of the next scheduling pass.
     next_pass: Time,
@@ -246,6 +255,7 @@
             round: BTreeSet::new(),
             suspects: BTreeSet::new(),
             crash_history: crashes::CrashHistory::default(),
+            demand: demand::DemandMeter::default(),
             quarantined: BTreeSet::new(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
@@ -255,6 +265,9 @@
             forgotten: Vec::new(),
             interference: interference::InterferenceModel::default(),
             locality: Locality::default(),
+            aging: BTreeMap::new(),
+            restart_until: None,
+            has_reviewed_takeover: false,
             schedule_due: true,
             next_pass: now,
             next_recovery: now,
@@ -318,6 +331,7 @@
         self.ran_pass = self.is_pass_due() && self.next_pass.passed(now);
         if self.ran_pass {
             self.schedule(now, wall);
+            self.sample_demand(now);
         }
     }
 
--- a/components/steps/src/owner/work.rs
+++ b/components/steps/src/owner/work.rs
@@ -41,6 +41,8 @@
     pub near_found: u64,
     /// Those of them that gave up.
     pub near_given_up: u64,
+    /// Times at which the waiting work and the free capacity were summed up.
+    pub load_samples: u64,
     /// Start orders given.
     pub starts_ordered: u64,
     /// Start orders that reached an agent after their deadline.
