Start unknown pairs of images from the known pairs of both

Cause: each pair of a serving and a best-effort image that had not run together started from a constant weight of 2.0, whatever was known of either image. Change: the weight of an unknown pair is the mean of the known weights of both images, each counted as far as it is known, shrunk towards 2.0 with the weight of two pairs. Each weight has a standard error, from the diagonal of the regression's normal matrix and the learnt noise. The owner publishes weights of unknown pairs, so agents pace by the same ones. A weight without samples costs no solver rounds. Result: the session in tests/interference.rs passes; what it changes in a whole system is not measured yet.

--- a/components/steps/src/owner/interference.rs
+++ b/components/steps/src/owner/interference.rs
@@ -16,7 +16,10 @@
 
 use super::{Owner, vm::Vm};
 use crate::{
-    interference::{PRIOR_WEIGHT, Weight, Weights, cpu_share, image_name},
+    interference::{
+        KnownPairs, PRIOR_ERROR, PRIOR_WEIGHT, Weight, WeightEstimate, Weights, cpu_share,
+        image_name,
+    },
     message::{ActiveRun, Role, RunKey},
 };
 
@@ -35,6 +38,13 @@
 /// Weight of the prior in the regression, as the square of a share of a VM: equals one
 /// sample of a serving task that shares its VM with a task that uses a tenth of it.
 const PRIOR_STRENGTH: f64 = 0.01;
+/// Standard deviation of a difference of log latencies that the weights do not explain, until
+/// it is learnt.
+const ASSUMED_NOISE: f64 = 0.2;
+/// Number of differences as which the assumed deviation counts.
+const ASSUMED_NOISE_COUNT: f64 = 20.0;
+/// Degree to which a pair must be known for a log line of its own.
+const MIN_LOGGED_DEGREE: f64 = 0.1;
 /// Time after which a sample counts half.
 const HALF_LIFE: Duration = Duration::from_secs(90);
 /// Interval between two updates of the weights of a serving image.
@@ -57,6 +67,8 @@
     /// Best-effort images, by their number in [`Usage`] and in the regressions.
     images: Vec<Arc<str>>,
     image_numbers: BTreeMap<Arc<str>, usize>,
+    /// Known pairs of each best-effort image.
+    known_pairs: Vec<KnownPairs>,
     /// Newest samples of the tasks of each serving job.
     groups: BTreeMap<JobName, Group>,
     /// Samples in the order in which they grow too old to compare.
@@ -111,6 +123,13 @@
     normal_matrix: Vec<Vec<f64>>,
     normal_vector: Vec<f64>,
     weights: Vec<f64>,
+    /// Estimate of each weight from other pairs.
+    priors: Vec<WeightEstimate>,
+    /// Degree to which each weight was known after the last update, and the weight.
+    known: Vec<(f64, f64)>,
+    /// Sum of the squared residuals, and the sum of their factors.
+    squared_residuals: f64,
+    residual_count: f64,
     decayed_at: Time,
     solved_at: Time,
 }
@@ -194,6 +213,7 @@
         }
         let number = self.images.len();
         self.images.push(Arc::clone(image));
+        self.known_pairs.push(KnownPairs::default());
         self.image_numbers.insert(Arc::clone(image), number);
         number
     }
@@ -243,23 +263,32 @@
         }
         regression.solved_at = now;
         regression.decay(now);
+        regression.resize(self.images.len());
+        let of_others = regression.set_priors(&self.known_pairs);
         regression.solve();
+        regression.update_known(&mut self.known_pairs);
+        self.weights.set_others(serves, of_others);
         let mut notable = Vec::new();
-        for (image, &weight) in self.images.iter().zip(&regression.weights) {
-            self.weights.set(&Weight {
-                serving_image: Arc::clone(serves),
-                best_effort_image: Arc::clone(image),
-                weight,
-            });
+        for (number, image) in self.images.iter().enumerate() {
+            let estimate = regression.estimate(number);
+            self.weights.set_estimate(serves, image, estimate);
             let pair = (Arc::clone(serves), Arc::clone(image));
-            let known = self.published.get(&pair).map(|(weight, _)| *weight);
-            if is_notable(known, weight) {
-                notable.push((pair, weight));
+            let published = self.published.get(&pair).map(|(weight, _)| *weight);
+            if is_notable(published, estimate.weight) {
+                notable.push((pair, estimate, regression.degree(number)));
+            }
+        }
+        let mut unknown_pairs = 0;
+        for (pair, estimate, degree) in notable {
+            if degree >= MIN_LOGGED_DEGREE {
+                tracing::info!(serves = %pair.0, fills = %pair.1, weight = estimate.weight, error = estimate.error, "interference weight of an image pair changed");
+            } else {
+                unknown_pairs += 1;
             }
+            self.publish(pair, estimate.weight);
         }
-        for (pair, weight) in notable {
-            tracing::info!(serves = %pair.0, fills = %pair.1, weight, "interference weight of an image pair changed");
-            self.publish(pair, weight);
+        if unknown_pairs > 0 {
+            tracing::debug!(serves = %serves, unknown_pairs, "interference weights of unknown image pairs changed");
         }
         true
     }
@@ -321,11 +350,13 @@
         let span = now.since(self.decayed_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         self.decayed_at = now;
         let kept = (-span).exp2();
+        let residuals = [&mut self.squared_residuals, &mut self.residual_count];
         for sum in self
             .normal_matrix
             .iter_mut()
             .flatten()
             .chain(&mut self.normal_vector)
+            .chain(residuals)
         {
             *sum *= kept;
         }
@@ -341,6 +372,67 @@
         self.normal_matrix.resize(images, vec![0.0; images]);
         self.normal_vector.resize(images, 0.0);
         self.weights.resize(images, PRIOR_WEIGHT);
+        self.priors.resize(images, WeightEstimate::PRIOR);
+        self.known.resize(images, (0.0, 0.0));
+    }
+
+    /// Sets the prior of each weight from the other pairs of both images. Returns the estimate
+    /// for best-effort images of which nothing is known.
+    fn set_priors(&mut self, pairs_of_images: &[KnownPairs]) -> WeightEstimate {
+        let mut own_pairs = KnownPairs::default();
+        for &(degree, weight) in &self.known {
+            own_pairs.add(degree, weight);
+        }
+        let pairs_of_images = pairs_of_images.iter().copied();
+        for ((prior, pairs), &(degree, weight)) in
+            self.priors.iter_mut().zip(pairs_of_images).zip(&self.known)
+        {
+            // Both sums contain the pair itself.
+            let mut others = own_pairs.with(pairs);
+            others.remove(2.0 * degree, weight);
+            *prior = others.estimate();
+        }
+        own_pairs.estimate()
+    }
+
+    /// Updates how well each weight is known, here and among the pairs of its image.
+    fn update_known(&mut self, pairs_of_images: &mut [KnownPairs]) {
+        for (number, pairs) in pairs_of_images.iter_mut().enumerate() {
+            let (degree, weight) = self.known[number];
+            pairs.remove(degree, weight);
+            self.known[number] = (self.degree(number), self.weights[number]);
+            let (degree, weight) = self.known[number];
+            pairs.add(degree, weight);
+        }
+    }
+
+    /// Variance of a difference of log latencies that the weights do not explain.
+    fn noise_variance(&self) -> f64 {
+        let assumed = ASSUMED_NOISE_COUNT * ASSUMED_NOISE.powi(2);
+        (assumed + self.squared_residuals) / (ASSUMED_NOISE_COUNT + self.residual_count)
+    }
+
+    /// Precision of a weight from its own samples: the diagonal of the normal matrix over the
+    /// noise. It leaves out the correlations between images, which would take the inverse of
+    /// the matrix, so it is too high for images that always run together.
+    fn precision(&self, number: usize) -> f64 {
+        self.normal_matrix[number][number] / self.noise_variance()
+    }
+
+    /// Degree to which a weight is known from its own samples, between 0 and 1.
+    fn degree(&self, number: usize) -> f64 {
+        let precision = self.precision(number);
+        precision / (precision + PRIOR_ERROR.powi(-2))
+    }
+
+    /// A weight with its error, to which both its prior and its samples contribute.
+    fn estimate(&self, number: usize) -> WeightEstimate {
+        let prior_variance = self.priors[number].error.powi(2).max(f64::MIN_POSITIVE);
+        let precision = self.precision(number) + prior_variance.recip();
+        WeightEstimate {
+            weight: self.weights[number],
+            error: precision.recip().sqrt(),
+        }
     }
 
     /// Adds the difference between two samples to the fit: that of the shares of the images
@@ -349,7 +441,10 @@
         self.resize(shares.len());
         let expected: f64 = shares.iter().zip(&self.weights).map(|(p, w)| p * w).sum();
         let residual = difference - expected;
-        let bounded_difference = expected + residual.clamp(-MAX_RESIDUAL, MAX_RESIDUAL);
+        let residual = residual.clamp(-MAX_RESIDUAL, MAX_RESIDUAL);
+        let bounded_difference = expected + residual;
+        self.squared_residuals += factor * residual.powi(2);
+        self.residual_count += factor;
         for (row, &share) in shares.iter().enumerate() {
             if share == 0.0 {
                 continue;
@@ -362,18 +457,23 @@
     }
 
     /// Coordinate descent: sets each weight to its best value given the others, with
-    /// zero as the minimum, since no task makes another one faster.
+    /// zero as the minimum, since no task makes another one faster. A weight without samples
+    /// keeps its prior.
     fn solve(&mut self) {
         for _ in 0..SOLVER_ROUNDS {
             for row in 0..self.weights.len() {
+                let prior = self.priors[row].weight;
+                if self.normal_matrix[row][row] <= 0.0 {
+                    self.weights[row] = prior;
+                    continue;
+                }
                 let mut explained = 0.0;
                 for (column, weight) in self.weights.iter().enumerate() {
                     if column != row {
                         explained += self.normal_matrix[row][column] * weight;
                     }
                 }
-                let unexplained =
-                    self.normal_vector[row] - explained + PRIOR_STRENGTH * PRIOR_WEIGHT;
+                let unexplained = self.normal_vector[row] - explained + PRIOR_STRENGTH * prior;
                 let weight = unexplained / (self.normal_matrix[row][row] + PRIOR_STRENGTH);
                 self.weights[row] = weight.max(0.0);
             }
--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -10,7 +10,7 @@
 use kernel::Time;
 use steps::{
     Event, Owner, Step, Timing,
-    interference::{PRIOR_WEIGHT, Weight},
+    interference::{KnownPairs, PRIOR_WEIGHT, Weight, WeightEstimate},
     message::{ActiveRun, AgentReport, ClockReading, EndedRun, RunEnd, RunKey},
     owner::PollFailure,
 };
@@ -390,3 +390,60 @@
     assert!(few > 0);
     assert_eq!(many, few, "with 48 and with 3 tasks");
 }
+
+/// Every pair that had not run together yet started from 2.0, whatever was known of its images:
+/// a new best-effort image was held back beside a serving image that nothing slows.
+#[test]
+fn an_unknown_pair_starts_from_the_known_pairs_of_its_images() {
+    let prior = KnownPairs::default().estimate();
+    assert_eq!(prior, WeightEstimate::PRIOR, "nothing is known");
+    let estimate_from = |weights: &[f64], degree: f64| {
+        let mut known = KnownPairs::default();
+        for &weight in weights {
+            known.add(degree, weight);
+        }
+        known.estimate()
+    };
+    let harmless = estimate_from(&[0.0; 6], 1.0);
+    assert!(harmless.weight < 0.3 * PRIOR_WEIGHT, "{harmless:?}");
+    let heavy = estimate_from(&[4.0; 6], 1.0);
+    assert!(heavy.weight > 1.7 * PRIOR_WEIGHT, "{heavy:?}");
+    let one = estimate_from(&[0.0], 1.0);
+    assert!(one.weight > harmless.weight, "one pair says less");
+    let unsure = estimate_from(&[0.0; 6], 0.1);
+    assert!(
+        unsure.weight > harmless.weight,
+        "pairs hardly known say less"
+    );
+    let mixed = estimate_from(&[0.0, 4.0, 0.0, 4.0], 1.0);
+    assert!(
+        mixed.error > heavy.error,
+        "pairs that differ leave more open"
+    );
+}
+
+/// The owner places by the prior and publishes it, so that agents pace by the same weights.
+#[test]
+fn agents_get_the_prior_of_an_unknown_pair() {
+    let mut session = Session::new();
+    for round in 0..40 {
+        session.now = session.now + Duration::from_millis(600);
+        // An image that does not interfere runs every other time.
+        let harmless = run(LIGHT, 0, 0, 1);
+        match round % 2 {
+            0 => session.report(0, std::slice::from_ref(&harmless)),
+            _ => session.report(0, &[]),
+        }
+        session.report(1, &[]);
+    }
+    let (heavy, light) = session.weights();
+    assert!(light < 0.25, "light {light}");
+    assert_eq!(heavy, PRIOR_WEIGHT, "no task of the image has run");
+    // A task of the other image is listed, and uses no CPU time yet.
+    session.now = session.now + Duration::from_millis(600);
+    let mut running = vec![row(run(SERVING, 0, 0, 1), BASELINE_MILLIS as u64)];
+    running.push(row(run(HEAVY, 0, 0, 1), 0));
+    session.report_rows(0, running);
+    let (heavy, _) = session.weights();
+    assert!(heavy < 0.8 * PRIOR_WEIGHT, "heavy {heavy}");
+}
