Decide how much headroom of serving tasks placement lends

Cause: placement loaded serving tasks up to 0.75 of their targets, whatever was known of the weights and of the load. Tasks placed in a trough of a swinging load took it over its target at the next peak; sure forecasts beside steady loads lent no more than others. Change: steps::lending derives the margin below the target from the error of the weight and from the rise of the load that is still to come while the task stays, by the mean and spread of the baseline over the last 20 s. It lends between 0.5 and 0.9 of the target; 0.75 with nothing known. Not measured in a whole system yet.

--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod crash;
 pub mod interference;
 pub mod job;
+pub mod lending;
 pub mod listing;
 pub mod message;
 pub mod owner;
--- a/components/steps/src/owner/interference.rs
+++ b/components/steps/src/owner/interference.rs
@@ -20,6 +20,7 @@
         KnownPairs, PRIOR_ERROR, PRIOR_WEIGHT, Weight, WeightEstimate, Weights, cpu_share,
         image_name,
     },
+    lending::Baseline,
     message::{ActiveRun, Role, RunKey},
 };
 
@@ -573,8 +574,11 @@
                     baseline -= model.weight(&row.serves, image) * share;
                 }
                 if let Some(assigned) = vm.runs.get_mut(&row.key) {
-                    let before = assigned.baseline.unwrap_or(baseline);
-                    assigned.baseline = Some(before + (baseline - before) * NEWEST_FACTOR);
+                    let known = assigned.baseline;
+                    let mut known = known.unwrap_or_else(|| Baseline::new(now, baseline));
+                    let before = known.present();
+                    known.update(now, before + (baseline - before) * NEWEST_FACTOR);
+                    assigned.baseline = Some(known);
                 }
             }
         }
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -96,6 +96,7 @@
 struct BestEffortNeed {
     image: Option<Arc<str>>,
     cpu_milli: u64,
+    estimate_millis: u64,
     is_urgent: bool,
 }
 
@@ -115,6 +116,7 @@
             best_effort: step.best_effort.then(|| BestEffortNeed {
                 image: step.image.clone(),
                 cpu_milli: step.need.cpu_milli,
+                estimate_millis: step.estimate_millis,
                 is_urgent: request.is_urgent,
             }),
             held_back_by,
@@ -151,6 +153,7 @@
         step.best_effort
             && failed.image == step.image
             && failed.cpu_milli <= step.need.cpu_milli
+            && failed.estimate_millis <= step.estimate_millis
             && (failed.is_urgent || !request.is_urgent)
     }
 }
@@ -595,7 +598,8 @@
     let after = vm.reserved.plus(step.reserved());
     let mut cost = after.dominant_share(info.capacity);
     if step.best_effort {
-        let forecast = vm.forecast(step.image.as_ref(), step.need.cpu_milli, weights);
+        let stay = Duration::from_millis(step.estimate_millis);
+        let forecast = vm.forecast(step.image.as_ref(), step.need.cpu_milli, stay, weights);
         if forecast.speed < MIN_BEST_EFFORT_SPEED && !request.is_urgent {
             return None;
         }
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
+    time::Duration,
 };
 
 use kernel::{Resources, Time};
@@ -14,13 +15,11 @@
 };
 use crate::{
     interference::{Weights, cpu_share, image_name},
+    lending::{self, Baseline},
     listing::Listing,
     message::{ClockReading, OwnerHeader, Role, RunKey, StartOrder, WorkerIncarnation, WorkerInfo},
 };
 
-/// Fraction of its latency target up to which placement loads a serving task, since
-/// its load may rise before tasks that are placed now have ended.
-const TARGET_FRACTION: f64 = 0.75;
 /// Latency of a serving task without best-effort tasks, as a fraction of its target,
 /// until its first measurement.
 const ASSUMED_BASELINE_FRACTION: f64 = 0.35;
@@ -77,7 +76,7 @@
     pub(super) stop_sent_at: Option<Time>,
     /// Logarithm of a serving task's latency without best-effort tasks, as a fraction
     /// of its target; `None` until the first measurement.
-    pub(super) baseline: Option<f64>,
+    pub(super) baseline: Option<Baseline>,
     /// Time since which the run has used no CPU.
     pub(super) idle_since: Option<Time>,
     /// Number of suspects that may be on trial together on the worker, and nothing else, until
@@ -483,11 +482,12 @@
         (free / min_speed) as i64 - self.best_effort_demand_milli() as i64
     }
 
-    /// Expected speed of a best-effort task on this VM.
+    /// Expected speed of a best-effort task on this VM that stays for `stay`.
     pub(super) fn forecast(
         &self,
         image: Option<&Arc<str>>,
         cpu_milli: u64,
+        stay: Duration,
         weights: &Weights,
     ) -> SpeedForecast {
         let image = image_name(image);
@@ -506,11 +506,15 @@
                 continue;
             };
             let serving = image_name(serving.as_ref());
-            let full_effect = weights.get(&serving, &image) * share;
+            let estimate = weights.estimate(&serving, &image);
+            let full_effect = estimate.weight * share;
             if full_effect <= 0.0 {
                 continue;
             }
-            let headroom = self.latency_headroom(&serving, run.baseline, weights);
+            let assumed = || Baseline::new(run.since, ASSUMED_BASELINE_FRACTION.ln());
+            let baseline = run.baseline.unwrap_or_else(assumed);
+            let margin = lending::margin(estimate.error, share, &baseline, stay);
+            let headroom = self.latency_headroom(&serving, baseline.present(), weights) - margin;
             forecast.speed = forecast.speed.min((headroom / full_effect).max(0.0));
             let share_of_headroom = full_effect / headroom.max(MIN_HEADROOM);
             forecast.bottleneck_share = forecast.bottleneck_share.max(share_of_headroom.min(1.0));
@@ -518,16 +522,10 @@
         forecast
     }
 
-    /// Logarithm of the factor by which the latency of a serving image may still rise
-    /// if all best-effort tasks here run at full speed.
-    fn latency_headroom(
-        &self,
-        serving: &Arc<str>,
-        baseline: Option<f64>,
-        weights: &Weights,
-    ) -> f64 {
-        let mut headroom =
-            TARGET_FRACTION.ln() - baseline.unwrap_or(ASSUMED_BASELINE_FRACTION.ln());
+    /// Logarithm of the factor by which the latency of a serving image may still rise up to
+    /// its target if all best-effort tasks here run at full speed.
+    fn latency_headroom(&self, serving: &Arc<str>, baseline: f64, weights: &Weights) -> f64 {
+        let mut headroom = -baseline;
         for (image, cpu_milli) in &self.best_effort {
             headroom -= weights.get(serving, image) * cpu_share(*cpu_milli, self.capacity_milli());
         }
