Keep the learnt interference weights over a change of owner

Cause: each new owner started from the constant weight and learnt all pairs again. Change: the owner writes one record with the weights of the known pairs and how well each is known, at most once in 5 s, only after a notable change, and only while the epoch is its own. A new owner reads it beside the jobs and counts each pair less by the age of the record, as its own old samples. A task of its own reads and writes it, so no other record waits. A failure is one log line. The record has at most 64 KiB, without the least known pairs. A regression also no longer discards its first sample, as it counted its age from the start of the clock. Not run against a store.

--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -26,6 +26,7 @@
 mod candidacy;
 mod follow;
 mod index;
+pub mod interference;
 mod journal;
 mod load;
 mod pending;
--- a/components/stepd/src/entry/term.rs
+++ b/components/stepd/src/entry/term.rs
@@ -28,7 +28,7 @@
 use super::{
     Shared, campaign, candidacy, follow,
     index::{KeyUpdate, jobs_first, parse_item},
-    journal,
+    interference, journal,
     load::LoadMeter,
     submit,
 };
@@ -143,6 +143,8 @@
     shared.candidacy().start_term(shared.clock.now());
     let renewing = smol::spawn(renew(Arc::clone(&term), timing.owner_key, timing.ownership));
     let journal = smol::spawn(journal::run(Arc::clone(&term)));
+    // Neither the jobs nor other records wait for the weights.
+    let learning = smol::spawn(interference::run(Arc::clone(&term), shared.metrics.clone()));
     let serving = async {
         load_jobs(shared, &term).await;
         let ticking = smol::spawn(tick(Arc::clone(shared), Arc::clone(&term)));
@@ -158,6 +160,7 @@
     };
     let ended = async { wait_for_term_end(shared, &term).await };
     serving.or(ended).await;
+    learning.cancel().await;
     let is_stepping_down = term.is_stepping_down.load(Ordering::Relaxed);
     let is_orderly = shared.is_stopping() || is_stepping_down;
     // Agents are called meanwhile, so that leases are renewed.
--- a/components/stepd/src/keys.rs
+++ b/components/stepd/src/keys.rs
@@ -14,6 +14,9 @@
 pub const EPOCH: &str = "hemlockmoor/epoch";
 /// The key of the handover that an owner writes for the next one when it stops gracefully.
 pub const HANDOVER: &str = "hemlockmoor/handover";
+/// The key of the interference weights that the owner has learnt. Outside [`ROOT`], since only an
+/// owner reads this key, at the start of its term.
+pub const INTERFERENCE: &str = "hemlockmoor-interference";
 /// The key of the secret that entries and agents share; written once.
 pub const SECRET: &str = "hemlockmoor/secret";
 const JOBS: &str = "hemlockmoor/jobs/";
--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -71,6 +71,8 @@
     unanswered_starts: Gauge,
     start_window: Gauge,
     unreachable_vms: Gauge,
+    interference_writes: Counter,
+    failed_interference_writes: Counter,
 }
 
 /// Counters that follow [`WorkCounts`] and go on over the terms of this process.
@@ -99,11 +101,21 @@
             unanswered_starts: Gauge::default(),
             start_window: Gauge::default(),
             unreachable_vms: Gauge::default(),
+            interference_writes: Counter::default(),
+            failed_interference_writes: Counter::default(),
         }
     }
 }
 
 impl EntryMetrics {
+    /// Records a write of the learnt interference weights.
+    pub(crate) fn record_interference_write(&self, is_written: bool) {
+        match is_written {
+            true => self.interference_writes.inc(),
+            false => self.failed_interference_writes.inc(),
+        };
+    }
+
     /// Records a call of a client that has been answered.
     pub(crate) fn record_call(&self, method: &Method, status: StatusCode, took: Duration) {
         let method = known_method(method);
@@ -224,6 +236,16 @@
                 "Runs whose lease expired on a worker that the owner could reach",
                 &work.lapsed_runs,
             ),
+            (
+                "owner_interference_writes",
+                "Writes of the learnt interference weights",
+                &self.interference_writes,
+            ),
+            (
+                "owner_failed_interference_writes",
+                "Writes of the learnt interference weights that failed",
+                &self.failed_interference_writes,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -40,6 +40,7 @@
 
 pub use entry::JobEntry;
 pub use handover::{Handover, LongRunningTasks, PassedReading, UnreachableVm};
+pub use interference::{InterferenceRecord, PairRecord};
 pub use journal::RecordWrite;
 pub use vm::VmStatus;
 pub use work::{Backlog, WorkCounts};
@@ -75,6 +76,8 @@
     OwnershipProved(Time),
     /// Handover note of the previous owner, which stopped in an orderly way.
     HandedOver(Handover),
+    /// Interference weights that an earlier owner has learnt.
+    InterferenceRecord(InterferenceRecord),
     /// The jobs are being read from the store. Agents are called meanwhile, so that leases
     /// are renewed, but their runs are compared with the jobs only afterwards.
     LoadingJobs,
@@ -299,6 +302,9 @@
                 self.track_renewal(now);
             }
             Event::HandedOver(handover) => self.on_handover(handover),
+            Event::InterferenceRecord(record) => {
+                self.on_interference_record(now, wall, &record);
+            }
             Event::LoadingJobs => self.is_loading = true,
             Event::JobsLoaded => self.on_jobs_loaded(now),
             Event::Vm(vm) => self.on_vm(now, vm),
--- a/components/steps/src/owner/interference.rs
+++ b/components/steps/src/owner/interference.rs
@@ -14,6 +14,10 @@
 
 use kernel::{JobName, Time, VmName};
 
+mod record;
+
+pub use record::{InterferenceRecord, PairRecord};
+
 use super::{Owner, vm::Vm};
 use crate::{
     interference::{
@@ -83,6 +87,7 @@
     published_at: BTreeMap<u64, ImagePair>,
     /// Increases with each change of the published weights.
     published_version: u64,
+    written: record::WrittenRecord,
 }
 
 /// A serving image and a best-effort image.
@@ -230,7 +235,8 @@
     ) -> usize {
         let group = self.groups.entry(key.task.job.clone()).or_default();
         let before = group.samples.get(key).cloned();
-        let regression = self.regressions.entry(Arc::clone(serves)).or_default();
+        let regression = self.regressions.entry(Arc::clone(serves));
+        let regression = regression.or_insert_with(|| Regression::new(sample.at));
         let mut compared = 0;
         if others.count > 0 {
             let count = others.count as f64;
@@ -347,6 +353,13 @@
 }
 
 impl Regression {
+    fn new(now: Time) -> Self {
+        Self {
+            decayed_at: now,
+            ..Self::default()
+        }
+    }
+
     fn decay(&mut self, now: Time) {
         let span = now.since(self.decayed_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         self.decayed_at = now;
--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -12,7 +12,7 @@
     Event, Owner, Step, Timing,
     interference::{KnownPairs, PRIOR_WEIGHT, Weight, WeightEstimate},
     message::{ActiveRun, AgentReport, ClockReading, EndedRun, RunEnd, RunKey},
-    owner::PollFailure,
+    owner::{InterferenceRecord, PairRecord, PollFailure},
 };
 
 const START: Time = Time::from_secs(1_000);
@@ -447,3 +447,145 @@
     let (heavy, _) = session.weights();
     assert!(heavy < 0.8 * PRIOR_WEIGHT, "heavy {heavy}");
 }
+
+/// A session in which the owner has learnt the weights of both images.
+fn learnt_session() -> Session {
+    let mut session = Session::new();
+    for round in 0..40_u32 {
+        session.now = session.now + Duration::from_millis(600);
+        match round % 3 {
+            0 => session.report(0, &[run(HEAVY, 0, 0, 1)]),
+            1 => session.report(0, &[run(LIGHT, 0, 0, 1)]),
+            _ => session.report(0, &[]),
+        }
+        session.report(1, &[]);
+    }
+    session
+}
+
+impl Session {
+    fn take_record(&mut self) -> Option<InterferenceRecord> {
+        self.owner.take_interference_record(self.now, self.now)
+    }
+
+    /// Record of what has been learnt.
+    fn record(&mut self) -> InterferenceRecord {
+        let _ = self.take_record();
+        self.now = self.now + Duration::from_secs(5);
+        self.take_record().unwrap()
+    }
+
+    /// A new owner that starts from this record after `age`.
+    fn next_owner(record: InterferenceRecord, age: Duration) -> Self {
+        let mut next = Self::new();
+        next.now = Time::from_millis(record.taken_at_millis) + age;
+        next.handle(Event::InterferenceRecord(record));
+        next.report(0, &[]);
+        next.report(1, &[]);
+        next
+    }
+}
+
+/// Each new owner started from the constant weight and learnt all pairs again.
+#[test]
+fn a_new_owner_starts_from_the_record() {
+    let mut session = learnt_session();
+    let (heavy, light) = session.weights();
+    assert!(heavy > 3.0 && light < 0.5, "heavy {heavy}, light {light}");
+    let record = session.record();
+    let mut next = Session::next_owner(record, Duration::from_secs(9));
+    let (next_heavy, next_light) = next.weights();
+    assert!((next_heavy - heavy).abs() < 0.4, "heavy {next_heavy}");
+    assert!((next_light - light).abs() < 0.4, "light {next_light}");
+    let mut without = Session::new();
+    without.report(0, &[]);
+    without.report(1, &[]);
+    assert_eq!(without.weights(), (PRIOR_WEIGHT, PRIOR_WEIGHT));
+}
+
+/// Images may have changed since an old record was taken.
+#[test]
+fn an_old_record_counts_less() {
+    let record = learnt_session().record();
+    let weight_after = |secs: u64| {
+        let age = Duration::from_secs(secs);
+        let (heavy, _) = Session::next_owner(record.clone(), age).weights();
+        heavy
+    };
+    let (new, old, ancient) = (weight_after(1), weight_after(720), weight_after(86_400));
+    assert!(new - 0.3 > old, "{new} {old}");
+    assert_eq!(ancient, PRIOR_WEIGHT);
+}
+
+/// Writes are priced, and all processes together may write 400 times a second.
+#[test]
+fn the_record_is_taken_once_in_5_s_and_only_after_a_notable_change() {
+    let mut session = Session::new();
+    let mut taken_at: Vec<Time> = Vec::new();
+    for round in 0..200_u32 {
+        session.now = session.now + Duration::from_millis(200);
+        match round % 8 {
+            0..4 => session.report(0, &[run(HEAVY, 0, 0, 1)]),
+            _ => session.report(0, &[]),
+        }
+        session.report(1, &[]);
+        if let Some(record) = session.take_record() {
+            session
+                .owner
+                .interference_record_written(session.now, &record);
+            taken_at.push(session.now);
+        }
+    }
+    assert!(!taken_at.is_empty());
+    for pair in taken_at.windows(2) {
+        assert!(pair[1].since(pair[0]) >= Duration::from_secs(5));
+    }
+    for _ in 0..20 {
+        session.now = session.now + Duration::from_secs(5);
+        assert_eq!(session.take_record(), None, "nothing new is known");
+    }
+    let record = learnt_session().record();
+    let mut next = Session::next_owner(record, Duration::ZERO);
+    for _ in 0..4 {
+        next.now = next.now + Duration::from_secs(5);
+        assert_eq!(next.take_record(), None, "the store holds the record");
+    }
+}
+
+/// A write that failed is repeated, after 5 s like any other.
+#[test]
+fn a_record_that_was_not_written_is_taken_again() {
+    let mut session = learnt_session();
+    let lost = session.record();
+    session.now = session.now + Duration::from_secs(4);
+    assert_eq!(session.take_record(), None);
+    session.now = session.now + Duration::from_secs(1);
+    let again = session.take_record().unwrap();
+    assert_eq!(again.pairs.len(), lost.pairs.len());
+    session
+        .owner
+        .interference_record_written(session.now, &again);
+    session.now = session.now + Duration::from_secs(5);
+    assert_eq!(session.take_record(), None);
+}
+
+/// Another writer, or a fault, may leave any numbers in the store.
+#[test]
+fn unusable_pairs_of_a_record_are_left_out() {
+    let mut record = learnt_session().record();
+    record.taken_at_millis = u64::MAX;
+    for (weight, information) in [(f64::NAN, 1.0), (-1.0, 1.0), (1e9, 1.0), (1.0, 1e300)] {
+        let pair = PairRecord {
+            serving_image: "serving".into(),
+            best_effort_image: "other".into(),
+            weight,
+            information,
+        };
+        record.pairs.insert(0, pair);
+    }
+    let mut next = Session::new();
+    next.handle(Event::InterferenceRecord(record));
+    next.report(0, &[]);
+    let (heavy, _) = next.weights();
+    assert!(heavy > 3.0 && heavy < 5.0, "{heavy}");
+}
