--- a/components/steps/src/lib.rs
+++ b/components/steps/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod crash;
 pub mod interference;
 pub mod job;
+pub mod lending;
 pub mod listing;
 pub mod locality;
 pub mod message;
