Uneven workers: cold start, flapping, and a learnt slowdown that decays

Cause: a worker that has just started or is just back is the emptiest, so placement prefers it, however slow or short-lived it is. A learnt slowdown ended suddenly 8 s after its last measurement, although a worker that is avoided gets few tasks to measure.

Change: a cold worker costs as much as one that is twice as slow and gets four tasks in 500 ms while another worker suits; for 30 s at most. From the second loss within 30 s a worker costs more on its return, 4 s doubled up to 32 s. A learnt slowdown halves each 8 s from 8 s on and ends after 40 s. Nothing of the first two applies while over half of the workers of a service are uneven. An urgent task is no longer held back in a pass since one that was not urgent found no worker. Two gauges, two log lines.

--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -71,6 +71,8 @@
     unanswered_starts: Gauge,
     start_window: Gauge,
     unreachable_vms: Gauge,
+    cold_workers: Gauge,
+    flapping_workers: Gauge,
 }
 
 /// Counters that follow [`WorkCounts`] and go on over the terms of this process.
@@ -99,6 +101,8 @@
             unanswered_starts: Gauge::default(),
             start_window: Gauge::default(),
             unreachable_vms: Gauge::default(),
+            cold_workers: Gauge::default(),
+            flapping_workers: Gauge::default(),
         }
     }
 }
@@ -165,6 +169,8 @@
         set(&self.unanswered_starts, backlog.unanswered_starts);
         set(&self.start_window, backlog.start_window);
         set(&self.unreachable_vms, backlog.unreachable_vms);
+        set(&self.cold_workers, backlog.cold_workers);
+        set(&self.flapping_workers, backlog.flapping_workers);
     }
 
     /// Returns a registry with all metrics.
@@ -196,6 +202,16 @@
                 "VMs whose agents do not answer",
                 &self.unreachable_vms,
             ),
+            (
+                "owner_cold_workers",
+                "Workers that get their tasks gradually since they are cold",
+                &self.cold_workers,
+            ),
+            (
+                "owner_flapping_workers",
+                "Workers that cost more since they were lost twice within 30 s",
+                &self.flapping_workers,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
--- a/components/steps/src/agent.rs
+++ b/components/steps/src/agent.rs
@@ -360,7 +360,7 @@
     /// Applies a heartbeat. A late heartbeat of an earlier incarnation is ignored. One of a later
     /// incarnation ends no known one by itself, since it may come from another writer: the worker
     /// is asked which of them runs.
-    pub fn apply_heartbeat(&mut self, beat: Heartbeat) {
+    pub fn apply_heartbeat(&mut self, mut beat: Heartbeat) {
         let is_same_incarnation = match &self.worker {
             Some(known) if known.incarnation == beat.info.incarnation => true,
             Some(known) if known.incarnation.started_at > beat.info.incarnation.started_at => {
@@ -385,6 +385,9 @@
             self.start_incarnation(&beat.info);
         }
         self.heartbeat_sequence = beat.sequence;
+        if let Some(known) = self.worker.as_ref().filter(|_| is_same_incarnation) {
+            beat.info.settle(known);
+        }
         if self.worker.as_ref() == Some(&beat.info) {
             return;
         }
--- a/components/steps/src/message.rs
+++ b/components/steps/src/message.rs
@@ -175,6 +175,30 @@
     pub capacity: Resources,
     /// Whether the worker is draining and accepts no new tasks.
     pub draining: bool,
+    /// Reading of the worker's clock until which it is cold and runs tasks slower; `None` if it
+    /// is not cold.
+    #[serde(default)]
+    pub cold_until_millis: Option<u64>,
+}
+
+impl WorkerInfo {
+    /// Takes over the times of an earlier heartbeat of the incarnation if they have hardly
+    /// changed, so that a countdown in heartbeats is not told to the owner each time.
+    pub fn settle(&mut self, earlier: &Self) {
+        settle_time(&mut self.cold_until_millis, earlier.cold_until_millis);
+    }
+}
+
+/// Difference below which two times on a worker's clock are taken for the same, in milliseconds.
+const TIME_TOLERANCE_MILLIS: u64 = 250;
+
+fn settle_time(newer: &mut Option<u64>, earlier: Option<u64>) {
+    let (Some(new), Some(old)) = (*newer, earlier) else {
+        return;
+    };
+    if new.abs_diff(old) < TIME_TOLERANCE_MILLIS {
+        *newer = Some(old);
+    }
 }
 
 /// Header of each call of an owner.
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -33,6 +33,7 @@
 mod report;
 mod schedule;
 mod trials;
+mod uneven;
 mod unknown;
 mod vm;
 mod window;
@@ -181,6 +182,8 @@
     crash_history: crashes::CrashHistory,
     /// Workers that have been quarantined, some of them not any more.
     quarantined: BTreeSet<VmName>,
+    /// Losses of workers that count, by VM.
+    loss_histories: BTreeMap<VmName, uneven::LossHistory>,
     /// VMs that may have orders to send.
     order_vms: BTreeSet<VmName>,
     /// VMs with ends that wait for a durable record.
@@ -243,6 +246,7 @@
             suspects: BTreeSet::new(),
             crash_history: crashes::CrashHistory::default(),
             quarantined: BTreeSet::new(),
+            loss_histories: BTreeMap::new(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
             index: place::WorkerIndex::default(),
--- a/components/steps/src/owner/health.rs
+++ b/components/steps/src/owner/health.rs
@@ -28,6 +28,12 @@
 /// Time without a failure after which a trial has succeeded, since a long-running task
 /// does not end.
 const TRIAL: Duration = Duration::from_secs(4);
+/// Time in which a learnt slowdown halves once it is older than [`EVIDENCE_WINDOW`]. A slow worker
+/// gets few tasks, so its measurements are few, and it got many at once as the slowdown ended
+/// suddenly.
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(8);
+/// Age beyond which a learnt slowdown does not count; a sixteenth of it is left then.
+const SLOWDOWN_KEPT: Duration = Duration::from_secs(40);
 /// Weight of the newest duration in the moving average of the slowdown.
 const NEWEST_FACTOR: f64 = 0.3;
 
@@ -158,18 +164,23 @@
     /// Records the duration of a task on this worker, as a multiple of the median of
     /// its step.
     pub(super) fn record_duration(&mut self, now: Time, multiple: f64) {
+        if (self.measured_at + SLOWDOWN_KEPT).passed(now) {
+            self.slowdown = 1.0;
+        }
         let newest = multiple.clamp(0.2, 20.0);
         self.slowdown = self.slowdown * (1.0 - NEWEST_FACTOR) + newest * NEWEST_FACTOR;
         self.measured_at = now;
     }
 
-    /// Factor by which tasks run longer on this worker than on others, at least 1. Old
-    /// measurements do not count.
+    /// Factor by which tasks run longer on this worker than on others, at least 1. It decays
+    /// towards 1 while there are no new measurements.
     pub(super) fn slowdown(&self, now: Time) -> f64 {
-        if (self.measured_at + EVIDENCE_WINDOW).passed(now) {
+        if (self.measured_at + SLOWDOWN_KEPT).passed(now) {
             return 1.0;
         }
-        self.slowdown.max(1.0)
+        let stale = now.since(self.measured_at + EVIDENCE_WINDOW);
+        let halvings = stale.as_secs_f64() / SLOWDOWN_HALF_LIFE.as_secs_f64();
+        1.0 + (self.slowdown.max(1.0) - 1.0) * 0.5_f64.powf(halvings)
     }
 }
 
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -13,6 +13,7 @@
     Owner,
     entry::HeldBackBy,
     trials::TrialRoom,
+    uneven::{COLD_SLOWDOWN, FLAPPING_COST},
     vm::{Vm, VmStatus},
 };
 use crate::{Step, interference::Weights, message::RunKey};
@@ -85,6 +86,7 @@
     service: ServiceName,
     label: Option<Arc<str>>,
     reserved: Resources,
+    is_urgent: bool,
     is_overdue: bool,
     may_join_trials: bool,
     best_effort: Option<BestEffortNeed>,
@@ -96,7 +98,6 @@
 struct BestEffortNeed {
     image: Option<Arc<str>>,
     cpu_milli: u64,
-    is_urgent: bool,
 }
 
 impl FailedPlacements {
@@ -110,12 +111,12 @@
             service: request.service.clone(),
             label: step.label.clone(),
             reserved: step.reserved(),
+            is_urgent: request.is_urgent,
             is_overdue: request.is_overdue,
             may_join_trials: request.may_join_trials,
             best_effort: step.best_effort.then(|| BestEffortNeed {
                 image: step.image.clone(),
                 cpu_milli: step.need.cpu_milli,
-                is_urgent: request.is_urgent,
             }),
             held_back_by,
         });
@@ -138,6 +139,10 @@
         if self.label.is_some() && self.label != step.label {
             return false;
         }
+        // An urgent task may use workers that are a last resort.
+        if request.is_urgent && !self.is_urgent {
+            return false;
+        }
         // A worker may be kept for overdue tasks.
         if request.is_overdue && !self.is_overdue {
             return false;
@@ -148,10 +153,7 @@
         let Some(failed) = &self.best_effort else {
             return true;
         };
-        step.best_effort
-            && failed.image == step.image
-            && failed.cpu_milli <= step.need.cpu_milli
-            && (failed.is_urgent || !request.is_urgent)
+        step.best_effort && failed.image == step.image && failed.cpu_milli <= step.need.cpu_milli
     }
 }
 
@@ -213,6 +215,8 @@
 /// Why a worker that could take a task is chosen only if there is no other, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum LastResort {
+    /// The worker is cold and has got as many tasks as it may at present.
+    WarmingUp,
     /// The task is to avoid the worker.
     Avoided,
     /// The worker is kept for an overdue long-running task.
@@ -229,7 +233,7 @@
     /// Whether the task may use the worker if there is no other.
     const fn allows(self, vm: &Vm, request: &PlacementRequest<'_>) -> bool {
         match self {
-            Self::Avoided => true,
+            Self::WarmingUp | Self::Avoided => true,
             Self::Kept => request.is_urgent,
             Self::Held | Self::OnTrial => request.may_join_trials,
             Self::Quarantined => request.is_urgent && vm.health.may_begin_trial(),
@@ -286,6 +290,7 @@
         let fallback = found.fallback.as_ref().map(|(reason, ..)| *reason);
         let is_other_left = match fallback.filter(|_| found.scored.is_empty()) {
             Some(LastResort::Quarantined) => self.has_sound_worker(request),
+            Some(LastResort::WarmingUp) => !request.is_urgent && self.has_warm_worker(now, request),
             Some(LastResort::Kept) => self.has_unkept_worker(now, request),
             _ => false,
         };
@@ -554,6 +559,9 @@
     if !matches!(request.trial, Trial::No) {
         return reasons;
     }
+    if vm.is_warming_up(now) {
+        reasons.push(LastResort::WarmingUp);
+    }
     if !request.is_overdue && !vm.kept_until.passed(now) {
         reasons.push(LastResort::Kept);
     }
@@ -604,7 +612,14 @@
         // Packs serving tasks together to leave other workers to best-effort tasks.
         cost = 1.0 - cost;
     }
-    cost += (vm.health.slowdown(now) - 1.0) * SLOW_WORKER_COST;
+    let mut slowdown = vm.health.slowdown(now);
+    if vm.unevenness.is_cold {
+        slowdown = slowdown.max(COLD_SLOWDOWN);
+    }
+    cost += (slowdown - 1.0) * SLOW_WORKER_COST;
+    if vm.unevenness.is_flapping {
+        cost += FLAPPING_COST;
+    }
     let is_remote = step
         .data_rack
         .as_ref()
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -41,6 +41,7 @@
         self.stop_stuck(now);
         self.handle_stragglers(now);
         self.move_off_draining(now);
+        self.track_losses(now);
     }
 
     /// Moves long-running tasks off draining workers, one task of each worker in each
--- a/components/steps/src/owner/report.rs
+++ b/components/steps/src/owner/report.rs
@@ -5,6 +5,7 @@
 use super::{
     Owner, PollFailure,
     health::Health,
+    uneven::ColdStart,
     vm::{AssignedRun, Phase, Vm},
 };
 use crate::message::{ActiveRun, AgentReport, Role, RunKey};
@@ -101,6 +102,10 @@
             vm.info = report.worker.take();
             vm.worker_reported_by = vm.agent_incarnation;
         }
+        self.note_unevenness(now, name);
+        let Some(vm) = self.vms.get_mut(name) else {
+            return;
+        };
         let capacity = vm.info.as_ref().map(|info| info.capacity);
         let is_attached = vm.attached;
         if was_attached != is_attached {
@@ -222,6 +227,10 @@
             "new worker incarnation"
         );
         self.record_unreported_crash(now, name);
+        let known = self.vms.get(name).and_then(|vm| vm.info.as_ref());
+        if known.is_some_and(|known| !known.draining) {
+            self.record_worker_loss(now, name);
+        }
         let Some(vm) = self.vms.get_mut(name) else {
             return;
         };
@@ -239,6 +248,7 @@
         vm.acknowledged_end = 0;
         vm.unrecorded_ends.clear();
         vm.health = Health::default();
+        vm.cold_start = ColdStart::default();
         vm.clock_reading = None;
         vm.listing.reset();
         vm.has_unaccounted_runs = false;
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -236,6 +236,7 @@
     /// starts leave and events are handled before the next one.
     pub(super) fn schedule(&mut self, now: Time, wall: Time) {
         self.work.passes += 1;
+        self.review_unevenness(now);
         if self.round.is_empty() {
             self.schedule_due = false;
             self.round.clone_from(&self.waiting_jobs);
@@ -630,6 +631,7 @@
         );
         let role = role_of(step);
         vm.health.record_start(now);
+        vm.cold_start.record_start(now);
         let mut assigned = AssignedRun::new(Phase::Ordered, now, step.reserved(), role.clone());
         assigned.trial_size = trial_size;
         vm.add_run(key.clone(), assigned);
--- a/components/steps/src/owner/vm.rs
+++ b/components/steps/src/owner/vm.rs
@@ -10,6 +10,7 @@
 
 use super::{
     health::Health,
+    uneven::{ColdStart, Unevenness},
     unknown::{Release, release},
 };
 use crate::{
@@ -222,6 +223,9 @@
     /// Calls with orders that have no reply yet.
     pub(super) open_calls: usize,
     pub(super) health: Health,
+    pub(super) cold_start: ColdStart,
+    /// What makes the worker worse than others, as of the last scheduling pass.
+    pub(super) unevenness: Unevenness,
     /// Active runs as the agent has reported them.
     pub(super) listing: Listing,
     /// Reported runs of unknown jobs, with the time of the first report.
@@ -284,6 +288,8 @@
             has_listed_ends: false,
             open_calls: 0,
             health: Health::default(),
+            cold_start: ColdStart::default(),
+            unevenness: Unevenness::default(),
             listing: Listing::default(),
             unknown_runs: BTreeMap::new(),
             unsettled: Vec::new(),
--- a/components/steps/src/owner/work.rs
+++ b/components/steps/src/owner/work.rs
@@ -54,6 +54,10 @@
     pub start_window: usize,
     /// VMs whose agents do not answer.
     pub unreachable_vms: usize,
+    /// Workers that are treated as cold.
+    pub cold_workers: usize,
+    /// Workers that are treated as flapping.
+    pub flapping_workers: usize,
 }
 
 impl Owner {
@@ -90,6 +94,8 @@
             unanswered_starts: self.unanswered_starts(),
             start_window: self.window.limit(),
             unreachable_vms: self.vms.values().filter(|vm| vm.unreachable).count(),
+            cold_workers: self.count_uneven(|unevenness| unevenness.is_cold),
+            flapping_workers: self.count_uneven(|unevenness| unevenness.is_flapping),
         }
     }
 }
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -519,3 +519,23 @@
     let poll = agent.next_poll(START, true).unwrap();
     assert_eq!((poll.epoch, poll.until_millis), (0, None));
 }
+
+/// Guards against needless reports: the time for which a worker is still cold is another one in
+/// each heartbeat.
+#[test]
+fn a_countdown_in_heartbeats_is_told_once() {
+    let mut agent = AgentState::new(Timing::default(), START);
+    let beat = |sequence: u64, cold_until_millis: Option<u64>| {
+        let mut beat = heartbeat(1, sequence);
+        beat.info.cold_until_millis = cold_until_millis;
+        beat
+    };
+    agent.apply_heartbeat(beat(1, Some(8_000)));
+    let version = agent.report(START).version;
+    agent.apply_heartbeat(beat(2, Some(8_040)));
+    assert_eq!(agent.report(START).version, version);
+    agent.apply_heartbeat(beat(3, Some(12_000)));
+    agent.apply_heartbeat(beat(4, None));
+    assert_eq!(agent.report(START).version, version + 2);
+    assert_eq!(agent.worker().unwrap().cold_until_millis, None);
+}
--- a/components/steps/tests/common/mod.rs
+++ b/components/steps/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Shared jobs, configurations and simulations for tests.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod fleet;
 pub(crate) mod processor;
 pub(crate) mod session;
 pub(crate) mod simulation;
@@ -99,5 +100,6 @@
         labels: vec!["a".into(), "rack-1".into()],
         capacity: Resources::new(4_000, 16_000, 0),
         draining: false,
+        cold_until_millis: None,
     }
 }
