Draining workers: tasks with checkpoints that can't end there go on elsewhere

Cause: only long-running tasks were moved off a draining worker. Any other one ran on until the worker left, lost what it had done since its last checkpoint, and waited until the loss was certain. The time left in heartbeats was not read.

Change: a run of a task with checkpoints that takes longer than the time left is stopped, which saves its progress, if another worker can take the task now. All that are stopped in one check must fit on one worker together. Tasks without checkpoints, members of gangs, and tasks on workers that do not tell the time left run on.

--- a/components/steps/src/message.rs
+++ b/components/steps/src/message.rs
@@ -179,6 +179,10 @@
     /// is not cold.
     #[serde(default)]
     pub cold_until_millis: Option<u64>,
+    /// Reading of the worker's clock until which it stays at least while it drains; `None` if it
+    /// does not tell.
+    #[serde(default)]
+    pub drains_until_millis: Option<u64>,
 }
 
 impl WorkerInfo {
@@ -186,6 +190,7 @@
     /// changed, so that a countdown in heartbeats is not told to the owner each time.
     pub fn settle(&mut self, earlier: &Self) {
         settle_time(&mut self.cold_until_millis, earlier.cold_until_millis);
+        settle_time(&mut self.drains_until_millis, earlier.drains_until_millis);
     }
 }
 
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -3,14 +3,14 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use kernel::{Time, VmName};
+use kernel::{Resources, Time, VmName};
 
 use super::{
     Owner,
     entry::{Task, task_key},
     place::{PlacementRequest, Trial},
     schedule::count_tasks_per_vm,
-    vm::{AssignedRun, Phase, VmStatus},
+    vm::{AssignedRun, Phase, Vm, VmStatus},
 };
 use crate::message::{Role, RunKey};
 
@@ -41,6 +41,7 @@
         self.stop_stuck(now);
         self.handle_stragglers(now);
         self.move_off_draining(now);
+        self.save_on_draining(now);
         self.track_losses(now);
     }
 
@@ -66,15 +67,105 @@
         }
     }
 
+    /// Stops tasks with checkpoints on draining workers that can't end in the time left, so that
+    /// their progress is saved and they go on elsewhere. Other tasks run on, since a stop would
+    /// lose all that they have done.
+    fn save_on_draining(&mut self, now: Time) {
+        let mut runs_to_save = Vec::new();
+        for (name, vm) in &self.vms {
+            let ends_at = vm.info.as_ref().and_then(|info| info.drains_until_millis);
+            if vm.status() != VmStatus::Draining || ends_at.is_none() {
+                continue;
+            }
+            let time_left = vm.time_until(now, ends_at);
+            for (key, assigned) in &vm.runs {
+                let is_present = matches!(assigned.phase(), Phase::Present { .. });
+                let work_left = self
+                    .work_left(now, vm, key, assigned)
+                    .filter(|_| is_present);
+                if let Some(work_left) = work_left.filter(|left| *left > time_left) {
+                    runs_to_save.push((name.clone(), key.clone(), work_left, time_left));
+                }
+            }
+        }
+        // A worker may have room for one of the tasks but not for all of them.
+        let mut wanted = Resources::NONE;
+        for (name, key, work_left, time_left) in runs_to_save {
+            let entry = self.jobs.get(&key.task.job);
+            let step = entry.and_then(|entry| entry.job.steps.get(usize::from(key.task.step)));
+            let Some(need) = step.map(|step| step.need) else {
+                continue;
+            };
+            if !self.can_take_now(now, &key, wanted) {
+                continue;
+            }
+            wanted = wanted.plus(need);
+            tracing::info!(
+                task = %key.task,
+                run = key.run,
+                vm = %name,
+                work_left_ms = work_left.as_millis() as u64,
+                time_left_ms = time_left.as_millis() as u64,
+                "task saves its progress, since it can't end on its draining worker"
+            );
+            self.stop_run(now, &name, &key, "worker is draining");
+        }
+    }
+
+    /// Least time that the run of a task with checkpoints still takes; `None` for any other task.
+    ///
+    /// Estimates are wrong by up to 90%, so the progress so far counts if it shows that the task
+    /// takes longer. A run that has resumed shows too much progress for its time, never too
+    /// little.
+    fn work_left(
+        &self,
+        now: Time,
+        vm: &Vm,
+        key: &RunKey,
+        assigned: &AssignedRun,
+    ) -> Option<Duration> {
+        let entry = self.jobs.get(&key.task.job)?;
+        let step = entry.job.steps.get(usize::from(key.task.step))?;
+        // The members of a gang end together, so a stop of one breaks off all of them.
+        if !step.checkpoints || step.gang || step.long_running {
+            return None;
+        }
+        let progress = vm.listing.running().get(key)?.progress_percent.min(100);
+        let left = f64::from(100 - progress) / 100.0;
+        let median = entry
+            .step(&key.task)?
+            .median_duration_millis(MIN_ENDED_TASKS);
+        let expected = Duration::from_millis(median.unwrap_or(step.estimate_millis)).mul_f64(left);
+        if progress == 0 {
+            return Some(expected);
+        }
+        let pace = now
+            .since(assigned.since)
+            .mul_f64(100.0 / f64::from(progress));
+        Some(expected.max(pace.mul_f64(left)))
+    }
+
+    /// Whether one worker could take the task now beside tasks that need `others`. The task is
+    /// not urgent: it would wait for a worker that is fast enough.
+    fn can_take_now(&mut self, now: Time, key: &RunKey, others: Resources) -> bool {
+        self.has_place(now, key, others, false)
+    }
+
     fn has_place_elsewhere(&mut self, now: Time, key: &RunKey) -> bool {
+        self.has_place(now, key, Resources::NONE, true)
+    }
+
+    fn has_place(&mut self, now: Time, key: &RunKey, others: Resources, is_urgent: bool) -> bool {
         let Some(entry) = self.jobs.get(&key.task.job) else {
             return false;
         };
         let step = entry.job.steps.get(usize::from(key.task.step)).cloned();
         let queue = self.queues.get(&entry.job.queue).cloned();
-        let (Some(step), Some(queue), Some(state)) = (step, queue, entry.step(&key.task)) else {
+        let (Some(mut step), Some(queue), Some(state)) = (step, queue, entry.step(&key.task))
+        else {
             return false;
         };
+        step.need = step.need.plus(others);
         let tasks_per_vm = count_tasks_per_vm(&step, state);
         let request = PlacementRequest {
             service: &queue.service,
@@ -82,7 +173,7 @@
             avoid: &BTreeSet::new(),
             tasks_per_vm: &tasks_per_vm,
             required_rack: None,
-            is_urgent: true,
+            is_urgent,
             is_overdue: false,
             may_join_trials: false,
             trial: Trial::No,
--- a/components/steps/tests/agent.rs
+++ b/components/steps/tests/agent.rs
@@ -528,6 +528,7 @@
     let beat = |sequence: u64, cold_until_millis: Option<u64>| {
         let mut beat = heartbeat(1, sequence);
         beat.info.cold_until_millis = cold_until_millis;
+        beat.info.drains_until_millis = cold_until_millis;
         beat
     };
     agent.apply_heartbeat(beat(1, Some(8_000)));
--- a/components/steps/tests/common/fleet.rs
+++ b/components/steps/tests/common/fleet.rs
@@ -24,6 +24,7 @@
 const COLD_FACTOR: f64 = 2.5;
 
 pub(crate) struct Worker {
+    /// Runs, with the time at which they would have started without a checkpoint.
     pub(crate) running: Vec<(RunKey, Time)>,
     ended: Vec<(Time, EndedRun)>,
     end_count: u64,
@@ -39,6 +40,11 @@
     pub(crate) draining: bool,
     /// Until when a draining worker stays, in milliseconds from the start.
     pub(crate) drains_until: Option<u64>,
+    /// Whether the worker carries out orders.
+    pub(crate) obeys: bool,
+    /// Number of runs that were stopped, and of those that resumed from a checkpoint.
+    pub(crate) stopped: usize,
+    pub(crate) resumed: usize,
     /// Progress that runs report, in percent; by their time if there is none.
     pub(crate) progress: Option<u32>,
 }
@@ -58,6 +64,9 @@
             capacity: Resources::new(4_000, 16_000, 0),
             draining: false,
             drains_until: None,
+            obeys: true,
+            stopped: 0,
+            resumed: 0,
             progress: None,
         }
     }
@@ -73,6 +82,8 @@
     pub(crate) fn restart(&mut self) {
         self.is_down = false;
         self.incarnation += 1;
+        self.draining = false;
+        self.drains_until = None;
         self.end_count = 0;
         self.started = 0;
     }
@@ -86,13 +97,15 @@
     }
 
     fn end(&mut self, now: Time, key: RunKey, how: RunEnd) {
-        self.running.retain(|(known, _)| *known != key);
+        let place = self.running.iter().position(|(known, _)| *known == key);
+        let (_, since) = self.running.remove(place.unwrap());
+        let spent = now.since(since).as_millis();
         self.end_count += 1;
         let end = EndedRun {
             number: self.end_count,
             key,
             how,
-            checkpoint: (how == RunEnd::Stopped).then(|| "saved".into()),
+            checkpoint: (how == RunEnd::Stopped).then(|| spent.to_string().into()),
         };
         self.ended.push((now, end));
     }
@@ -104,8 +117,6 @@
     pub(crate) workers: Vec<Worker>,
     /// Whether workers tell that they are cold.
     pub(crate) tells_cold: bool,
-    /// Whether workers answer orders.
-    pub(crate) answers: bool,
     submitted: BTreeMap<Arc<str>, Time>,
     /// How long each job took that has ended.
     pub(crate) ended: BTreeMap<Arc<str>, (Outcome, Duration)>,
@@ -121,7 +132,6 @@
             now: START,
             workers: (0..workers).map(|_| Worker::new()).collect(),
             tells_cold: true,
-            answers: true,
             submitted: BTreeMap::new(),
             ended: BTreeMap::new(),
             version: 0,
@@ -148,7 +158,7 @@
         self.handle(Event::Job { job, progress });
     }
 
-    fn millis(&self) -> u64 {
+    pub(crate) fn millis(&self) -> u64 {
         self.now.since(START).as_millis() as u64
     }
 
@@ -170,6 +180,7 @@
         info.capacity = worker.capacity;
         info.draining = worker.draining;
         let is_cold = self.tells_cold && worker.cold_until > millis;
+        info.drains_until_millis = worker.drains_until.filter(|_| worker.draining);
         info.cold_until_millis = is_cold.then_some(worker.cold_until);
         let row = |(key, since): &(RunKey, Time)| {
             let spent = now.since(*since).as_millis() as u64;
@@ -207,7 +218,7 @@
     }
 
     fn obey(&mut self, number: usize) {
-        if self.workers[number].is_down || !self.answers {
+        if self.workers[number].is_down || !self.workers[number].obeys {
             return;
         }
         let Some(orders) = self.take_orders(number) else {
@@ -220,11 +231,16 @@
         let now = self.now;
         let worker = &mut self.workers[number];
         for start in &orders.starts {
-            worker.running.push((start.key.clone(), now));
+            let saved = start.checkpoint.as_ref();
+            let saved = saved.map_or(0, |saved| saved.parse().unwrap());
+            let since = Time::from_millis(now.as_millis() - saved);
+            worker.running.push((start.key.clone(), since));
             worker.started += 1;
+            worker.resumed += usize::from(start.checkpoint.is_some());
         }
         for key in &orders.stops {
             if worker.running.iter().any(|(known, _)| known == key) {
+                worker.stopped += 1;
                 worker.end(now, key.clone(), RunEnd::Stopped);
             }
         }
--- a/components/steps/tests/common/mod.rs
+++ b/components/steps/tests/common/mod.rs
@@ -101,5 +101,6 @@
         capacity: Resources::new(4_000, 16_000, 0),
         draining: false,
         cold_until_millis: None,
+        drains_until_millis: None,
     }
 }
