--- a/components/stepd/src/metrics.rs
+++ b/components/stepd/src/metrics.rs
@@ -75,6 +75,8 @@
     unreachable_vms: Gauge,
     interference_writes: Counter,
     failed_interference_writes: Counter,
+    cold_workers: Gauge,
+    flapping_workers: Gauge,
 }
 
 /// Counters that follow [`WorkCounts`] and go on over the terms of this process.
@@ -110,6 +112,8 @@
             unreachable_vms: Gauge::default(),
             interference_writes: Counter::default(),
             failed_interference_writes: Counter::default(),
+            cold_workers: Gauge::default(),
+            flapping_workers: Gauge::default(),
         }
     }
 }
@@ -197,6 +201,8 @@
         set(&self.unanswered_starts, backlog.unanswered_starts);
         set(&self.start_window, backlog.start_window);
         set(&self.unreachable_vms, backlog.unreachable_vms);
+        set(&self.cold_workers, backlog.cold_workers);
+        set(&self.flapping_workers, backlog.flapping_workers);
     }
 
     /// Returns a registry with all metrics.
@@ -239,6 +245,16 @@
                 "VMs whose agents do not answer",
                 &self.unreachable_vms,
             ),
+            (
+                "owner_cold_workers",
+                "Workers that get their tasks gradually since they are cold",
+                &self.cold_workers,
+            ),
+            (
+                "owner_flapping_workers",
+                "Workers that cost more since they were lost twice within 30 s",
+                &self.flapping_workers,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
--- a/components/steps/src/owner.rs
+++ b/components/steps/src/owner.rs
@@ -37,6 +37,7 @@
 mod report;
 mod schedule;
 mod trials;
+mod uneven;
 mod unknown;
 mod vm;
 mod window;
@@ -189,6 +190,8 @@
     demand: demand::DemandMeter,
     /// Workers that have been quarantined, some of them not any more.
     quarantined: BTreeSet<VmName>,
+    /// Losses of workers that count, by VM.
+    loss_histories: BTreeMap<VmName, uneven::LossHistory>,
     /// VMs that may have orders to send.
     order_vms: BTreeSet<VmName>,
     /// VMs with ends that wait for a durable record.
@@ -260,6 +263,7 @@
             crash_history: crashes::CrashHistory::default(),
             demand: demand::DemandMeter::default(),
             quarantined: BTreeSet::new(),
+            loss_histories: BTreeMap::new(),
             order_vms: BTreeSet::new(),
             unrecorded_vms: BTreeSet::new(),
             index: place::WorkerIndex::default(),
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -13,6 +13,7 @@
     Owner,
     entry::HeldBackBy,
     trials::TrialRoom,
+    uneven::{COLD_SLOWDOWN, FLAPPING_COST},
     vm::{Vm, VmStatus},
 };
 use crate::{Step, interference::Weights, locality::Rack, message::RunKey};
@@ -89,6 +90,7 @@
     service: ServiceName,
     label: Option<Arc<str>>,
     reserved: Resources,
+    is_urgent: bool,
     is_overdue: bool,
     may_join_trials: bool,
     best_effort: Option<BestEffortNeed>,
@@ -101,7 +103,6 @@
     image: Option<Arc<str>>,
     cpu_milli: u64,
     estimate_millis: u64,
-    is_urgent: bool,
 }
 
 impl FailedPlacements {
@@ -115,13 +116,13 @@
             service: request.service.clone(),
             label: step.label.clone(),
             reserved: step.reserved(),
+            is_urgent: request.is_urgent,
             is_overdue: request.is_overdue,
             may_join_trials: request.may_join_trials,
             best_effort: step.best_effort.then(|| BestEffortNeed {
                 image: step.image.clone(),
                 cpu_milli: step.need.cpu_milli,
                 estimate_millis: step.estimate_millis,
-                is_urgent: request.is_urgent,
             }),
             held_back_by,
         });
@@ -144,6 +145,10 @@
         if self.label.is_some() && self.label != step.label {
             return false;
         }
+        // An urgent task may use workers that are a last resort.
+        if request.is_urgent && !self.is_urgent {
+            return false;
+        }
         // A worker may be kept for overdue tasks.
         if request.is_overdue && !self.is_overdue {
             return false;
@@ -158,7 +163,6 @@
             && failed.image == step.image
             && failed.cpu_milli <= step.need.cpu_milli
             && failed.estimate_millis <= step.estimate_millis
-            && (failed.is_urgent || !request.is_urgent)
     }
 }
 
@@ -241,6 +245,8 @@
 /// Why a worker that could take a task is chosen only if there is no other, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum LastResort {
+    /// The worker is cold and has got as many tasks as it may at present.
+    WarmingUp,
     /// The task is to avoid the worker.
     Avoided,
     /// The worker is kept for an overdue long-running task.
@@ -257,7 +263,7 @@
     /// Whether the task may use the worker if there is no other.
     const fn allows(self, vm: &Vm, request: &PlacementRequest<'_>) -> bool {
         match self {
-            Self::Avoided => true,
+            Self::WarmingUp | Self::Avoided => true,
             Self::Kept => request.is_urgent,
             Self::Held | Self::OnTrial => request.may_join_trials,
             Self::Quarantined => request.is_urgent && vm.health.may_begin_trial(),
@@ -314,6 +320,7 @@
         let fallback = found.fallback.as_ref().map(|(reason, ..)| *reason);
         let is_other_left = match fallback.filter(|_| found.scored.is_empty()) {
             Some(LastResort::Quarantined) => self.has_sound_worker(request),
+            Some(LastResort::WarmingUp) => !request.is_urgent && self.has_warm_worker(now, request),
             Some(LastResort::Kept) => self.has_unkept_worker(now, request),
             _ => false,
         };
@@ -643,6 +650,9 @@
     if !matches!(request.trial, Trial::No) {
         return reasons;
     }
+    if vm.is_warming_up(now) {
+        reasons.push(LastResort::WarmingUp);
+    }
     if !request.is_overdue && !vm.kept_until.passed(now) {
         reasons.push(LastResort::Kept);
     }
@@ -695,7 +705,14 @@
         cost = 1.0 - cost;
         cost += vm.other_serving_share(step.image.as_ref()) * MIXED_IMAGES_COST;
     }
-    cost += (vm.health.slowdown(now) - 1.0) * SLOW_WORKER_COST;
+    let mut slowdown = vm.health.slowdown(now);
+    if vm.unevenness.is_cold {
+        slowdown = slowdown.max(COLD_SLOWDOWN);
+    }
+    cost += (slowdown - 1.0) * SLOW_WORKER_COST;
+    if vm.unevenness.is_flapping {
+        cost += FLAPPING_COST;
+    }
     if is_remote(&info.labels, step) {
         cost += REMOTE_DATA_COST;
     }
