--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -8,6 +8,7 @@
 
 use common::{config, entry, job, run, step, vm, worker_info};
 use kernel::Time;
+use rstest::rstest;
 use steps::{
     Event, Owner, Step, Timing,
     interference::{KnownPairs, PRIOR_WEIGHT, Weight, WeightEstimate},
@@ -589,3 +590,54 @@
     let (heavy, _) = next.weights();
     assert!(heavy > 3.0 && heavy < 5.0, "{heavy}");
 }
+
+/// Best-effort tasks were placed beside a serving task whose load was about to rise as readily as
+/// beside a steady one.
+#[rstest]
+#[case::first_swings(0)]
+#[case::second_swings(1)]
+fn a_best_effort_task_goes_beside_the_steady_serving_task(#[case] swinging: usize) {
+    let mut session = Session::empty();
+    for number in 0..2 {
+        session.handle(Event::Vm(vm(number)));
+    }
+    let serving = job(SERVING, "quick", vec![serving_step()]);
+    let progress = None;
+    session.handle(Event::Job {
+        job: serving,
+        progress,
+    });
+    session.handle(Event::JobsLoaded);
+    for round in 0..60_u32 {
+        session.now = session.now + Duration::from_millis(500);
+        session.handle(Event::OwnershipProved(session.now));
+        for number in 0..2 {
+            let periods = f64::from(60 - round) / 28.0;
+            let swing = match number == swinging {
+                true => (std::f64::consts::TAU * periods).sin(),
+                false => 0.0,
+            };
+            let latency = BASELINE_MILLIS * (0.5 * swing).exp();
+            let key = run(SERVING, 0, number as u32, 1);
+            session.report_rows(number, vec![row(key, latency as u64)]);
+        }
+    }
+    for number in 0..2 {
+        session.owner.take_orders(session.now, &vm(number));
+    }
+    let step = Step {
+        count: 1,
+        ..best_effort_step("heavy")
+    };
+    let job = job(HEAVY, "bulk", vec![step]);
+    session.handle(Event::Job {
+        job,
+        progress: None,
+    });
+    let starts_on = |session: &mut Session, number: usize| {
+        let orders = session.owner.take_orders(session.now, &vm(number));
+        orders.map_or(0, |orders| orders.starts.len())
+    };
+    assert_eq!(starts_on(&mut session, swinging), 0);
+    assert_eq!(starts_on(&mut session, 1 - swinging), 1);
+}
