--- a/components/steps/tests/interference.rs
+++ b/components/steps/tests/interference.rs
@@ -614,7 +614,7 @@
         for number in 0..2 {
             let periods = f64::from(60 - round) / 28.0;
             let swing = match number == swinging {
-                true => (std::f64::consts::TAU * periods).sin(),
+                true => -(std::f64::consts::TAU * periods).sin(),
                 false => 0.0,
             };
             let latency = BASELINE_MILLIS * (0.5 * swing).exp();
@@ -627,6 +627,7 @@
     }
     let step = Step {
         count: 1,
+        estimate_millis: 4_000,
         ..best_effort_step("heavy")
     };
     let job = job(HEAVY, "bulk", vec![step]);
