Fixes from the review of the merged parts

Found by reading by two reviewers who had not written the parts, each mended here: - Starts that an all-or-none attempt takes back counted as starts of the job, so late jobs were owed far too many starts; a job that fits nowhere kept the owed starts of its priority for good. - An estimate of an hour counted as work ahead of all jobs that are submitted; such jobs yield to them.

The crowd tests ask the address of the crowd afterwards as well.

--- a/components/stepd/src/entry/admission.rs
+++ b/components/stepd/src/entry/admission.rs
@@ -133,6 +133,10 @@
             retry_after,
         } => (estimate, retry_after),
     };
+    // Without contact to the store the write refuses the job without a call.
+    if shared.store_contact().silence(shared.clock.now()).is_some() {
+        return None;
+    }
     // An earlier call with the same ID may have stored the job. Without an answer of the store
     // the write decides.
     if !matches!(is_stored(shared, job).await, Ok(false)) {
@@ -157,7 +161,7 @@
     Some(ClientReply::Overloaded {
         retry_after,
         reason: format!(
-            "the work ahead of the job takes {} ms, so it can't end in time; it has not run",
+            "the work ahead of the job takes {} ms, so it can't end in time; this call has not run",
             estimate.wait.as_millis()
         ),
     })
--- a/components/stepd/src/entry/calls.rs
+++ b/components/stepd/src/entry/calls.rs
@@ -2,8 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures_lite::FutureExt;
 use http::{HeaderValue, Method, StatusCode, header};
 use kernel::JobName;
+use smol::lock::SemaphoreGuard;
 use steps::JobState;
 
 use super::{Shared, pending, submit};
@@ -16,6 +18,10 @@
 /// about the time in which the store or a configuration usually becomes available.
 pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// How long a call waits for its turn to read a job from the store: a third of the usual time that
+/// clients wait for an answer.
+const READ_PERMIT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Handles a call of a client.
 pub(super) async fn answer(shared: Arc<Shared>, arrived: ReceivedRequest) -> HttpResponse {
     let arrived_at = shared.clock.now();
@@ -127,9 +133,8 @@
     if let Some(state) = known_state(shared, name) {
         return ClientReply::State(state);
     }
-    let Some(_permit) = shared.job_reads.try_acquire() else {
-        shared.refusals.record(Limit::JobReads);
-        return unavailable("too many jobs are being read from the store");
+    let Some(_permit) = read_permit(shared).await else {
+        return too_many_reads();
     };
     match submit::read_job(shared, name).await {
         Ok(Some(state)) => ClientReply::State(state),
@@ -138,6 +143,22 @@
     }
 }
 
+/// Waits for a permit to read a job from the store; `None` if there is none in time. Clients whose
+/// jobs an entry does not know yet may ask together after its start.
+pub(super) async fn read_permit(shared: &Shared) -> Option<SemaphoreGuard<'_>> {
+    let permit = async { Some(shared.job_reads.acquire().await) };
+    let timed_out = async {
+        smol::Timer::after(READ_PERMIT_TIMEOUT).await;
+        shared.refusals.record(Limit::JobReads);
+        None
+    };
+    permit.or(timed_out).await
+}
+
+pub(super) fn too_many_reads() -> ClientReply {
+    unavailable("too many jobs are being read from the store")
+}
+
 fn known_state(shared: &Shared, name: &JobName) -> Option<JobState> {
     let state = shared.index().job(name)?.state();
     if state != JobState::Queued {
--- a/components/stepd/src/entry/submit.rs
+++ b/components/stepd/src/entry/submit.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Shared, admission,
-    calls::unavailable,
+    calls::{self, unavailable},
     index::{Index, KeyUpdate, jobs_first},
 };
 use crate::{edge::ClientReply, keys};
@@ -108,6 +108,13 @@
         .index()
         .job(name)
         .map(super::index::IndexedJob::state);
+    let permit = match indexed {
+        Some(_) => None,
+        None => match calls::read_permit(shared).await {
+            Some(permit) => Some(permit),
+            None => return calls::too_many_reads(),
+        },
+    };
     let state = match indexed {
         Some(state) => state,
         None => match read_job(shared, name).await {
@@ -123,6 +130,7 @@
             Err(error) => return unavailable(error.message),
         },
     };
+    drop(permit);
     if let JobState::Ended(_) = state {
         return ClientReply::CancelAccepted;
     }
--- a/components/stepd/src/http1.rs
+++ b/components/stepd/src/http1.rs
@@ -185,7 +185,11 @@
             let is_last = tracker.begin_request();
             async move {
                 let (arrived, _reservation) = receive(req, &limits, &setup.guard).await;
-                tracker.connection.set_waiting_since(None);
+                let arrived = match tracker.connection.set_waiting_since(None) {
+                    true => arrived,
+                    // The connection is about to be closed, perhaps before the answer.
+                    false => ReceivedRequest::Overloaded,
+                };
                 let mut resp = (setup.handler)(arrived).await;
                 if is_last {
                     setup.guard.refusals.record(Limit::Pipeline);
@@ -217,7 +221,8 @@
         ConnectionEnd::Overdue(None)
     };
     let served = async { ConnectionEnd::Served(connection.as_mut().await) };
-    let result = match served.or(replaced).or(overdue).or(stopped).await {
+    // A connection that has lost its slot must not begin another request, so this comes first.
+    let result = match replaced.or(served).or(overdue).or(stopped).await {
         ConnectionEnd::Served(result) => result,
         ConnectionEnd::Overdue(limit) => {
             if let Some(limit) = limit {
--- a/components/stepd/src/http1/body.rs
+++ b/components/stepd/src/http1/body.rs
@@ -50,7 +50,7 @@
         Err(BodyError::Refused(Limit::BodyBudget))
     };
     let late = expire(limits.idle_timeout, Limit::BodyTime);
-    let bytes = bytes.or(dropped).or(late).await?;
+    let bytes = dropped.or(bytes).or(late).await?;
     reservation.complete()?;
     Ok((bytes, Some(reservation)))
 }
--- a/components/stepd/src/http1/budget.rs
+++ b/components/stepd/src/http1/budget.rs
@@ -126,6 +126,10 @@
     /// Returns [`Exhausted`] if this body was dropped or no other one can be.
     pub fn grow(&self, bytes: usize, now: Instant) -> Result<(), Exhausted> {
         let mut state = self.budget.state();
+        // A body that was dropped must not take the place of another one.
+        if !state.bodies.contains_key(&self.id) {
+            return Err(Exhausted);
+        }
         while state.used + bytes > state.limit {
             if !state.drop_stalled(self.id, now) {
                 return Err(Exhausted);
--- a/components/stepd/src/http1/connections.rs
+++ b/components/stepd/src/http1/connections.rs
@@ -98,11 +98,12 @@
 }
 
 impl Connection {
-    /// Records since when the connection waits for a complete request.
-    pub(crate) fn set_waiting_since(&self, since: Option<Instant>) {
-        if let Some(slot) = self.connections.state().open.get_mut(&self.id) {
-            slot.waiting_since = since;
-        }
+    /// Records since when the connection waits for a complete request; returns whether it still
+    /// has its slot.
+    pub(crate) fn set_waiting_since(&self, since: Option<Instant>) -> bool {
+        let mut state = self.connections.state();
+        let slot = state.open.get_mut(&self.id);
+        slot.map(|slot| slot.waiting_since = since).is_some()
     }
 
     /// Waits until the connection has to be closed in favour of another one.
--- a/components/stepd/tests/body_budget.rs
+++ b/components/stepd/tests/body_budget.rs
@@ -39,6 +39,18 @@
     assert!(budget.admit(later(start, 60_000)).is_ok());
 }
 
+/// Guards against a body that was dropped and takes the place of one that is still arriving.
+#[test]
+fn a_dropped_body_drops_no_other() {
+    let (budget, start) = (BodyBudget::new(LIMIT), Instant::now());
+    let [dropped, growing, newest] = [(); 3].map(|()| budget.admit(start).unwrap());
+    dropped.grow(HALF, later(start, 1)).unwrap();
+    growing.grow(HALF, later(start, 2)).unwrap();
+    newest.grow(HALF, later(start, 3)).unwrap();
+    assert_eq!(dropped.grow(HALF, later(start, 4)), Err(Exhausted));
+    assert_eq!(growing.complete(), Ok(()));
+}
+
 /// Guards against new requests that drop bodies which are still arriving.
 #[test]
 fn a_new_request_replaces_only_a_stalled_body() {
--- a/components/steps/src/owner/demand.rs
+++ b/components/steps/src/owner/demand.rs
@@ -26,6 +26,10 @@
 /// Longest time between two samples of one measurement. Capacity may have been free for longer.
 const MAX_GAP: Duration = Duration::from_secs(1);
 
+/// Work of jobs with a later deadline is not counted as waiting: they yield to jobs that are
+/// submitted now, and an estimate that is far too long would get all others refused.
+const MAX_TIME_TO_DEADLINE: Duration = Duration::from_secs(60);
+
 /// What a service has done since the start of the term, and what was free on its workers.
 #[derive(Clone, Copy, Debug)]
 struct ServiceSample {
@@ -207,7 +211,8 @@
             let deadline = entry.known_since + entry.objective(queue);
             let is_finite = !entry.job.is_long_running() && entry.job.schedule.is_none();
             let last = entry.known_since + entry.objective(queue) * HOPELESS_AFTER_OBJECTIVES;
-            let has_value = is_finite && !last.passed(now);
+            let is_far_off = !(deadline - MAX_TIME_TO_DEADLINE).passed(now);
+            let has_value = is_finite && !last.passed(now) && !is_far_off;
             let load = waiting
                 .entry(Arc::clone(&queue.name))
                 .or_insert_with(|| QueueLoad::new(Arc::clone(&queue.name), queue.priority));
--- a/components/steps/src/owner/entry.rs
+++ b/components/steps/src/owner/entry.rs
@@ -185,6 +185,8 @@
     pub(super) started: bool,
     /// Time since which the job has had no runs; `None` while it has runs.
     idle_since: Option<Time>,
+    /// Until when the job is owed no start, since it could not use the last one.
+    pub(super) passed_over_until: Time,
     /// Number of runs of all tasks.
     run_count: usize,
     /// Longest chain of estimated durations through the steps.
@@ -206,6 +208,7 @@
             ended_at: None,
             started: false,
             idle_since: Some(now),
+            passed_over_until: Time::ZERO,
             run_count: 0,
             longest_chain: Duration::from_millis(job.longest_chain_millis()),
             has_checkpoints: false,
--- a/components/steps/src/owner/health.rs
+++ b/components/steps/src/owner/health.rs
@@ -164,8 +164,8 @@
     /// Records the duration of a task on this worker, as a multiple of the median of
     /// its step.
     pub(super) fn record_duration(&mut self, now: Time, multiple: f64) {
-        if (self.measured_at + SLOWDOWN_KEPT).passed(now) {
-            self.slowdown = 1.0;
+        if self.slowdown > 1.0 || (self.measured_at + SLOWDOWN_KEPT).passed(now) {
+            self.slowdown = self.slowdown(now);
         }
         let newest = multiple.clamp(0.2, 20.0);
         self.slowdown = self.slowdown * (1.0 - NEWEST_FACTOR) + newest * NEWEST_FACTOR;
--- a/components/steps/src/owner/near.rs
+++ b/components/steps/src/owner/near.rs
@@ -87,6 +87,10 @@
                 true => self.near_places(&rack, size, request),
                 false => (0, 0),
             };
+            if tasks.together && all < tasks.count as u64 {
+                // The rack can't hold them together, whatever becomes free.
+                continue;
+            }
             let expectation = rate.map_or(Expectation::Unlearnt(all), Expectation::Learnt);
             let decision = locality::decide(&Wish {
                 now,
@@ -216,7 +220,9 @@
         };
         let before = Room {
             available: after.available.plus(step.reserved()),
-            headroom_milli: after.headroom_milli + i64::try_from(step.need.cpu_milli).unwrap_or(0),
+            headroom_milli: after
+                .headroom_milli
+                .saturating_add_unsigned(step.need.cpu_milli),
         };
         self.locality
             .record_other_start(now, &rack, &before, &after);
@@ -273,7 +279,7 @@
         };
         let before = Room {
             available: after.available.minus(run.reserved),
-            headroom_milli: after.headroom_milli - i64::try_from(cpu_milli).unwrap_or(0),
+            headroom_milli: after.headroom_milli.saturating_sub_unsigned(cpu_milli),
         };
         self.locality.record_end(now, &rack, &before, &after);
     }
--- a/components/steps/src/owner/place.rs
+++ b/components/steps/src/owner/place.rs
@@ -32,7 +32,8 @@
 
 /// Cost of a serving task among serving tasks of other images only. Tasks of one image suffer
 /// from the same best-effort images, so a worker with few images suits more best-effort tasks.
-const MIXED_IMAGES_COST: f64 = 2.0;
+/// Less than what a cold worker costs, which runs everything slower.
+const MIXED_IMAGES_COST: f64 = 1.4;
 
 /// Time for which a worker is kept after the last pass in which the task did not fit.
 const KEPT_FOR: Duration = Duration::from_secs(1);
--- a/components/steps/src/owner/rank.rs
+++ b/components/steps/src/owner/rank.rs
@@ -23,6 +23,9 @@
 /// Time after a mass loss during which jobs start in the order of a restart. Callers of large
 /// jobs were seen to be badly served for 12 s after a loss of power.
 const RESTART_SPAN: Duration = Duration::from_secs(12);
+/// Time for which a job that could not use a start it was owed is not owed any. Without it, one job
+/// that fits nowhere would keep all other late jobs of its priority from their share.
+const PASSED_OVER_FOR: Duration = Duration::from_secs(1);
 
 /// Whether a job can still meet its objective, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -113,6 +116,11 @@
         }
     }
 
+    /// Ranks the job by its deadline though it has waited for long.
+    pub const fn pass_over(&mut self) {
+        self.has_waited_for_long = false;
+    }
+
     /// Name of the job.
     #[must_use]
     pub const fn job(&self) -> &JobName {
@@ -219,7 +227,11 @@
                 continue;
             };
             let standing = entry.standing(queue, first_priority);
-            ranks.push(JobRank::new(now, name.clone(), &standing, is_restart));
+            let mut rank = JobRank::new(now, name.clone(), &standing, is_restart);
+            if !entry.passed_over_until.passed(now) {
+                rank.pass_over();
+            }
+            ranks.push(rank);
         }
         sort(&mut ranks, |priority| {
             self.aging.get(&priority).copied().unwrap_or_default()
@@ -227,11 +239,16 @@
         ranks
     }
 
-    /// Records the starts of a visit, so that late jobs get their share.
-    pub(super) fn record_starts_of(&mut self, rank: &JobRank, starts: u64) {
+    /// Records the starts of a visit, so that late jobs get their share. A job that could not use
+    /// what it is owed lets others have it for a while.
+    pub(super) fn record_starts_of(&mut self, now: Time, rank: &JobRank, starts: u64) {
         if starts > 0 {
             let aging = self.aging.entry(rank.priority).or_default();
             aging.record_starts(starts, rank.is_owed());
+        } else if rank.is_owed()
+            && let Some(entry) = self.jobs.get_mut(rank.job())
+        {
+            entry.passed_over_until = now + PASSED_OVER_FOR;
         }
     }
 }
--- a/components/steps/src/owner/recovery.rs
+++ b/components/steps/src/owner/recovery.rs
@@ -88,8 +88,9 @@
                 }
             }
         }
-        // A worker may have room for one of the tasks but not for all of them.
-        let mut wanted = Resources::NONE;
+        // A worker may have room for one of the tasks but not for all of them, and those that are
+        // still being stopped need it too.
+        let mut wanted = self.stopping_on_draining();
         for (name, key, work_left, time_left) in runs_to_save {
             let entry = self.jobs.get(&key.task.job);
             let step = entry.and_then(|entry| entry.job.steps.get(usize::from(key.task.step)));
@@ -112,6 +113,24 @@
         }
     }
 
+    /// Needs of the tasks that are being stopped on draining workers.
+    fn stopping_on_draining(&self) -> Resources {
+        let mut needs = Resources::NONE;
+        for vm in self.vms.values() {
+            if vm.status() != VmStatus::Draining {
+                continue;
+            }
+            for (key, assigned) in &vm.runs {
+                let entry = self.jobs.get(&key.task.job);
+                let step = entry.and_then(|entry| entry.job.steps.get(usize::from(key.task.step)));
+                if let (Some(step), Phase::Stopping { .. }) = (step, assigned.phase()) {
+                    needs = needs.plus(step.need);
+                }
+            }
+        }
+        needs
+    }
+
     /// Least time that the run of a task with checkpoints still takes; `None` for any other task.
     ///
     /// Estimates are wrong by up to 90%, so the progress so far counts if it shows that the task
--- a/components/steps/src/owner/schedule.rs
+++ b/components/steps/src/owner/schedule.rs
@@ -278,9 +278,10 @@
                 }
             }
             self.round.remove(rank.job());
-            let starts_before = self.work.starts_ordered;
+            let starts_before = self.work.starts_kept();
             self.visit_job(now, wall, rank.job(), &mut pass);
-            self.record_starts_of(&rank, self.work.starts_ordered - starts_before);
+            let starts = self.work.starts_kept().saturating_sub(starts_before);
+            self.record_starts_of(now, &rank, starts);
         }
         if !is_cut_off {
             // What is left has no queue or does not wait any more.
@@ -625,8 +626,12 @@
         for task in tasks {
             let request = ready.placement_request(task, &tasks_per_vm, rack, true, trial);
             let Ok(vm) = self.choose_vm(now, &request) else {
-                for (vm, key) in started {
-                    self.remove_run(now, &vm, &key);
+                self.work.starts_undone += started.len() as u64;
+                for (name, key) in started {
+                    if let Some(vm) = self.vms.get_mut(&name) {
+                        vm.cold_start.undo_start();
+                    }
+                    self.remove_run(now, &name, &key);
                 }
                 if let Some(entry) = self.jobs.get_mut(ready.job) {
                     entry.set_idle_since(idle_since);
--- a/components/steps/src/owner/uneven.rs
+++ b/components/steps/src/owner/uneven.rs
@@ -124,6 +124,11 @@
 }
 
 impl ColdStart {
+    /// Takes back a start that was not carried out.
+    pub(super) const fn undo_start(&mut self) {
+        self.starts = self.starts.saturating_sub(1);
+    }
+
     /// Records for how long a worker says that it will be cold; returns whether it was not cold
     /// before.
     fn record_report(&mut self, now: Time, remaining: Duration) -> bool {
@@ -252,6 +257,11 @@
         vms.any(|(name, vm)| {
             !request.avoid.contains(name)
                 && !vm.is_warming_up(now)
+                && !vm.health.is_suspect()
+                && vm
+                    .info
+                    .as_ref()
+                    .is_some_and(|info| request.step.reserved().fits(info.capacity))
                 && suits(vm, request, &self.zones_out)
         })
     }
--- a/components/steps/src/owner/work.rs
+++ b/components/steps/src/owner/work.rs
@@ -45,12 +45,22 @@
     pub load_samples: u64,
     /// Start orders given.
     pub starts_ordered: u64,
+    /// Those of them that were taken back at once, since other tasks of the step found no worker.
+    pub starts_undone: u64,
     /// Start orders that reached an agent after their deadline.
     pub starts_late: u64,
     /// Runs whose lease expired on a worker that this owner could still reach.
     pub runs_lapsed: u64,
 }
 
+impl WorkCounts {
+    /// Start orders that were not taken back at once.
+    #[must_use]
+    pub const fn starts_kept(&self) -> u64 {
+        self.starts_ordered.saturating_sub(self.starts_undone)
+    }
+}
+
 /// State that grows with the load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Backlog {
--- a/components/steps/tests/draining.rs
+++ b/components/steps/tests/draining.rs
@@ -96,6 +96,18 @@
     assert_eq!(fleet.workers[1].started, 2);
 }
 
+/// Guards against tasks that find the free place of one that is still being stopped.
+#[test]
+fn a_place_is_not_found_again_while_the_stop_is_under_way() {
+    let mut fleet = draining_fleet(checkpointed(4), 400);
+    offer_worker(&mut fleet, 1);
+    fleet.workers[0].slowdown = 20.0;
+    fleet.workers[0].obeys = false;
+    fleet.play(1_500);
+    let unanswered = fleet.take_orders(0).unwrap();
+    assert_eq!(unanswered.stops.len(), 1);
+}
+
 /// Guards against trust in estimates, which are wrong by up to 90%: a task that has come half as
 /// far as expected takes twice as long.
 #[test]
--- a/components/steps/tests/rank.rs
+++ b/components/steps/tests/rank.rs
@@ -56,6 +56,21 @@
     of_priority(priority, standing)
 }
 
+/// Guards against one job that fits nowhere and keeps the starts that are owed to late jobs.
+#[test]
+fn a_job_that_could_not_use_its_turn_leaves_it_to_the_next_one() {
+    let now = START + AGE;
+    let mut aging = Aging::default();
+    aging.record_starts(STARTS_PER_AGED_START, false);
+    let mut ranks: Vec<JobRank> = ["a", "b"]
+        .map(|id| JobRank::new(now, job_name(id), &standing(1), false))
+        .into();
+    ranks[0].pass_over();
+    sort(&mut ranks, |_| aging);
+    assert_eq!(ranks[0].job().as_ref(), "b");
+    assert!(ranks[0].is_owed());
+}
+
 /// Sorts jobs that all arrived 10 s ago; returns their indexes.
 fn order(standings: &[Standing], is_restart: bool, aging: Aging) -> Vec<usize> {
     let name = |index: usize| job_name(&format!("{index:016x}"));
--- a/tests/misbehaving_clients.rs
+++ b/tests/misbehaving_clients.rs
@@ -130,6 +130,21 @@
         }
     }
 
+    /// Asks the address of the crowd until it answers, as the load balancer does.
+    fn answer_at(&self, target: Target) {
+        let (address, path) = self.address(target);
+        let request = format!("GET {path} HTTP/1.1\r\nhost: clients\r\nconnection: close\r\n\r\n");
+        let until = Instant::now() + GIVE_UP;
+        while Instant::now() < until {
+            let answer = exchange(address, request.as_bytes());
+            if answer.is_ok_and(|text| text.starts_with("HTTP/1.1 ")) {
+                return;
+            }
+            thread::sleep(RETRY_DELAY);
+        }
+        panic!("no answer at {target:?}");
+    }
+
     fn peak_memory_kb(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
         let line = status.lines().find(|line| line.starts_with("VmHWM:"));
@@ -233,6 +248,7 @@
     entry.check("with the crowd");
     entry.accept_a_job("0000000000000002");
     entry.check("after a job was accepted");
+    entry.answer_at(target);
     drop(crowd);
 }
 
