--- a/components/stepd/src/entry.rs
+++ b/components/stepd/src/entry.rs
@@ -78,6 +78,9 @@
 /// The maximum number of clients' calls that read a job from the store at a time. Reads beyond
 /// the rate limit of the store wait, so that unlimited ones would occupy all connections.
 const MAX_JOB_READS: usize = 32;
+/// The maximum number of calls that wait for such a read or make one. A connection whose call
+/// waits is not closed in favour of a new one, so further calls are refused at once.
+const MAX_QUEUED_JOB_READS: usize = 64;
 
 /// An entry that runs in this process.
 pub struct Entry {
@@ -122,6 +125,8 @@
     refusals: Refusals,
     /// Permits for reads of jobs that this entry does not know.
     job_reads: Semaphore,
+    /// Permits for calls that wait for such a read or make one.
+    job_read_queue: Semaphore,
 }
 
 impl Shared {
@@ -256,6 +261,7 @@
         metrics: EntryMetrics::default(),
         refusals: guard.refusals.clone(),
         job_reads: Semaphore::new(MAX_JOB_READS),
+        job_read_queue: Semaphore::new(MAX_QUEUED_JOB_READS),
     });
     let (stop_clients, stop) = async_channel::bounded::<()>(1);
     let for_clients = Arc::clone(&shared);
--- a/components/stepd/src/entry/calls.rs
+++ b/components/stepd/src/entry/calls.rs
@@ -143,16 +143,25 @@
     }
 }
 
-/// Waits for a permit to read a job from the store; `None` if there is none in time. Clients whose
-/// jobs an entry does not know yet may ask together after its start.
-pub(super) async fn read_permit(shared: &Shared) -> Option<SemaphoreGuard<'_>> {
-    let permit = async { Some(shared.job_reads.acquire().await) };
+/// Permits to wait for a read of a job from the store, and for the read itself.
+pub(super) type ReadPermit<'a> = (SemaphoreGuard<'a>, SemaphoreGuard<'a>);
+
+/// Waits for a permit to read a job from the store; `None` if there is none in time, or too many
+/// calls wait. Clients whose jobs an entry does not know yet may ask together after its start.
+pub(super) async fn read_permit(shared: &Shared) -> Option<ReadPermit<'_>> {
+    let permit = async {
+        let queued = shared.job_read_queue.try_acquire()?;
+        Some((queued, shared.job_reads.acquire().await))
+    };
     let timed_out = async {
         smol::Timer::after(READ_PERMIT_TIMEOUT).await;
-        shared.refusals.record(Limit::JobReads);
         None
     };
-    permit.or(timed_out).await
+    let permit = permit.or(timed_out).await;
+    if permit.is_none() {
+        shared.refusals.record(Limit::JobReads);
+    }
+    permit
 }
 
 pub(super) fn too_many_reads() -> ClientReply {
