Tests for the fixes from the review that had none

Far-off deadlines in the work ahead, steps larger than a rack, the learnt slowdown after a good measurement, starts of a cold worker used up by a gang, and a warm worker that is too small. Without a test: a connection that has lost its slot.

--- a/components/steps/tests/admission.rs
+++ b/components/steps/tests/admission.rs
@@ -430,6 +430,31 @@
     assert_eq!(play.counts("quick").lost, 0);
 }
 
+/// Guards against one job with an estimate that is far too long, by which all others were refused.
+/// It yields to them, since its deadline is far off.
+#[rstest]
+#[case::far_off(3_600_000, false)]
+#[case::near(400, true)]
+fn work_with_a_deadline_that_is_far_off_is_not_ahead(
+    #[case] estimate_millis: u64,
+    #[case] is_ahead: bool,
+) {
+    let mut play = Play::new(true);
+    let step = Step {
+        estimate_millis,
+        ..step(1_000, &[])
+    };
+    let now = play.simulation.now;
+    let name = format!("{:016x}", 1);
+    play.simulation.submit(now, job(&name, "quick", vec![step]));
+    play.simulation.run_until(now + Duration::from_millis(800));
+    let (summary, _) = play.simulation.load_summary().unwrap();
+    let queues = &summary.services[0].queues;
+    let load = queues.iter().find(|load| load.queue.as_ref() == "quick");
+    let ahead = load.map(|load| load.in_time.unlabelled).unwrap_or_default();
+    assert_eq!(ahead != Work::default(), is_ahead, "{ahead:?}");
+}
+
 /// The load is summed up by time, not by event: a report or a submit costs the owner no sweep.
 #[test]
 fn the_load_is_sampled_at_most_twice_a_second() {
--- a/components/steps/tests/locality.rs
+++ b/components/steps/tests/locality.rs
@@ -496,6 +496,29 @@
     }
 }
 
+/// Guards against a wait in vain: the places that become free in a rack were compared with a step
+/// that is larger than the rack.
+#[rstest]
+fn a_step_does_not_wait_for_a_rack_that_can_not_hold_it(#[values(false, true)] gang: bool) {
+    let mut fleet = Fleet::new(2, 2, 3.0, true);
+    for rack in 0..2 {
+        fleet.fill(at(0), 1 + rack as u64, rack, 300, step(4, &[]));
+    }
+    let wide = |count: u32| Step {
+        gang,
+        same_rack: true,
+        data_rack: None,
+        estimate_millis: 2_000,
+        ..near_step(count)
+    };
+    // From this step on the rate of free places is followed.
+    let first = fleet.submit(at(0), 9, wide(8));
+    fleet.run(0, 2_500);
+    assert!(fleet.completed.contains_key(&first));
+    let job = fleet.submit(at(2_500), 10, wide(12));
+    assert_eq!(fleet.starts_of(&job).len(), 12);
+}
+
 /// Members that start elsewhere would slow all of them down.
 #[test]
 fn a_gang_waits_as_a_whole_for_the_rack_of_its_data() {
--- a/components/steps/tests/uneven.rs
+++ b/components/steps/tests/uneven.rs
@@ -82,6 +82,36 @@
     assert_eq!(starts(&mut fleet)[&0], 16);
 }
 
+/// Guards against a cold worker that stays empty: attempts to start a gang that does not fit used up
+/// the starts that it may get.
+#[test]
+fn a_gang_that_does_not_fit_uses_up_no_starts_of_a_cold_worker() {
+    let mut fleet = Fleet::new(2);
+    fleet.workers[0].cold_until = 8_000;
+    fleet.report_all();
+    let gang = Step {
+        gang: true,
+        ..step(9, &[])
+    };
+    fleet.submit(job(&id(1), "quick", vec![gang]));
+    fleet.submit(job(&id(2), "quick", vec![small_tasks(32)]));
+    assert_eq!(starts(&mut fleet), BTreeMap::from([(0, 4), (1, 16)]));
+}
+
+/// Guards against slow starts: a cold worker took its tasks gradually since another one was warm,
+/// which is too small for any of them.
+#[test]
+fn a_cold_worker_takes_all_tasks_that_fit_nowhere_else() {
+    let mut fleet = Fleet::new(4);
+    fleet.workers[0].cold_until = 8_000;
+    for worker in &mut fleet.workers[1..] {
+        worker.capacity = Resources::new(100, 16_000, 0);
+    }
+    fleet.report_all();
+    fleet.submit(job(&id(1), "quick", vec![small_tasks(16)]));
+    assert_eq!(starts(&mut fleet)[&0], 16);
+}
+
 /// Guards against idle workers after a loss of power, when all workers are cold at once.
 #[test]
 fn tasks_start_at_once_where_most_workers_are_cold() {
@@ -181,6 +211,32 @@
     assert_eq!(starts(&mut fleet)[&0], 0);
 }
 
+/// Guards against a worker that has recovered and stays avoided: its first good measurement was
+/// averaged with the slowdown from before the decay.
+#[test]
+fn a_good_measurement_does_not_raise_a_learnt_slowdown() {
+    // Its tasks end after those of the others, by which they are measured.
+    const SLOW: usize = 3;
+    let mut fleet = Fleet::new(4);
+    fleet.workers[SLOW].slowdown = 3.0;
+    for number in 0..10 {
+        fleet.submit(job(&id(number), "quick", vec![step(16, &[])]));
+        fleet.play(3 * TASK_MILLIS + 200);
+    }
+    fleet.workers[SLOW].slowdown = 1.0;
+    fleet.play(24_000);
+    let before = fleet.workers[SLOW].started;
+    fleet.submit(job(&id(100), "quick", vec![step(13, &[])]));
+    fleet.play(TASK_MILLIS + 200);
+    assert!(
+        fleet.workers[SLOW].started > before,
+        "the worker was not measured"
+    );
+    fleet.submit(job(&id(101), "quick", vec![step(12, &[])]));
+    let starts = starts(&mut fleet);
+    assert!(starts[&SLOW] > 0, "{starts:?}");
+}
+
 /// Guards against a belief without end: a worker that was slow once stayed avoided.
 #[test]
 fn a_learnt_slowdown_ends() {
